--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -198,12 +198,12 @@
     }
     for (const held of message.held) {
       const grant = this.grants.adopt(entry, held, this.nowMs);
+      this.monitor.onCost(held.charged);
       this.started(grant);
     }
     for (const announcement of message.waiting) {
       this.enqueue(entry, announcement);
     }
-    this.monitor.onAdopted(this.backlog.customers);
   }
 
   private enqueue(entry: string, announcement: Announcement): void {
@@ -211,6 +211,7 @@
     if (this.backlog.get(requestId) !== undefined) return;
     const rules = this.options.rulesOf(customer, className);
     this.ledger.setShare(customer, rules.share);
+    this.monitor.onShare(customer, rules.share);
     if (this.isolation.ledger.standingOf(fingerprint) === 'quarantined') {
       return this.refuse(entry, requestId, 'quarantined', 0);
     }
@@ -230,21 +231,14 @@
   }
 
   private addToBacklog(request: QueuedRequest): void {
-    const {customer, className} = request.announcement;
     if (!this.backlog.add(request)) return;
+    const {customer} = request.announcement;
     this.ledger.lift(customer, this.backlog.customers);
-    const {share} = this.options.rulesOf(customer, className);
-    this.monitor.onBacklogged(customer, share);
-  }
-
-  private removeFromBacklog(request: QueuedRequest): void {
-    if (!this.backlog.remove(request)) return;
-    this.monitor.onDrained(request.announcement.customer);
   }
 
   private onWithdraw(entry: string, requestId: string): void {
     const request = this.backlog.get(requestId);
-    if (request?.entry === entry) this.removeFromBacklog(request);
+    if (request?.entry === entry) this.backlog.remove(request);
   }
 
   private onProgress(entry: string, grantId: string, cost: number): void {
@@ -286,7 +280,7 @@
     for (const customer of [...this.backlog.customers]) {
       for (const request of [...this.backlog.inOrder(customer, this.nowMs)]) {
         if (request.announcement.fingerprint !== fingerprint) continue;
-        this.removeFromBacklog(request);
+        this.backlog.remove(request);
         const {requestId} = request.announcement;
         this.refuse(request.entry, requestId, 'quarantined', 0);
       }
@@ -299,7 +293,7 @@
     if (record === undefined || !record.synced) return;
     record.synced = false;
     for (const request of this.backlog.of(entry)) {
-      this.removeFromBacklog(request);
+      this.backlog.remove(request);
     }
     for (const grant of this.grants.heldBy(entry)) {
       this.stopped(grant);
@@ -318,7 +312,7 @@
 
   private clearEntry(entry: string): void {
     for (const request of this.backlog.of(entry)) {
-      this.removeFromBacklog(request);
+      this.backlog.remove(request);
     }
     for (const grant of this.grants.heldBy(entry)) {
       this.stopped(grant);
@@ -360,7 +354,7 @@
   private grant(request: QueuedRequest, target: string): void {
     const {customer, requestId, estimate} = request.announcement;
     this.ledger.reachLevel(customer);
-    this.removeFromBacklog(request);
+    this.backlog.remove(request);
     const grant = this.grants.open(request, target);
     this.started(grant);
     this.charge(grant, estimate);
@@ -435,7 +429,9 @@
   private forgetIdle(): void {
     const active = new Set(this.backlog.customers);
     for (const customer of this.grants.customers()) active.add(customer);
-    this.ledger.forgetAllBut(active);
+    for (const customer of this.ledger.forgetAllBut(active)) {
+      this.monitor.forget(customer);
+    }
     for (const customer of this.drainRates.keys()) {
       if (!active.has(customer)) this.drainRates.delete(customer);
     }
--- a/packages/core/src/lib/dispatch/fairness_monitor.ts
+++ b/packages/core/src/lib/dispatch/fairness_monitor.ts
@@ -7,7 +7,6 @@
   share: number;
   running: number;
   peakRunning: number;
-  backlogged: boolean;
 }
 
 /** The gap at one moment. @public */
@@ -21,8 +20,6 @@
 export class FairnessMonitor {
   private readonly customers = new Map<string, Watched>();
   private largestCost = 0;
-  /** Gap taken over from counters that earlier dispatchers had reached. */
-  private inherited = 0;
   private worst: FairnessReading = {gap: 0, bound: 0};
   private violationCount = 0;
 
@@ -42,21 +39,17 @@
     return this.worst;
   }
 
-  onCost(cost: number): void {
-    this.largestCost = Math.max(this.largestCost, cost);
+  /** The slack within which a customer may go out of turn. */
+  get slack(): number {
+    return this.largestCost;
   }
 
-  onBacklogged(customer: string, share: number): void {
-    const watched = this.watch(customer);
-    watched.share = share;
-    watched.backlogged = true;
-    watched.peakRunning = watched.running;
+  onCost(cost: number): void {
+    this.largestCost = Math.max(this.largestCost, cost);
   }
 
-  onDrained(customer: string): void {
-    const watched = this.watch(customer);
-    watched.backlogged = false;
-    if (watched.running === 0) this.customers.delete(customer);
+  onShare(customer: string, share: number): void {
+    this.watch(customer).share = share;
   }
 
   onStart(customer: string): void {
@@ -68,34 +61,15 @@
   onStop(customer: string): void {
     const watched = this.watch(customer);
     watched.running = Math.max(0, watched.running - 1);
-    if (watched.running === 0 && !watched.backlogged) {
-      this.customers.delete(customer);
-    }
   }
 
-  /** Notes counters that came from elsewhere; their gap is not ours. */
-  onAdopted(eligible: Iterable<string>): void {
-    this.inherited = this.gapOf(eligible);
-  }
-
-  /** The slack within which a customer may go out of turn. */
-  get slack(): number {
-    return this.largestCost;
+  /** Forgets a customer whose counter is forgotten too. */
+  forget(customer: string): void {
+    this.customers.delete(customer);
   }
 
   /** Compares the customers whose work could run now. */
   check(eligible: Iterable<string>): FairnessReading {
-    const gap = this.gapOf(eligible);
-    const derived = fairnessBound(this.largestCost, this.backloggedTerms());
-    if (gap <= derived) this.inherited = 0;
-    const bound = derived + this.slack + this.inherited;
-    const reading = {gap, bound};
-    if (gap > this.worst.gap) this.worst = reading;
-    if (gap > bound + Number.EPSILON * gap) this.violationCount += 1;
-    return reading;
-  }
-
-  private gapOf(eligible: Iterable<string>): number {
     let least = Infinity;
     let most = -Infinity;
     for (const customer of eligible) {
@@ -103,19 +77,24 @@
       least = Math.min(least, service);
       most = Math.max(most, service);
     }
-    return most > least ? most - least : 0;
+    if (most <= least) return {gap: 0, bound: 0};
+    const reading = {gap: most - least, bound: this.boundAbove(least)};
+    if (reading.gap > this.worst.gap) this.worst = reading;
+    if (reading.gap > reading.bound) this.violationCount += 1;
+    return reading;
   }
 
-  private *backloggedTerms(): Generator<Watched> {
-    for (const watched of this.customers.values()) {
-      if (watched.backlogged) yield watched;
-    }
+  /** The derived bound, the slack, and what was taken over above `least`. */
+  private boundAbove(least: number): number {
+    const derived = fairnessBound(this.largestCost, this.customers.values());
+    const inherited = Math.max(0, this.ledger.adoptedLevel - least);
+    return derived + this.slack + inherited;
   }
 
   private watch(customer: string): Watched {
     let watched = this.customers.get(customer);
     if (watched === undefined) {
-      watched = {share: 1, running: 0, peakRunning: 0, backlogged: false};
+      watched = {share: 1, running: 0, peakRunning: 0};
       this.customers.set(customer, watched);
     }
     return watched;
--- a/packages/core/src/lib/fairness/service_ledger.ts
+++ b/packages/core/src/lib/fairness/service_ledger.ts
@@ -15,6 +15,7 @@
   private readonly accounts = new Map<string, Account>();
   /** The service level at which the last grant was made. */
   private level = 0;
+  private adopted = 0;
 
   private constructor() {}
 
@@ -22,6 +23,11 @@
     return new ServiceLedger();
   }
 
+  /** The highest counter taken over from another dispatcher. */
+  get adoptedLevel(): number {
+    return this.adopted;
+  }
+
   /** Service so far, in weighted tokens per share. */
   serviceOf(customer: string): number {
     return this.accounts.get(customer)?.service ?? this.level;
@@ -56,6 +62,8 @@
 
   /** Takes over a counter that another dispatcher had reached. */
   adopt(customer: string, service: number): void {
+    this.adopted = Math.max(this.adopted, service);
+    this.level = Math.max(this.level, service);
     const account = this.accounts.get(customer);
     if (account === undefined) {
       this.accounts.set(customer, {share: 1, service});
@@ -64,12 +72,15 @@
     }
   }
 
-  /** Forgets customers that are neither backlogged nor running. */
-  forgetAllBut(active: ReadonlySet<string>): void {
+  /** Forgets and returns customers that are neither backlogged nor running. */
+  forgetAllBut(active: ReadonlySet<string>): string[] {
+    const forgotten: string[] = [];
     for (const [customer, account] of this.accounts) {
       if (active.has(customer) || account.service > this.level) continue;
       this.accounts.delete(customer);
+      forgotten.push(customer);
     }
+    return forgotten;
   }
 
   private accountOf(customer: string): Account {
