The measure program: all policies on one seeded load

Cause: the ways named in the design had no figures.

Change: npm run measure starts nine daemons, 13 engines and 3 plain targets for each policy on the same seeded load of 16 customers (3 large, 12 small, 1 that floods), samples service, backlogs, slots and control five times a second and prints one table. Control time is measured inside the daemon. A leak of abort listeners in sleep(), which the first run's warnings showed, is mended.

Ruled out: counting a call as waiting until its first byte; calls in prefill then look backlogged. It waits until a target has started it.

--- a/apps/daemon/src/lib/admin/status.ts
+++ b/apps/daemon/src/lib/admin/status.ts
@@ -2,6 +2,8 @@
 import type {DispatcherStats} from '@applebend/core';
 import type {Daemon} from '../daemon.js';
 
+const MICROSECONDS_PER_S = 1e6;
+
 /** One cell as this instance takes part in it. @public */
 export interface CellStatus {
   readonly service: string;
@@ -28,6 +30,11 @@
     readonly revision: number;
   }[];
   readonly cells: readonly CellStatus[];
+  /** Time spent on control since the start. */
+  readonly controlSeconds: number;
+  /** Time spent in all since the start. */
+  readonly cpuSeconds: number;
+  readonly rssBytes: number;
   readonly traffic: {
     readonly sentBytes: number;
     readonly receivedBytes: number;
@@ -59,10 +66,18 @@
       targets: membership.targets.viewsOf(service),
       stats: cell.stats,
     })),
+    controlSeconds: daemon.busy.seconds,
+    cpuSeconds: cpuSeconds(),
+    rssBytes: process.memoryUsage.rss(),
     traffic: daemon.mesh.traffic,
   };
 }
 
+function cpuSeconds(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_S;
+}
+
 /** Brings the gauges up to date. @public */
 export function collectGauges(daemon: Daemon): void {
   const {metrics, mesh} = daemon;
--- a/apps/daemon/src/lib/cells/cell_registry.ts
+++ b/apps/daemon/src/lib/cells/cell_registry.ts
@@ -9,7 +9,7 @@
   ServiceConfig,
   SlotSettings,
 } from '@applebend/core';
-import type {Clock} from '@applebend/utils';
+import type {BusyMeter, Clock} from '@applebend/utils';
 import type {PeerMesh} from '../peers/peer_mesh.js';
 
 /** What the registry is made from. @public */
@@ -20,6 +20,7 @@
   readonly leaseMs: number;
   readonly mesh: () => PeerMesh;
   readonly clock: Clock;
+  readonly busy: BusyMeter;
   readonly config: () => FleetConfig;
 }
 
@@ -62,7 +63,8 @@
   }
 
   private make(name: string, service: ServiceConfig): CellTask {
-    const {instance, incarnation, policy, leaseMs, mesh, clock} = this.parts;
+    const {instance, incarnation, policy, leaseMs, mesh, clock, busy} =
+      this.parts;
     return CellTask.create({
       cell: name,
       instance,
@@ -71,6 +73,7 @@
       leaseMs,
       mesh,
       clock,
+      busy,
       slots: slotSettings(service),
       rulesOf: (customer, className) => this.rulesOf(customer, className),
     });
--- a/apps/daemon/src/lib/cells/cell_task.ts
+++ b/apps/daemon/src/lib/cells/cell_task.ts
@@ -24,7 +24,7 @@
   TargetView,
   TokenTimes,
 } from '@applebend/core';
-import type {Clock} from '@applebend/utils';
+import type {BusyMeter, Clock} from '@applebend/utils';
 import type {PeerMesh} from '../peers/peer_mesh.js';
 
 /** A slot that was granted to a request. @public */
@@ -64,6 +64,7 @@
   readonly rulesOf: RulesLookup;
   readonly mesh: () => PeerMesh;
   readonly clock: Clock;
+  readonly busy: BusyMeter;
 }
 
 /** The fleet as the cell's roles need to see it. @public */
@@ -102,7 +103,9 @@
       rulesOf,
       leaseMs,
     });
-    this.mailbox = Mailbox.create(event => this.handle(event));
+    this.mailbox = Mailbox.create(event =>
+      parts.busy.measure(() => this.handle(event))
+    );
   }
 
   static create(parts: CellParts): CellTask {
--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -7,7 +7,7 @@
 import {OutputEstimator, RetryBudget} from '@applebend/core';
 import {HttpInstanceList, HttpLogClient} from '@applebend/platform';
 import {Logger, Metrics, Tracing} from '@applebend/telemetry';
-import {sleep, systemClock} from '@applebend/utils';
+import {BusyMeter, sleep, systemClock} from '@applebend/utils';
 import {AdminServer} from './admin/admin_server.js';
 import {CellRegistry} from './cells/cell_registry.js';
 import {ClaimTask} from './claims/claim_task.js';
@@ -43,6 +43,8 @@
   entry!: EntryServer;
   private admin!: AdminServer;
   private readonly tracing: Tracing;
+  /** Time spent on control: links, cells and membership. */
+  readonly busy = BusyMeter.create();
   private readonly clock = systemClock;
   private readonly peerIncarnations = new Map<string, string>();
   private readonly timers: NodeJS.Timeout[] = [];
@@ -80,6 +82,7 @@
       metrics: this.metrics,
       ownHeartbeat: () => this.heartbeat(),
       onChange: () => this.refreshCells(),
+      busy: this.busy,
     });
     this.config = ConfigTask.create({
       instance,
@@ -113,6 +116,7 @@
       leaseMs: timing.grant_lease_ms,
       mesh,
       clock,
+      busy: this.busy,
       config: () => this.config.config,
     });
   }
@@ -171,6 +175,7 @@
       port: listen.peer.port,
       log,
       metrics,
+      busy: this.busy,
       events: {
         onUp: peer => this.onPeerUp(peer),
         onDown: peer => this.onPeerDown(peer),
--- a/apps/daemon/src/lib/membership/membership_task.ts
+++ b/apps/daemon/src/lib/membership/membership_task.ts
@@ -8,7 +8,7 @@
 import type {Heartbeat} from '@applebend/core';
 import type {InstanceList, ListedInstance} from '@applebend/platform';
 import type {Logger, Metrics} from '@applebend/telemetry';
-import type {Clock} from '@applebend/utils';
+import type {BusyMeter, Clock} from '@applebend/utils';
 import type {PeerMesh} from '../peers/peer_mesh.js';
 import type {Settings} from '../settings/settings.js';
 
@@ -23,6 +23,7 @@
   /** What this instance says of itself. */
   readonly ownHeartbeat: () => Heartbeat;
   readonly onChange: () => void;
+  readonly busy: BusyMeter;
 }
 
 const EVALUATE_EVERY_MS = 100;
@@ -84,7 +85,8 @@
   }
 
   private every(intervalMs: number, turn: () => void): void {
-    this.timers.push(setInterval(turn, intervalMs));
+    const {busy} = this.parts;
+    this.timers.push(setInterval(() => busy.measure(turn), intervalMs));
   }
 
   private async poll(): Promise<void> {
--- a/apps/daemon/src/lib/peers/peer_mesh.ts
+++ b/apps/daemon/src/lib/peers/peer_mesh.ts
@@ -9,6 +9,7 @@
 import type {LinkCloseReason, PeerMessage} from '@applebend/protocol';
 import type {PeerIdentity} from '@applebend/protocol';
 import type {Logger, Metrics} from '@applebend/telemetry';
+import type {BusyMeter} from '@applebend/utils';
 
 /** Where a peer listens for links. @public */
 export interface PeerAddress {
@@ -37,6 +38,7 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly events: MeshEvents;
+  readonly busy: BusyMeter;
 }
 
 interface OpenLink {
@@ -144,6 +146,7 @@
     const link = Link.create(socket, {
       identity: this.options.identity,
       secret: this.options.secret,
+      busy: this.options.busy,
       events: {
         onOpen: peer => {
           opened = this.onOpen(link, peer);
--- a/apps/rig/src/lib/caller_client.ts
+++ b/apps/rig/src/lib/caller_client.ts
@@ -10,6 +10,8 @@
   readonly body: string;
   /** Gives up, closing the connection, after this time. */
   readonly patienceMs: number;
+  /** Called for each part of the body. */
+  readonly onChunk?: (chunk: Buffer) => void;
 }
 
 /** What a caller saw of its answer. */
@@ -66,6 +68,7 @@
       res = response;
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
+        request.onChunk?.(chunk);
         chunkTimesMs.push(performance.now());
       });
       response.on('end', () => settle(response.complete, ''));
--- a/apps/rig/src/lib/fleet.ts
+++ b/apps/rig/src/lib/fleet.ts
@@ -61,11 +61,14 @@
   readonly routers: Router[] = [];
   readonly targets: Target[] = [];
   readonly runs: RunRecord[] = [];
+  /** Called as a target starts a run. */
+  onRun: (key: string) => void = () => {};
   log!: LogService;
   list!: InstanceListService;
   private readonly relays: Relay[] = [];
   private readonly folder = mkdtempSync(path.join(tmpdir(), 'applebend-'));
   private readonly subnet: string;
+  private readonly notAccepting = new Set<number>();
 
   private constructor(private readonly options: FleetOptions) {
     const number = process.pid % (SUBNETS * SUBNETS);
@@ -100,6 +103,17 @@
     return `${this.subnet}.${FIRST_ROUTER + index}`;
   }
 
+  /** Whether the balancer sends callers to a router. */
+  accepting(index: number): boolean {
+    return this.router(index).running && !this.notAccepting.has(index);
+  }
+
+  /** Tells the balancer whether a router answers its readiness check. */
+  setAccepting(index: number, accepting: boolean): void {
+    if (accepting) this.notAccepting.delete(index);
+    else this.notAccepting.add(index);
+  }
+
   /** How often targets started a run for a key or tag. */
   runsOf(key: string): number {
     return this.runs.filter(run => run.key === key).length;
@@ -251,8 +265,10 @@
           host,
           port: port++,
           args: plan.args,
-          onRun: (id, key) =>
-            this.runs.push({target: id, key, atMs: performance.now()}),
+          onRun: (id, key) => {
+            this.runs.push({target: id, key, atMs: performance.now()});
+            this.onRun(key);
+          },
         });
         this.targets.push(target);
         this.listTarget(target, 'live');
--- /dev/null
+++ b/apps/rig/src/lib/load/figures.ts
@@ -0,0 +1,248 @@
+/** Works a run's samples and results out into the figures of the report. */
+import {build} from 'hdr-histogram-js';
+import {CUSTOMERS} from './site.js';
+
+import type {RunRecord} from '../fleet.js';
+import type {CallResult} from './load_runner.js';
+import type {FleetSample, RouterSample} from './sampler.js';
+
+/** One policy's figures. */
+export interface Figures {
+  /** Largest difference of service, in weighted tokens per share. */
+  readonly fairness_gap: number;
+  /** The same once the requests granted before the backlog have ended. */
+  readonly fairness_gap_settled: number;
+  /** The gap as the dispatchers count it, and its derived bound. */
+  readonly ledger_gap: number;
+  readonly ledger_bound: number;
+  readonly bound_violations: number;
+  /** Grants that put a target over its limit, as dispatchers saw it. */
+  readonly over_limit: number;
+  readonly utilisation: number;
+  readonly idle_while_waiting: number;
+  readonly first_token_p95_s: number;
+  readonly between_tokens_p95_ms: number;
+  readonly small_customer_wait_p95_s: number;
+  readonly short_call_wait_p95_s: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly failed: number;
+  readonly control_bytes_s: number;
+  readonly control_bytes_s_max: number;
+  readonly control_cpu_part: number;
+  readonly control_cpu_part_max: number;
+  readonly cpu_part: number;
+  readonly rss_mb: number;
+}
+
+const MS_PER_S = 1000;
+const MB = 1024 * 1024;
+const P95 = 95;
+/** Longer than the longest answer of the load. */
+const SETTLE_MS = 10_000;
+const MICROSECONDS = 1000;
+
+/** The figures of one run. */
+export function figuresOf(
+  samples: readonly FleetSample[],
+  results: readonly CallResult[],
+  runs: readonly RunRecord[]
+): Figures {
+  const startOf = new Map(runs.map(run => [run.key, run.atMs]));
+  const waits = (kept: (result: CallResult) => boolean) =>
+    results
+      .filter(result => kept(result) && startOf.has(result.call.id))
+      .map(r => (startOf.get(r.call.id) ?? 0) - r.answer.sentAtMs);
+  const {status, model} = {
+    status: (r: CallResult) => r.answer.status,
+    model: (r: CallResult) => r.call.maxTokens > 0,
+  };
+  const firstTokens = results
+    .filter(r => model(r) && r.answer.firstByteAtMs !== undefined)
+    .filter(r => status(r) === 200 && startOf.has(r.call.id))
+    .map(r => (r.answer.firstByteAtMs ?? 0) - (startOf.get(r.call.id) ?? 0));
+  return {
+    fairness_gap: fairnessGap(samples),
+    fairness_gap_settled: fairnessGap(samples, SETTLE_MS),
+    ...ledgerFigures(samples),
+    ...slotFigures(samples),
+    first_token_p95_s: p95(firstTokens) / MS_PER_S,
+    between_tokens_p95_ms: p95(tokenGaps(results.filter(model))),
+    small_customer_wait_p95_s:
+      p95(waits(r => r.call.customer.size === 'small' && model(r))) / MS_PER_S,
+    short_call_wait_p95_s:
+      p95(
+        waits(r => r.call.kind === 'check' && r.call.customer.size !== 'flood')
+      ) / MS_PER_S,
+    answered: results.filter(r => status(r) === 200 && r.answer.complete)
+      .length,
+    refused: results.filter(r => [429, 503, 504].includes(status(r))).length,
+    failed: results.filter(
+      r =>
+        ![429, 503, 504].includes(status(r)) &&
+        !(status(r) === 200 && r.answer.complete)
+    ).length,
+    ...controlFigures(samples),
+  };
+}
+
+/**
+ * The largest difference in service received between two customers, each
+ * with work waiting through the whole time that is compared. With a settling
+ * time, the comparison starts that long after both had work waiting, when
+ * what was granted before has ended.
+ */
+export function fairnessGap(
+  samples: readonly FleetSample[],
+  settleMs = 0
+): number {
+  const since: (number | undefined)[] = CUSTOMERS.map(() => undefined);
+  let largest = 0;
+  for (const [now, sample] of samples.entries()) {
+    for (const i of CUSTOMERS.keys()) {
+      if ((sample.waiting[i] ?? 0) === 0) since[i] = undefined;
+      else since[i] ??= firstAfter(samples, sample.atMs + settleMs);
+    }
+    for (const i of CUSTOMERS.keys()) {
+      for (let j = 0; j < i; j++) {
+        largest = Math.max(largest, gapOf(samples, now, i, j, since));
+      }
+    }
+  }
+  return largest;
+}
+
+function firstAfter(samples: readonly FleetSample[], atMs: number): number {
+  const index = samples.findIndex(sample => sample.atMs >= atMs);
+  return index < 0 ? samples.length : index;
+}
+
+function gapOf(
+  samples: readonly FleetSample[],
+  now: number,
+  i: number,
+  j: number,
+  since: readonly (number | undefined)[]
+): number {
+  const [a, b] = [since[i], since[j]];
+  if (a === undefined || b === undefined) return 0;
+  if (Math.max(a, b) >= now) return 0;
+  const start = samples[Math.max(a, b)];
+  const end = samples[now];
+  if (start === undefined || end === undefined) return 0;
+  const received = (customer: number) =>
+    ((end.service[customer] ?? 0) - (start.service[customer] ?? 0)) /
+    (CUSTOMERS[customer]?.share ?? 1);
+  return Math.abs(received(i) - received(j));
+}
+
+/** Use of slots, and slots that idled while calls waited. */
+export function slotFigures(samples: readonly FleetSample[]): {
+  utilisation: number;
+  idle_while_waiting: number;
+} {
+  let slots = 0;
+  let busy = 0;
+  let idle = 0;
+  for (const sample of samples) {
+    slots += sample.slots;
+    busy += sample.busySlots;
+    idle += Math.min(sample.slots - sample.busySlots, sample.queued);
+  }
+  return {utilisation: busy / slots, idle_while_waiting: idle / slots};
+}
+
+function ledgerFigures(samples: readonly FleetSample[]) {
+  let gap = 0;
+  let bound = 0;
+  const violations = new Map<string, number>();
+  const overLimit = new Map<string, number>();
+  for (const {routers} of samples) {
+    for (const {incarnation, cells} of routers) {
+      for (const {service, stats} of cells) {
+        if (stats.fairnessGap > gap) {
+          gap = stats.fairnessGap;
+          bound = stats.fairnessBound;
+        }
+        const key = `${incarnation}/${service}`;
+        violations.set(key, stats.fairnessViolations);
+        overLimit.set(key, stats.overLimit);
+      }
+    }
+  }
+  const sum = (counts: Map<string, number>) =>
+    [...counts.values()].reduce((a, b) => a + b, 0);
+  return {
+    ledger_gap: gap,
+    ledger_bound: bound,
+    bound_violations: sum(violations),
+    over_limit: sum(overLimit),
+  };
+}
+
+function controlFigures(samples: readonly FleetSample[]) {
+  const rates = routerSpans(samples).map(({first, last, seconds}) => {
+    const bytes = (s: RouterSample) =>
+      s.traffic.sentBytes + s.traffic.receivedBytes;
+    return {
+      bytes: (bytes(last) - bytes(first)) / seconds,
+      control: (last.controlSeconds - first.controlSeconds) / seconds,
+      cpu: (last.cpuSeconds - first.cpuSeconds) / seconds,
+      rss: last.rssBytes / MB,
+    };
+  });
+  const mean = (values: number[]) =>
+    values.reduce((a, b) => a + b, 0) / Math.max(1, values.length);
+  return {
+    control_bytes_s: mean(rates.map(r => r.bytes)),
+    control_bytes_s_max: Math.max(...rates.map(r => r.bytes)),
+    control_cpu_part: mean(rates.map(r => r.control)),
+    control_cpu_part_max: Math.max(...rates.map(r => r.control)),
+    cpu_part: mean(rates.map(r => r.cpu)),
+    rss_mb: Math.max(...rates.map(r => r.rss)),
+  };
+}
+
+/** Each life of each router, from its first to its last sample. */
+function routerSpans(samples: readonly FleetSample[]) {
+  const spans = new Map<
+    string,
+    {first: RouterSample; last: RouterSample; startMs: number; endMs: number}
+  >();
+  for (const {routers, atMs} of samples) {
+    for (const router of routers) {
+      const span = spans.get(router.incarnation);
+      if (span === undefined) {
+        const first = router;
+        const last = router;
+        const startMs = atMs;
+        spans.set(router.incarnation, {first, last, startMs, endMs: atMs});
+      } else {
+        span.last = router;
+        span.endMs = atMs;
+      }
+    }
+  }
+  return [...spans.values()]
+    .map(span => ({...span, seconds: (span.endMs - span.startMs) / MS_PER_S}))
+    .filter(span => span.seconds > 2);
+}
+
+function tokenGaps(results: readonly CallResult[]): number[] {
+  const gaps: number[] = [];
+  for (const {answer} of results) {
+    const times = answer.chunkTimesMs;
+    for (let i = 1; i < times.length; i++) {
+      gaps.push((times[i] ?? 0) - (times[i - 1] ?? 0));
+    }
+  }
+  return gaps;
+}
+
+function p95(valuesMs: readonly number[]): number {
+  const histogram = build({numberOfSignificantValueDigits: 3});
+  for (const value of valuesMs) {
+    histogram.recordValue(Math.max(0, Math.round(value * MICROSECONDS)));
+  }
+  return histogram.getValueAtPercentile(P95) / MICROSECONDS;
+}
--- /dev/null
+++ b/apps/rig/src/lib/load/sampler.ts
@@ -0,0 +1,123 @@
+/** Samples the fleet through a run: service, backlogs, slots and control. */
+import {requestJson} from '@applebend/platform';
+import {sleep} from '@applebend/utils';
+import {
+  CUSTOMERS,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  SLOTS_PER_ENGINE,
+} from './site.js';
+
+import type {Fleet} from '../fleet.js';
+import type {LoadRunner} from './load_runner.js';
+
+/** The parts of a router's status page that are sampled. */
+export interface RouterSample {
+  readonly instance: string;
+  readonly incarnation: string;
+  readonly controlSeconds: number;
+  readonly cpuSeconds: number;
+  readonly rssBytes: number;
+  readonly traffic: {
+    readonly sentBytes: number;
+    readonly receivedBytes: number;
+  };
+  readonly cells: readonly {
+    readonly service: string;
+    readonly waitingHere: number;
+    readonly stats: {
+      readonly fairnessGap: number;
+      readonly fairnessBound: number;
+      readonly fairnessViolations: number;
+      readonly overLimit: number;
+    };
+  }[];
+}
+
+/** The fleet at one moment. */
+export interface FleetSample {
+  readonly atMs: number;
+  /** Weighted tokens received, by customer. */
+  readonly service: readonly number[];
+  readonly waiting: readonly number[];
+  readonly busySlots: number;
+  readonly slots: number;
+  /** Model calls that wait inside the fleet. */
+  readonly queued: number;
+  readonly routers: readonly RouterSample[];
+}
+
+const SAMPLE_EVERY_MS = 200;
+const TIMEOUT_MS = 1000;
+
+export class Sampler {
+  readonly samples: FleetSample[] = [];
+  private running = true;
+  private done: Promise<void> | undefined;
+
+  private constructor(
+    private readonly fleet: Fleet,
+    private readonly load: LoadRunner
+  ) {}
+
+  static create(fleet: Fleet, load: LoadRunner): Sampler {
+    return new Sampler(fleet, load);
+  }
+
+  start(): void {
+    this.done = this.follow();
+  }
+
+  async stop(): Promise<void> {
+    this.running = false;
+    await this.done;
+  }
+
+  private async follow(): Promise<void> {
+    while (this.running) {
+      const startMs = performance.now();
+      this.samples.push(await this.sample());
+      const tookMs = performance.now() - startMs;
+      await sleep(Math.max(0, SAMPLE_EVERY_MS - tookMs));
+    }
+  }
+
+  private async sample(): Promise<FleetSample> {
+    const atMs = performance.now();
+    const tallies = CUSTOMERS.map(({name}) => this.load.tallyOf(name));
+    const service = tallies.map(tally => tally.service);
+    const waiting = tallies.map(tally => tally.waiting);
+    const engines = this.fleet.targets.filter(
+      target => target.options.service === MODEL_SERVICE && target.running
+    );
+    const [loads, statuses] = await Promise.all([
+      Promise.all(engines.map(engine => readRunning(engine.url))),
+      Promise.all(this.fleet.routers.map(router => router.status())),
+    ]);
+    const routers = statuses.filter(
+      (status): status is RouterSample => status !== undefined
+    );
+    let busySlots = 0;
+    for (const running of loads) {
+      busySlots += Math.min(running, SLOTS_PER_ENGINE);
+    }
+    let queued = 0;
+    for (const {cells} of routers) {
+      for (const cell of cells) {
+        if (cell.service !== PLAIN_SERVICE) queued += cell.waitingHere;
+      }
+    }
+    const slots = engines.length * SLOTS_PER_ENGINE;
+    return {atMs, service, waiting, busySlots, slots, queued, routers};
+  }
+}
+
+async function readRunning(url: string): Promise<number> {
+  const reply = await requestJson({
+    method: 'GET',
+    url: `${url}/now`,
+    timeoutMs: TIMEOUT_MS,
+  });
+  if (!reply.ok) return 0;
+  return (reply.value.body as {running: number}).running;
+}
--- /dev/null
+++ b/apps/rig/src/lib/load/schedule.ts
@@ -0,0 +1,96 @@
+/** The seeded load: the same seed gives the same calls at the same times. */
+import {Random} from '@applebend/utils';
+import {CUSTOMERS, ROUTERS} from './site.js';
+
+import type {CustomerPlan} from './site.js';
+
+export type CallKind = 'layout' | 'check' | 'lookup' | 'booking';
+
+/** One call that a customer makes. */
+export interface PlannedCall {
+  readonly id: string;
+  readonly atMs: number;
+  readonly customer: CustomerPlan;
+  readonly kind: CallKind;
+  /** The router that the balancer would pick first. */
+  readonly router: number;
+  /** Output tokens, which nobody but the engine can know. */
+  readonly outputTokens: number;
+  readonly inputTokens: number;
+  readonly maxTokens: number;
+}
+
+const MS_PER_S = 1000;
+const KINDS: readonly CallKind[] = ['layout', 'check', 'lookup', 'booking'];
+/** How many routers most of one customer's calls come through. */
+const HOME_ROUTERS = 2;
+const HOME_PART = 0.8;
+
+const OUTPUT: Record<CallKind, [number, number]> = {
+  layout: [40, 240],
+  check: [6, 24],
+  lookup: [0, 0],
+  booking: [0, 0],
+};
+
+const MAX_TOKENS: Record<CallKind, number> = {
+  layout: 320,
+  check: 48,
+  lookup: 0,
+  booking: 0,
+};
+
+/** Plans all calls of a run. */
+export function planCalls(seconds: number, seed: number): PlannedCall[] {
+  const calls: PlannedCall[] = [];
+  for (const [index, customer] of CUSTOMERS.entries()) {
+    const random = Random.create(seed * 1000 + index);
+    const homes = Array.from({length: HOME_ROUTERS}, () =>
+      random.int(0, ROUTERS - 1)
+    );
+    for (const kind of KINDS) {
+      const rate = rateOf(customer, kind);
+      if (rate === 0) continue;
+      let atMs = random.exponential(MS_PER_S / rate);
+      while (atMs < seconds * MS_PER_S) {
+        calls.push(planOne(random, customer, kind, homes, atMs, calls.length));
+        atMs += random.exponential(MS_PER_S / rate);
+      }
+    }
+  }
+  return calls.sort((a, b) => a.atMs - b.atMs);
+}
+
+function planOne(
+  random: Random,
+  customer: CustomerPlan,
+  kind: CallKind,
+  homes: readonly number[],
+  atMs: number,
+  number: number
+): PlannedCall {
+  const [low, high] = OUTPUT[kind];
+  const router = random.chance(HOME_PART)
+    ? random.pick(homes)
+    : random.int(0, ROUTERS - 1);
+  return {
+    id: `${customer.name}.${kind}.${number}`,
+    atMs,
+    customer,
+    kind,
+    router,
+    outputTokens: random.int(low, high),
+    inputTokens: random.int(20, 200),
+    maxTokens: MAX_TOKENS[kind],
+  };
+}
+
+function rateOf(customer: CustomerPlan, kind: CallKind): number {
+  const rates: Record<CallKind, number> = {
+    layout: customer.layoutsPerS,
+    check: customer.checksPerS,
+    lookup: customer.lookupsPerS,
+    booking: customer.bookingsPerS,
+  };
+  return rates[kind];
+}
--- a/apps/rig/src/lib/target.ts
+++ b/apps/rig/src/lib/target.ts
@@ -41,6 +41,10 @@
     return this.options.id;
   }
 
+  get url(): string {
+    return `http://${this.options.host}:${this.options.port}`;
+  }
+
   get running(): boolean {
     return this.child !== undefined && !this.child.exited;
   }
--- /dev/null
+++ b/apps/rig/src/measure.ts
@@ -0,0 +1,154 @@
+/** `npm run measure`: all policies on the same seeded load, one table. */
+import {writeFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
+import {POLICY} from '@applebend/core';
+import {sleep} from '@applebend/utils';
+import {Fleet} from './lib/fleet.js';
+import {fairnessGap, figuresOf, slotFigures} from './lib/load/figures.js';
+import {LoadRunner} from './lib/load/load_runner.js';
+import {Sampler} from './lib/load/sampler.js';
+import {planCalls} from './lib/load/schedule.js';
+import {ROUTERS, SITE_SERVICES, siteConfig} from './lib/load/site.js';
+
+import type {Figures} from './lib/load/figures.js';
+import type {FleetSample} from './lib/load/sampler.js';
+
+const {values} = parseArgs({
+  options: {
+    seconds: {type: 'string', default: '40'},
+    seed: {type: 'string', default: '1'},
+    json: {type: 'string'},
+    policies: {type: 'string', default: Object.values(POLICY).join(',')},
+    faults: {type: 'boolean', default: false},
+    'short-call-slots': {type: 'string', default: '1'},
+  },
+});
+
+const MS_PER_S = 1000;
+const FREEZE_MS = 5000;
+const AROUND_MS = 6000;
+const PATIENCE_MS = 400_000;
+
+/** What was broken in a run, and when. */
+interface FaultMark {
+  readonly name: string;
+  readonly atMs: number;
+  readonly gap: number;
+  /** Slot seconds that idled while calls waited, around the fault. */
+  readonly lostSlotS: number;
+}
+
+interface PolicyReport {
+  readonly policy: string;
+  readonly figures: Figures;
+  readonly faults: readonly FaultMark[];
+}
+
+/** Kills, freezes and cuts off one router each, in this order. */
+async function breakThings(
+  fleet: Fleet,
+  seconds: number,
+  marks: {name: string; atMs: number}[]
+): Promise<void> {
+  const part = (seconds * MS_PER_S) / 4;
+  const mark = (name: string) => marks.push({name, atMs: performance.now()});
+  await sleep(part);
+  mark('kill');
+  await fleet.router(1).kill();
+  await sleep(FREEZE_MS / 2);
+  fleet.list.remove(fleet.router(1).id);
+  await sleep(FREEZE_MS / 2);
+  await fleet.restart(1);
+  await sleep(part - FREEZE_MS);
+  mark('freeze');
+  fleet.router(3).freeze();
+  fleet.setAccepting(3, false);
+  await sleep(FREEZE_MS);
+  fleet.router(3).thaw();
+  fleet.setAccepting(3, true);
+  await sleep(part - FREEZE_MS);
+  mark('cut off');
+  fleet.isolate(5);
+  await sleep(FREEZE_MS);
+  fleet.rejoin(5);
+}
+
+function aroundFault(
+  samples: readonly FleetSample[],
+  {name, atMs}: {name: string; atMs: number}
+): FaultMark {
+  const near = samples.filter(
+    s => s.atMs >= atMs - 1000 && s.atMs <= atMs + FREEZE_MS + AROUND_MS
+  );
+  const {idle_while_waiting: idle} = slotFigures(near);
+  const first = near[0]?.atMs ?? 0;
+  const spanS = ((near[near.length - 1]?.atMs ?? 0) - first) / MS_PER_S;
+  const slots = near[0]?.slots ?? 0;
+  return {name, atMs, gap: fairnessGap(near), lostSlotS: idle * spanS * slots};
+}
+
+async function measurePolicy(policy: string): Promise<PolicyReport> {
+  const seconds = Number(values.seconds);
+  const calls = planCalls(seconds, Number(values.seed));
+  const fleet = await Fleet.create({
+    routers: ROUTERS,
+    policy,
+    services: SITE_SERVICES,
+    config: siteConfig(Number(values['short-call-slots'])),
+    logLevel: 'error',
+    onLog: (router, line) => console.error(`${router}: ${line}`),
+  });
+  try {
+    await sleep(2 * MS_PER_S);
+    const load = LoadRunner.create(fleet, PATIENCE_MS);
+    const sampler = Sampler.create(fleet, load);
+    sampler.start();
+    const marks: {name: string; atMs: number}[] = [];
+    const faults = values.faults
+      ? breakThings(fleet, seconds, marks)
+      : undefined;
+    await load.send(calls);
+    await faults;
+    await sampler.stop();
+    const {samples} = sampler;
+    return {
+      policy,
+      figures: figuresOf(samples, [...load.results], [...fleet.runs]),
+      faults: marks.map(mark => aroundFault(samples, mark)),
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function printTable(reports: readonly PolicyReport[]): void {
+  const names = reports.map(report => report.policy);
+  console.log(['figure', ...names].join(' | '));
+  const keys = Object.keys(reports[0]?.figures ?? {}) as (keyof Figures)[];
+  for (const key of keys) {
+    const cells = reports.map(({figures}) => round(figures[key]));
+    console.log([key, ...cells].join(' | '));
+  }
+  for (const {policy, faults} of reports) {
+    for (const {name, gap, lostSlotS} of faults) {
+      console.log(
+        `${policy}, ${name}: gap ${round(gap)}, lost slot s ${round(lostSlotS)}`
+      );
+    }
+  }
+}
+
+function round(value: number): string {
+  return Math.abs(value) >= 100 ? value.toFixed(0) : value.toFixed(4);
+}
+
+const reports: PolicyReport[] = [];
+for (const policy of values.policies.split(',')) {
+  reports.push(await measurePolicy(policy));
+}
+printTable(reports);
+const summary = {seconds: values.seconds, seed: values.seed, reports};
+if (values.json !== undefined) {
+  writeFileSync(values.json, `${JSON.stringify(summary, null, 2)}\n`);
+}
+process.exit(0);
--- a/apps/standins/src/lib/model_engine.ts
+++ b/apps/standins/src/lib/model_engine.ts
@@ -101,6 +101,10 @@
     const {pathname, searchParams} = request.url;
     if (pathname === '/v1/chat/completions') return this.chat(request);
     if (pathname === '/load') return {status: 200, body: this.loadReport()};
+    if (pathname === '/now') {
+      const {running, waiting} = this;
+      return {status: 200, body: {running, waiting}};
+    }
     if (pathname === '/records') return {status: 200, body: this.records};
     if (!pathname.startsWith('/v1/streams/')) return {status: 404, body: {}};
     const answer = this.answers.get(pathname.slice('/v1/streams/'.length));
--- a/packages/core/src/lib/dispatch/dispatch.fuzz.test.ts
+++ b/packages/core/src/lib/dispatch/dispatch.fuzz.test.ts
@@ -69,7 +69,10 @@
   },
   {
     weight: 3,
-    arbitrary: fc.record({type: fc.constant('cancel' as const), pick: fc.nat(50)}),
+    arbitrary: fc.record({
+      type: fc.constant('cancel' as const),
+      pick: fc.nat(50),
+    }),
   },
   {
     weight: 3,
@@ -230,7 +233,8 @@
     session: number,
     toDispatcher: boolean
   ): Channel | undefined {
-    if ((this.sessions.get(linkOf(from, to)) ?? 0) !== session) return undefined;
+    if ((this.sessions.get(linkOf(from, to)) ?? 0) !== session)
+      return undefined;
     let channel = this.channels.find(
       c => c.from === from && c.to === to && c.toDispatcher === toDispatcher
     );
--- a/packages/protocol/src/lib/link.ts
+++ b/packages/protocol/src/lib/link.ts
@@ -8,6 +8,7 @@
 import {helloSchema, PROTOCOL_VERSION, proofSchema} from './messages.js';
 
 import type {WebSocket} from 'ws';
+import type {BusyMeter} from '@applebend/utils';
 import type {PeerIdentity} from './handshake.js';
 import type {Hello, PeerMessage} from './messages.js';
 
@@ -34,6 +35,8 @@
   readonly identity: PeerIdentity;
   readonly secret: string;
   readonly events: LinkEvents;
+  /** Measures the time that the link's frames take. */
+  readonly busy: BusyMeter;
 }
 
 /** Bytes that went over one link. @public */
@@ -72,7 +75,9 @@
   static create(socket: WebSocket, options: LinkOptions): Link {
     const link = new Link(socket, options);
     socket.binaryType = 'nodebuffer';
-    socket.on('message', data => link.onFrame(data as Buffer));
+    socket.on('message', data =>
+      options.busy.measure(() => link.onFrame(data as Buffer))
+    );
     socket.on('close', () => link.close('remote_closed'));
     socket.on('error', () => link.close('socket_error'));
     link.write(link.hello);
@@ -87,7 +92,8 @@
   send(message: PeerMessage): void {
     if (this.state !== 'open') return;
     this.outgoing.push(message);
-    if (this.outgoing.length === 1) setImmediate(() => this.flush());
+    if (this.outgoing.length === 1)
+      setImmediate(() => this.options.busy.measure(() => this.flush()));
   }
 
   /** Sends what is queued and closes the link. */
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,4 +1,5 @@
 /** Small helpers that every other package may use. */
+export {BusyMeter} from './lib/busy_meter.js';
 export {systemClock} from './lib/clock.js';
 export type {Clock} from './lib/clock.js';
 export {hash32, sha256Hex} from './lib/hash.js';
--- /dev/null
+++ b/packages/utils/src/lib/busy_meter.ts
@@ -0,0 +1,31 @@
+/** Adds up the time spent in certain work, nested calls counted once. */
+const MS_PER_S = 1000;
+
+/** @public */
+export class BusyMeter {
+  private busyMs = 0;
+  private depth = 0;
+
+  private constructor() {}
+
+  static create(): BusyMeter {
+    return new BusyMeter();
+  }
+
+  get seconds(): number {
+    return this.busyMs / MS_PER_S;
+  }
+
+  /** Runs the work and adds its time. */
+  measure<T>(work: () => T): T {
+    if (this.depth > 0) return work();
+    const startMs = performance.now();
+    this.depth += 1;
+    try {
+      return work();
+    } finally {
+      this.depth -= 1;
+      this.busyMs += performance.now() - startMs;
+    }
+  }
+}
--- a/packages/utils/src/lib/sleep.ts
+++ b/packages/utils/src/lib/sleep.ts
@@ -2,14 +2,12 @@
 export function sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise(resolve => {
     if (signal?.aborted) return resolve();
-    const timer = setTimeout(resolve, delayMs);
-    signal?.addEventListener(
-      'abort',
-      () => {
-        clearTimeout(timer);
-        resolve();
-      },
-      {once: true}
-    );
+    const done = () => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', done);
+      resolve();
+    };
+    const timer = setTimeout(done, delayMs);
+    signal?.addEventListener('abort', done);
   });
 }
