Whole and own answers, 'not run' and at most once: fuzzed and under faults

Cause: three promises had code and no proof.

Broken streams are continued with a growing delay, at once given up when the target refuses connections.

Found: the claim fuzz showed that a router which restarts in the middle of a chain of claims could take a key for free that was held: a lost claim looked like the holder, hid the true one, and expired before it. Now a losing claim renews the key's window, so whoever has read one window never sees a held key as free; and only a claim that won is released.

Ruled out: expiring by each reader's own clock (readers would disagree).

--- a/apps/daemon/src/lib/claims/claim_task.ts
+++ b/apps/daemon/src/lib/claims/claim_task.ts
@@ -228,9 +228,10 @@
   /** Frees the keys of abandoned claims that turned up on the log. */
   private releaseAbandoned(): void {
     for (const claimId of this.abandoned) {
-      if (this.table.verdictOf(claimId).type === 'unseen') continue;
+      const verdict = this.table.verdictOf(claimId).type;
+      if (verdict === 'unseen') continue;
       this.abandoned.delete(claimId);
-      this.release(claimId);
+      if (verdict === 'won') this.release(claimId);
     }
   }
 }
--- a/apps/daemon/src/lib/entry/target_attempt.ts
+++ b/apps/daemon/src/lib/entry/target_attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt to run a request on the target that a slot was granted on. */
 import {match} from 'ts-pattern';
 import {resumePath} from '@applebend/platform';
+import {sleep} from '@applebend/utils';
 import {AnswerRelay, endToEndHeaders} from './answer_relay.js';
 import {
   connectTarget,
@@ -51,7 +52,8 @@
   readonly addTraceHeaders: (headers: AnswerHeaders) => void;
 }
 
-const MAX_RESUMES = 2;
+const MAX_RESUMES = 6;
+const RESUME_BASE_DELAY_MS = 25;
 const ID_HEADER = 'x-request-id';
 
 /** Headers that are the fleet's own and do not reach targets. */
@@ -62,6 +64,7 @@
   private readonly relay: AnswerRelay;
   private readonly cancel = new AbortController();
   private deadlinePassed = false;
+  private targetGone = false;
 
   private constructor(private readonly parts: AttemptParts) {
     this.relay = AnswerRelay.create({
@@ -172,6 +175,8 @@
     for (let tries = 0; service.resume && tries < MAX_RESUMES; tries++) {
       const end = await this.resume();
       if (end !== undefined) return end;
+      if (this.targetGone) break;
+      await sleep(RESUME_BASE_DELAY_MS * 2 ** tries, this.cancel.signal);
     }
     if (caller.gone.aborted) return {type: 'caller_gone'};
     const reason = await this.reasonOfBreak();
@@ -206,6 +211,7 @@
   private async ask(method: string, path: string) {
     const {address, connectTimeoutMs, stallTimeoutMs} = this.parts;
     const connected = await connectTarget(address, connectTimeoutMs);
+    this.targetGone = !connected.ok;
     if (!connected.ok) return undefined;
     const sent = await sendRequest(
       connected.value,
--- /dev/null
+++ b/apps/rig/src/at_most_once.process.test.ts
@@ -0,0 +1,189 @@
+/** Promises: non-idempotent runs at most once; "not run" is true. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {sleep} from '@applebend/utils';
+import {call} from './lib/caller_client.js';
+import {Fleet} from './lib/fleet.js';
+import {checkCall, refusalOf} from './lib/promise_checks.js';
+import {keyOf, SAMPLE_CONFIG, SAMPLE_SERVICES} from './lib/sample_config.js';
+
+import type {CallerAnswer} from './lib/caller_client.js';
+
+const PATIENCE_MS = 30_000;
+
+/** Everything that a loser of a claim may be told. */
+const LOSER_TYPES = new Set([
+  'claim_in_progress',
+  'claim_outcome_unknown',
+  'claim_log_unavailable',
+]);
+
+async function book(
+  fleet: Fleet,
+  router: number,
+  key: string
+): Promise<CallerAnswer> {
+  const body = JSON.stringify({offcut: key});
+  const answer = await call({
+    url: `${fleet.router(router).url}/floor-app/offcuts/book`,
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${keyOf('kpone')}`,
+      'idempotency-key': key,
+    },
+    body,
+    patienceMs: PATIENCE_MS,
+  });
+  return answer;
+}
+
+async function withFleet(work: (fleet: Fleet) => Promise<void>): Promise<void> {
+  const fleet = await Fleet.create({
+    routers: 3,
+    policy: 'dispatched',
+    config: SAMPLE_CONFIG,
+    services: SAMPLE_SERVICES,
+    listLagMs: 300,
+  });
+  try {
+    await work(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function assertOnce(
+  fleet: Fleet,
+  answers: readonly {key: string; answer: CallerAnswer}[]
+): void {
+  for (const {key, answer} of answers) {
+    const runs = fleet.runsOf(key);
+    assert.ok(runs <= 1, `${key} ran ${runs} times`);
+    const checked = {id: key, body: '', outputTokens: 0, answer};
+    assert.deepEqual(checkCall(checked, answerRuns(answer, runs)), []);
+  }
+}
+
+/** A caller that was told "not run" may ask again, and that one may run. */
+function answerRuns(answer: CallerAnswer, runs: number): number {
+  const type = refusalOf(answer)?.type;
+  return type === 'claim_log_unavailable' ? 0 : runs;
+}
+
+test('one key through all routers at once runs once', () =>
+  withFleet(async fleet => {
+    const answers = await Promise.all(
+      Array.from({length: 24}, async (_, i) => {
+        const key = `race-${i % 4}`;
+        return {key, answer: await book(fleet, i % 3, key)};
+      })
+    );
+    assertOnce(fleet, answers);
+    for (const {key, answer} of answers) {
+      assert.equal(fleet.runsOf(key), 1);
+      const refusal = refusalOf(answer);
+      if (answer.status !== 200) {
+        assert.ok(LOSER_TYPES.has(refusal?.type ?? ''), answer.body);
+        assert.notEqual(refusal?.ran, 'not_run', 'a loser is not told so');
+      }
+    }
+  }));
+
+test('a key for other work is refused and does not run', () =>
+  withFleet(async fleet => {
+    const first = await book(fleet, 0, 'key-1');
+    assert.equal(first.status, 200);
+    const other = await call({
+      url: `${fleet.router(1).url}/floor-app/offcuts/sell`,
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${keyOf('kpone')}`,
+        'idempotency-key': 'key-1',
+      },
+      body: '{}',
+      patienceMs: PATIENCE_MS,
+    });
+    assert.equal(other.status, 422);
+    assert.equal(refusalOf(other)?.type, 'idempotency_key_reused');
+    assert.equal(fleet.runsOf('key-1'), 1);
+  }));
+
+test('a frozen owner and a killed owner leave no second run', () =>
+  withFleet(async fleet => {
+    await fleet.target('floor-app-1').control({delayMs: 400});
+    const keys = Array.from({length: 10}, (_, i) => `frozen-${i}`);
+    const first = keys.map(key => book(fleet, 0, key));
+    await sleep(60);
+    fleet.router(0).freeze();
+    const second = await Promise.all(keys.map(key => book(fleet, 1, key)));
+    await sleep(2500);
+    fleet.router(0).thaw();
+    const answers = [...(await Promise.all(first)), ...second].map(
+      (answer, i) => ({key: keys[i % keys.length]!, answer})
+    );
+    assertOnce(fleet, answers);
+
+    const lost = Array.from({length: 10}, (_, i) => `killed-${i}`);
+    const cut = lost.map(key => book(fleet, 0, key));
+    await sleep(100);
+    await fleet.router(0).kill();
+    fleet.list.remove(fleet.router(0).id);
+    await Promise.all(cut);
+    await fleet.restart(0);
+    const repeats = await Promise.all(
+      lost.map(async (key, i) => ({key, answer: await book(fleet, i % 3, key)}))
+    );
+    assertOnce(fleet, repeats);
+  }));
+
+test('a log that is down, slow or loses answers causes no second run', () =>
+  withFleet(async fleet => {
+    const answers: {key: string; answer: CallerAnswer}[] = [];
+    const send = async (router: number, key: string) =>
+      answers.push({key, answer: await book(fleet, router, key)});
+    fleet.log.server.faults = {
+      ...fleet.log.server.faults,
+      loseAnswers: 0.4,
+      delayMs: 30,
+    };
+    const pending: Promise<unknown>[] = [];
+    for (let i = 0; i < 45; i++) {
+      pending.push(send(i % 3, `lossy-${i % 15}`));
+      await sleep(40);
+    }
+    fleet.log.server.faults = {...fleet.log.server.faults, down: true};
+    await sleep(200);
+    const startMs = performance.now();
+    const refused = await book(fleet, 1, 'while-down');
+    assert.equal(refused.status, 503);
+    assert.equal(refusalOf(refused)?.ran, 'not_run');
+    assert.ok(refused.headers['retry-after'], 'says when to come back');
+    assert.ok(performance.now() - startMs < 5000, 'is told soon');
+    fleet.log.server.faults = {
+      ...fleet.log.server.faults,
+      down: false,
+      loseAnswers: 0,
+      delayMs: 0,
+    };
+    await Promise.all(pending);
+    await fleet.until('the key can be claimed again', async () => {
+      const again = await book(fleet, 1, 'while-down');
+      return again.status === 200;
+    });
+    assert.equal(fleet.runsOf('while-down'), 1);
+    assertOnce(fleet, answers);
+  }));
+
+test('a router that restarts learns the claims before it takes such work', () =>
+  withFleet(async fleet => {
+    assert.equal((await book(fleet, 0, 'before')).status, 200);
+    await fleet.until('the answer is kept', async () => {
+      const read = await fleet.logClient().read('claims', 0, 0);
+      return read.ok && JSON.stringify(read.value).includes('"done"');
+    });
+    await fleet.router(2).kill();
+    await fleet.restart(2);
+    const repeat = await book(fleet, 2, 'before');
+    assert.equal(repeat.headers['idempotency-replayed'], 'true', repeat.body);
+    assert.equal(fleet.runsOf('before'), 1);
+  }));
--- a/apps/rig/src/lib/load/sampler.ts
+++ b/apps/rig/src/lib/load/sampler.ts
@@ -1,5 +1,4 @@
 /** Samples the fleet through a run: service, backlogs, slots and control. */
-import {requestJson} from '@applebend/platform';
 import {sleep} from '@applebend/utils';
 import {
   CUSTOMERS,
@@ -48,7 +47,6 @@
 }
 
 const SAMPLE_EVERY_MS = 200;
-const TIMEOUT_MS = 1000;
 
 export class Sampler {
   readonly samples: FleetSample[] = [];
@@ -91,7 +89,7 @@
       target => target.options.service === MODEL_SERVICE && target.running
     );
     const [loads, statuses] = await Promise.all([
-      Promise.all(engines.map(engine => readRunning(engine.url))),
+      Promise.all(engines.map(engine => engine.runningNow())),
       Promise.all(this.fleet.routers.map(router => router.status())),
     ]);
     const routers = statuses.filter(
@@ -111,13 +109,3 @@
     return {atMs, service, waiting, busySlots, slots, queued, routers};
   }
 }
-
-async function readRunning(url: string): Promise<number> {
-  const reply = await requestJson({
-    method: 'GET',
-    url: `${url}/now`,
-    timeoutMs: TIMEOUT_MS,
-  });
-  if (!reply.ok) return 0;
-  return (reply.value.body as {running: number}).running;
-}
--- /dev/null
+++ b/apps/rig/src/lib/promise_checks.ts
@@ -0,0 +1,88 @@
+/** Checks callers' answers and the targets' records against the promises. */
+import {sha256Hex} from '@applebend/utils';
+import {tokenAt} from '@applebend/standins';
+import {readStream} from './caller_client.js';
+
+import type {CallerAnswer} from './caller_client.js';
+
+/** Something that must never happen, and did. */
+export interface Violation {
+  readonly promise: 'whole' | 'own' | 'not_run' | 'at_most_once' | 'at_once';
+  readonly call: string;
+  readonly detail: string;
+}
+
+/** One call as far as the checks need it. */
+export interface CheckedCall {
+  readonly id: string;
+  readonly body: string;
+  /** Output tokens of a streamed model call; 0 for plain calls. */
+  readonly outputTokens: number;
+  readonly answer: CallerAnswer;
+}
+
+interface ErrorBody {
+  readonly error?: {readonly type?: string; readonly ran?: string};
+}
+
+const OK_STATUS = 200;
+
+/** The text that an engine produces for a request body. */
+export function expectedText(body: string, tokens: number): string {
+  const seed = sha256Hex(body);
+  return Array.from({length: tokens}, (_, i) => tokenAt(seed, i)).join('');
+}
+
+/** The type and `ran` of a refusal, whether it came as JSON or as an event. */
+export function refusalOf(
+  answer: CallerAnswer
+): {type: string; ran: string} | undefined {
+  const event = answer.body.split('event: error\ndata: ')[1];
+  const text = event ?? answer.body;
+  if (answer.status === OK_STATUS && event === undefined) return undefined;
+  try {
+    const {error} = JSON.parse(text) as ErrorBody;
+    return {type: error?.type ?? '', ran: error?.ran ?? ''};
+  } catch {
+    return undefined;
+  }
+}
+
+/** Checks one call against the number of runs that targets recorded. */
+export function checkCall(call: CheckedCall, runs: number): Violation[] {
+  const violations: Violation[] = [];
+  const add = (promise: Violation['promise'], detail: string) =>
+    violations.push({promise, call: call.id, detail});
+  const {answer} = call;
+  if (answer.status === OK_STATUS && call.outputTokens > 0) {
+    checkStream(call, add);
+  }
+  const refusal = refusalOf(answer);
+  if (refusal?.ran === 'not_run' && runs > 0) {
+    add('not_run', `told ${refusal.type} not_run, ran ${runs} times`);
+  }
+  const retryable = [429, 503].includes(answer.status);
+  if (retryable && answer.headers['retry-after'] === undefined) {
+    add('at_once', `${answer.status} without Retry-After`);
+  }
+  return violations;
+}
+
+function checkStream(
+  call: CheckedCall,
+  add: (promise: Violation['promise'], detail: string) => void
+): void {
+  const {answer, outputTokens, body} = call;
+  const stream = readStream(answer.body);
+  if (!stream.done) {
+    if (answer.complete) add('whole', 'a broken answer was closed as whole');
+    const expected = expectedText(body, outputTokens);
+    if (!expected.startsWith(stream.text)) add('own', 'foreign tokens');
+    return;
+  }
+  if (stream.tokens !== outputTokens) {
+    add('whole', `${stream.tokens} of ${outputTokens} tokens`);
+  } else if (stream.text !== expectedText(body, outputTokens)) {
+    add('own', 'another text than the engine produced');
+  }
+}
--- a/apps/rig/src/lib/target.ts
+++ b/apps/rig/src/lib/target.ts
@@ -82,6 +82,17 @@
     });
   }
 
+  /** Requests that an engine runs now. */
+  async runningNow(): Promise<number> {
+    const reply = await requestJson({
+      method: 'GET',
+      url: `${this.url}/now`,
+      timeoutMs: 1000,
+    });
+    if (!reply.ok) return 0;
+    return (reply.value.body as {running: number}).running;
+  }
+
   private onLine(line: string): void {
     const {url, run} = JSON.parse(line) as StandInLine;
     if (url !== undefined) this.events.emit('up');
--- a/apps/standins/src/lib/model_engine.ts
+++ b/apps/standins/src/lib/model_engine.ts
@@ -240,6 +240,10 @@
 
   private onToken(answer: Answer, token: string): void {
     if (answer.res === undefined || this.standIn.faults.stallStreams) return;
+    if (this.standIn.faults.severStreams) {
+      answer.res.destroy();
+      return;
+    }
     writeToken(answer.id, answer.res, token);
   }
 
--- a/apps/standins/src/lib/stand_in_server.ts
+++ b/apps/standins/src/lib/stand_in_server.ts
@@ -16,6 +16,8 @@
   cut: z.array(z.string()).default([]),
   /** Answers carry another request's id. */
   crossAnswers: z.boolean().default(false),
+  /** Open streams are cut at their next token. */
+  severStreams: z.boolean().default(false),
   /** Streams stop sending without an end. */
   stallStreams: z.boolean().default(false),
 });
--- a/packages/core/src/lib/claims/claim_table.ts
+++ b/packages/core/src/lib/claims/claim_table.ts
@@ -1,8 +1,11 @@
 /**
- * The pure fold of the claim stream. For each key the claim with the lowest
- * offset that was neither released nor expired holds the right to run. A
- * claim's verdict is fixed at its own offset, and time is the log's, so all
- * instances that fold the same records agree without talking.
+ * The pure fold of the claim stream. A claim wins when its key is free, and a
+ * key stays taken until its winner releases it or no claim for it has come for
+ * a whole window. A claim's verdict is fixed at its own offset, and time is
+ * the log's, so all instances that fold the same records agree without
+ * talking. Since a losing claim renews the window too, a reader that starts in
+ * the middle of the log can take a loser for the holder, but never a taken key
+ * for a free one, once it has read a whole window.
  */
 import {match} from 'ts-pattern';
 import {claimBatchSchema} from './claim_record.js';
@@ -28,6 +31,12 @@
   done: DoneRecord | undefined;
 }
 
+interface HeldKey {
+  readonly holder: FoldedClaim;
+  /** When a claim for the key was last made, by the log's clock. */
+  readonly renewedAtMs: number;
+}
+
 /** What the stream says about one claim. @public */
 export type ClaimVerdict =
   | {readonly type: 'unseen'}
@@ -36,8 +45,8 @@
 
 /** @public */
 export class ClaimTable {
-  /** Key to the claim that holds it. */
-  private readonly holders = new Map<string, FoldedClaim>();
+  /** Key to the claim that holds it, least recently renewed first. */
+  private readonly held = new Map<string, HeldKey>();
   /** Claim id to claim, in offset order, for the window. */
   private readonly claims = new Map<string, FoldedClaim>();
   private nextOffsetValue = 0;
@@ -74,7 +83,7 @@
 
   /** The claim that holds a key now, if any. */
   holderOf(customer: string, keyHash: string): ClaimEntry | undefined {
-    return this.holders.get(keyOf(customer, keyHash));
+    return this.held.get(keyOf(customer, keyHash))?.holder;
   }
 
   /** What the stream, as far as it was folded, says of a claim. */
@@ -96,16 +105,17 @@
   private onClaim(claim: ClaimRecord, appendedAtMs: number): void {
     if (this.claims.has(claim.claimId)) return;
     const key = keyOf(claim.customer, claim.keyHash);
-    const lostTo = this.holders.get(key);
+    const lostTo = this.held.get(key)?.holder;
     const folded = {claim, key, lostTo, done: undefined, appendedAtMs};
     this.claims.set(claim.claimId, folded);
-    if (lostTo === undefined) this.holders.set(key, folded);
+    this.held.delete(key);
+    this.held.set(key, {holder: lostTo ?? folded, renewedAtMs: appendedAtMs});
   }
 
   private onRelease(claimId: string): void {
     const claim = this.claims.get(claimId);
     if (claim === undefined) return;
-    if (this.holders.get(claim.key) === claim) this.holders.delete(claim.key);
+    if (this.held.get(claim.key)?.holder === claim) this.held.delete(claim.key);
   }
 
   private onDone(done: DoneRecord): void {
@@ -114,10 +124,13 @@
   }
 
   private expire(logNowMs: number): void {
+    for (const [key, {renewedAtMs}] of this.held) {
+      if (logNowMs - renewedAtMs <= this.windowMs) break;
+      this.held.delete(key);
+    }
     for (const [claimId, claim] of this.claims) {
-      if (logNowMs - claim.appendedAtMs <= this.windowMs) return;
+      if (logNowMs - claim.appendedAtMs <= this.windowMs) break;
       this.claims.delete(claimId);
-      if (this.holders.get(claim.key) === claim) this.holders.delete(claim.key);
     }
   }
 }
--- /dev/null
+++ b/packages/core/src/lib/request/request_state.fuzz.test.ts
@@ -0,0 +1,54 @@
+/** The request's state against an oracle that sees what left the process. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {advanceRequest, ranOf, receivedRequest} from './request_state.js';
+
+import type {RequestEvent} from './request_state.js';
+
+const RUNS = Number(process.env['APPLEBEND_FUZZ_RUNS'] ?? 500);
+const SEED = Number(process.env['APPLEBEND_FUZZ_SEED'] ?? 20261203);
+
+const EVENTS: readonly RequestEvent['type'][] = [
+  'claim_started',
+  'queued',
+  'granted',
+  'grant_returned',
+  'bytes_leaving',
+  'proved_not_sent',
+  'answer_begun',
+  'answer_whole',
+  'connection_broke',
+  'requeued',
+  'gave_up',
+];
+
+test('request fuzz: "not run" is said only while nothing has left', () => {
+  fc.assert(
+    fc.property(
+      fc.boolean(),
+      fc.array(fc.constantFrom(...EVENTS), {maxLength: 60, size: 'max'}),
+      (idempotent, events) => {
+        let state = receivedRequest(idempotent);
+        let sends = 0;
+        let proved = 0;
+        for (const type of events) {
+          const wasEnded = state.end !== undefined;
+          const next = advanceRequest(state, {type});
+          if (!next.ok) continue;
+          assert.ok(!wasEnded, 'nothing follows the end');
+          if (type === 'bytes_leaving') sends += 1;
+          if (type === 'proved_not_sent') proved += 1;
+          state = next.value;
+        }
+        const mayHaveRun = sends - proved > 0;
+        if (ranOf(state) === 'not_run') assert.ok(!mayHaveRun);
+        if (state.end === 'refused_not_run') assert.ok(!mayHaveRun);
+        if (!idempotent) {
+          assert.ok(sends - proved <= 1, 'a non-idempotent one is sent once');
+        }
+      }
+    ),
+    {numRuns: RUNS, seed: SEED}
+  );
+});
