--- /dev/null
+++ b/apps/rig/src/configuration.process.test.ts
@@ -0,0 +1,129 @@
+/** Promise: an accepted configuration is in force everywhere within seconds. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {sleep} from '@applebend/utils';
+import {CONFIG_STREAM} from '@applebend/platform';
+import {Fleet} from './lib/fleet.js';
+import {customerEntry, SAMPLE_CONFIG} from './lib/sample_config.js';
+
+import type {FleetOptions} from './lib/fleet.js';
+
+const IN_FORCE_MS = 3000;
+
+async function withFleet(
+  options: Partial<FleetOptions>,
+  work: (fleet: Fleet) => Promise<void>
+): Promise<void> {
+  const fleet = await Fleet.create({
+    routers: 3,
+    policy: 'dispatched',
+    config: SAMPLE_CONFIG,
+    services: [],
+    listLagMs: 300,
+    ...options,
+  });
+  try {
+    await work(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function configWith(number: number) {
+  const customers = {
+    ...SAMPLE_CONFIG.customers,
+    [`extra-${number}`]: customerEntry(`extra-${number}`, 'standard'),
+  };
+  return {...SAMPLE_CONFIG, customers};
+}
+
+async function revisionOf(fleet: Fleet, index: number): Promise<number> {
+  const status = (await fleet.router(index).status()) as
+    | {revision: number}
+    | undefined;
+  return status?.revision ?? -1;
+}
+
+async function allAt(fleet: Fleet, revision: number): Promise<boolean> {
+  for (const [index, router] of fleet.routers.entries()) {
+    if (!router.running) continue;
+    if ((await revisionOf(fleet, index)) < revision) return false;
+  }
+  return true;
+}
+
+test('an accepted change is in force on all instances within 3 s', () =>
+  withFleet({}, async fleet => {
+    const times: number[] = [];
+    for (let i = 0; i < 10; i++) {
+      const startMs = performance.now();
+      const revision = await fleet.publish(configWith(i));
+      await fleet.until('in force', () => allAt(fleet, revision), IN_FORCE_MS);
+      times.push(performance.now() - startMs);
+    }
+    times.sort((a, b) => a - b);
+    const worst = times[times.length - 1]?.toFixed(0);
+    console.log(`in force: p50 ${times[5]?.toFixed(0)} ms, worst ${worst} ms`);
+  }));
+
+test('racing operators get one winner, and instances agree on it', () =>
+  withFleet({}, async fleet => {
+    const base = await fleet.configState();
+    await Promise.all(
+      Array.from({length: 8}, (_, i) => fleet.publishFrom(base, configWith(i)))
+    );
+    const state = await fleet.configState();
+    const accepted = state.fates.filter(
+      fate => fate.accepted && fate.offset >= base.nextOffset
+    );
+    assert.equal(accepted.length, 1);
+    assert.equal(state.fates.length, 9);
+    await fleet.until('agreed', () => allAt(fleet, state.revision));
+    assert.equal(await revisionOf(fleet, 0), state.revision);
+  }));
+
+test('no instance reverts when it restarts, is cut off or has no log', () =>
+  withFleet({}, async fleet => {
+    const revision = await fleet.publish(configWith(1));
+    await fleet.until('in force', () => allAt(fleet, revision));
+    fleet.log.server.faults = {...fleet.log.server.faults, down: true};
+    await fleet.router(2).kill();
+    await fleet.restart(2);
+    assert.equal(await revisionOf(fleet, 2), revision, 'taken from a peer');
+    fleet.isolate(1);
+    await fleet.router(1).kill();
+    fleet.router(1).start();
+    await sleep(1500);
+    assert.equal(await fleet.router(1).isReady(), false, 'knows no state');
+    fleet.rejoin(1);
+    await fleet.until('ready again', () => fleet.router(1).isReady());
+    assert.equal(await revisionOf(fleet, 1), revision);
+    fleet.log.server.faults = {...fleet.log.server.faults, down: false};
+    const next = await fleet.publish(configWith(2));
+    await fleet.until('in force', () => allAt(fleet, next));
+  }));
+
+test('an instance that the log is cut from follows its peers', () =>
+  withFleet({}, async fleet => {
+    const cut = [fleet.hostOf(0)];
+    fleet.log.server.faults = {...fleet.log.server.faults, cut};
+    await sleep(200);
+    const revision = await fleet.publish(configWith(1));
+    await fleet.until('in force', () => allAt(fleet, revision), IN_FORCE_MS);
+  }));
+
+test('the state outlives the retention of the log', () =>
+  withFleet(
+    {retentionMs: 3000, timing: {snapshot_every_ms: 700}},
+    async fleet => {
+      const revision = await fleet.publish(configWith(1));
+      await fleet.until('in force', () => allAt(fleet, revision));
+      await sleep(5000);
+      const read = await fleet.logClient().read(CONFIG_STREAM, 0, 0);
+      assert.ok(read.ok && read.value.earliest > revision, 'records are gone');
+      assert.equal((await fleet.configState()).revision, revision);
+      await Promise.all(fleet.routers.map(router => router.kill()));
+      for (const index of fleet.routers.keys()) await fleet.restart(index);
+      assert.ok(await allAt(fleet, revision));
+    }
+  ));
--- a/apps/rig/src/lib/fleet.ts
+++ b/apps/rig/src/lib/fleet.ts
@@ -151,9 +151,12 @@
 
   /** Publishes a configuration against the one in force. */
   async publish(config: unknown): Promise<number> {
-    const checked = fleetConfigSchema.parse(config);
-    const state = await this.configState();
-    return this.publishDiff(state, checked);
+    return this.publishFrom(await this.configState(), config);
+  }
+
+  /** Publishes a configuration as an operator who saw an earlier state. */
+  publishFrom(state: ConfigState, config: unknown): Promise<number> {
+    return this.publishDiff(state, fleetConfigSchema.parse(config));
   }
 
   /** The configuration as the log shows it. */
--- a/packages/platform/src/lib/config_reader.ts
+++ b/packages/platform/src/lib/config_reader.ts
@@ -34,38 +34,58 @@
   const read = await log.read(CONFIG_STREAM, state.nextOffset, waitMs);
   if (!read.ok) return read;
   const page = read.value;
+  const gap = page.earliest > state.nextOffset && page.end > state.nextOffset;
+  return gap ? startFromSnapshot(log, state, page) : ok(foldPage(state, page));
+}
+
+function foldPage(state: ConfigState, page: LogPage): ConfigRead {
   let next = state;
-  if (page.earliest > state.nextOffset) {
-    const found = latestSnapshot(page);
-    if (found === undefined && page.end > page.earliest) {
-      return fail({kind: 'config_gap', message: 'no snapshot on the log'});
-    }
-    if (found === undefined && state.nextOffset < page.end) {
-      return fail({kind: 'config_gap', message: 'the log kept no record'});
-    }
-    next = laterState(state, found ?? state);
-  }
   for (const record of page.records) next = foldConfig(next, record);
-  return ok({
+  return {
     state: next,
     caughtUp: next.nextOffset >= page.end,
     snapshotAtMs: snapshotTimeOf(page),
     logNowMs: page.nowMs,
-  });
+  };
 }
 
 /**
- * The latest snapshot on the page from which every record that follows it is
+ * Starts anew from the first snapshot from which every record that follows is
  * still on the log.
  */
-function latestSnapshot(page: LogPage): ConfigState | undefined {
-  let latest: ConfigState | undefined;
-  for (const record of page.records) {
-    const state = stateFromSnapshot(record.data);
-    if (state === undefined || state.nextOffset < page.earliest) continue;
-    latest = latest === undefined ? state : laterState(latest, state);
+async function startFromSnapshot(
+  log: LogService,
+  state: ConfigState,
+  firstPage: LogPage
+): Promise<Result<ConfigRead, ConfigReadError>> {
+  const {earliest} = firstPage;
+  let page = firstPage;
+  for (;;) {
+    const found = firstSnapshot(page, earliest);
+    if (found !== undefined) {
+      const from = laterState(state, found);
+      return ok({...foldPage(from, page), state: from, caughtUp: false});
+    }
+    const last = page.records[page.records.length - 1];
+    if (last === undefined) {
+      const message = `no snapshot follows offset ${earliest}`;
+      return fail({kind: 'config_gap', message});
+    }
+    const read = await log.read(CONFIG_STREAM, last.offset + 1, 0);
+    if (!read.ok) return read;
+    page = read.value;
+  }
+}
+
+function firstSnapshot(
+  page: LogPage,
+  earliest: number
+): ConfigState | undefined {
+  for (const {data} of page.records) {
+    const state = stateFromSnapshot(data);
+    if (state !== undefined && state.nextOffset >= earliest) return state;
   }
-  return latest;
+  return undefined;
 }
 
 function snapshotTimeOf(page: LogPage): number | undefined {
