Leaving targets and graceful shutdown: process tests under load

Cause: the promises had code and no proof.

Change: three process tests with a balancer that follows readiness: targets that leave while one router misses the list, a shutdown under load, and the replacement of every router in turn. The load is planned by scale, and engines of tests are faster, so that whole answers can be waited for.

Ruled out: waiting for fewer answers; the point is that none is cut.

--- a/apps/rig/src/configuration.process.test.ts
+++ b/apps/rig/src/configuration.process.test.ts
@@ -39,8 +39,7 @@
 
 async function revisionOf(fleet: Fleet, index: number): Promise<number> {
   const status = (await fleet.router(index).status()) as
-    | {revision: number}
-    | undefined;
+    {revision: number} | undefined;
   return status?.revision ?? -1;
 }
 
--- /dev/null
+++ b/apps/rig/src/leaving.process.test.ts
@@ -0,0 +1,103 @@
+/** Promises: leaving targets get no new work; a shutdown cuts nothing. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {sleep} from '@applebend/utils';
+import {Balancer} from './lib/balancer.js';
+import {Fleet} from './lib/fleet.js';
+import {LoadRunner} from './lib/load/load_runner.js';
+import {planCalls} from './lib/load/schedule.js';
+import {siteConfig, siteServices, TEST_STEPS} from './lib/load/site.js';
+import {checkResults, refusalOf} from './lib/promise_checks.js';
+
+import type {CallResult} from './lib/load/load_runner.js';
+
+const LIST_LAG_MS = 800;
+const NO_NEW_WORK_MS = 3000;
+const PATIENCE_MS = 60_000;
+const ROUTERS = 3;
+
+async function underLoad(
+  seconds: number,
+  seed: number,
+  work: (fleet: Fleet) => Promise<void>
+): Promise<{fleet: Fleet; results: readonly CallResult[]}> {
+  const fleet = await Fleet.create({
+    routers: ROUTERS,
+    policy: 'dispatched',
+    config: siteConfig(1),
+    services: siteServices(4, 2, TEST_STEPS),
+    listLagMs: LIST_LAG_MS,
+  });
+  const balancer = Balancer.create(fleet);
+  try {
+    const load = LoadRunner.create(fleet, PATIENCE_MS);
+    const calls = planCalls({seconds, seed, scale: 0.25, routers: ROUTERS});
+    const sent = load.send(calls);
+    await work(fleet);
+    await sent;
+    await load.finish();
+    return {fleet, results: load.results};
+  } finally {
+    balancer.stop();
+    await fleet.stop();
+  }
+}
+
+/** Every call was answered whole, or was refused and told why. */
+function assertNothingCut(fleet: Fleet, results: readonly CallResult[]): void {
+  assert.deepEqual(
+    checkResults(results, key => fleet.runsOf(key)),
+    []
+  );
+  for (const {call, answer} of results) {
+    if (answer.status === 200 && answer.complete) continue;
+    const ran = refusalOf(answer)?.ran;
+    assert.equal(
+      ran,
+      'not_run',
+      `${call.id}: ${answer.failure} ${answer.body}`
+    );
+  }
+}
+
+test('a leaving target gets no new work, though one router misses the list', async () => {
+  let leftAtMs = Infinity;
+  const {fleet, results} = await underLoad(9, 11, async fleet => {
+    await sleep(2000);
+    fleet.list.server.faults = {
+      ...fleet.list.server.faults,
+      cut: [fleet.hostOf(0)],
+    };
+    fleet.listTarget(fleet.target('nest-llm-1'), 'leaving');
+    fleet.listTarget(fleet.target('floor-app-1'), 'leaving');
+    leftAtMs = performance.now() + LIST_LAG_MS;
+  });
+  const late = fleet.runs.filter(
+    ({target, atMs}) =>
+      ['nest-llm-1', 'floor-app-1'].includes(target) &&
+      atMs > leftAtMs + NO_NEW_WORK_MS
+  );
+  assert.deepEqual(late, []);
+  assertNothingCut(fleet, results);
+});
+
+test('a shutdown under load cuts nothing', async () => {
+  const {fleet, results} = await underLoad(6, 12, async fleet => {
+    await sleep(2000);
+    await fleet.router(0).terminate();
+    assert.equal(fleet.router(0).exitCode, 0);
+  });
+  assertNothingCut(fleet, results);
+});
+
+test('replacing every router in turn under load cuts nothing', async () => {
+  const {fleet, results} = await underLoad(14, 13, async fleet => {
+    for (const index of fleet.routers.keys()) {
+      fleet.listRouter(index, 'leaving');
+      await fleet.router(index).terminate();
+      assert.equal(fleet.router(index).exitCode, 0);
+      await fleet.restart(index);
+    }
+  });
+  assertNothingCut(fleet, results);
+});
--- a/apps/rig/src/lib/load/schedule.ts
+++ b/apps/rig/src/lib/load/schedule.ts
@@ -1,6 +1,6 @@
 /** The seeded load: the same seed gives the same calls at the same times. */
 import {Random} from '@applebend/utils';
-import {CUSTOMERS, ROUTERS} from './site.js';
+import {CUSTOMERS} from './site.js';
 
 import type {CustomerPlan} from './site.js';
 
@@ -40,20 +40,32 @@
   booking: 0,
 };
 
+/** How long, how much and through how many routers calls come. */
+export interface LoadPlan {
+  readonly seconds: number;
+  readonly seed: number;
+  /** Part of the site's full load. */
+  readonly scale: number;
+  readonly routers: number;
+}
+
 /** Plans all calls of a run. */
-export function planCalls(seconds: number, seed: number): PlannedCall[] {
+export function planCalls(plan: LoadPlan): PlannedCall[] {
+  const {seconds, seed, scale, routers} = plan;
   const calls: PlannedCall[] = [];
   for (const [index, customer] of CUSTOMERS.entries()) {
     const random = Random.create(seed * 1000 + index);
     const homes = Array.from({length: HOME_ROUTERS}, () =>
-      random.int(0, ROUTERS - 1)
+      random.int(0, routers - 1)
     );
     for (const kind of KINDS) {
-      const rate = rateOf(customer, kind);
+      const rate = rateOf(customer, kind) * scale;
       if (rate === 0) continue;
       let atMs = random.exponential(MS_PER_S / rate);
       while (atMs < seconds * MS_PER_S) {
-        calls.push(planOne(random, customer, kind, homes, atMs, calls.length));
+        calls.push(
+          planOne(random, customer, kind, homes, routers, atMs, calls.length)
+        );
         atMs += random.exponential(MS_PER_S / rate);
       }
     }
@@ -66,13 +78,14 @@
   customer: CustomerPlan,
   kind: CallKind,
   homes: readonly number[],
+  routers: number,
   atMs: number,
   number: number
 ): PlannedCall {
   const [low, high] = OUTPUT[kind];
   const router = random.chance(HOME_PART)
     ? random.pick(homes)
-    : random.int(0, ROUTERS - 1);
+    : random.int(0, routers - 1);
   return {
     id: `${customer.name}.${kind}.${number}`,
     atMs,
--- a/apps/rig/src/lib/load/site.ts
+++ b/apps/rig/src/lib/load/site.ts
@@ -127,29 +127,46 @@
   };
 }
 
-/** The site's targets. */
-export const SITE_SERVICES: readonly ServicePlan[] = [
-  {
-    name: MODEL_SERVICE,
-    kind: 'engine',
-    targets: ENGINES,
-    args: [
-      '--step-ms',
-      '18',
-      '--step-per-request-ms',
-      '2',
-      '--prefill-per-token-ms',
-      '0.3',
-      '--max-batch',
-      '24',
-      '--resume-grace-ms',
-      '2000',
-    ],
-  },
-  {
-    name: PLAIN_SERVICE,
-    kind: 'plain',
-    targets: PLAIN_TARGETS,
-    args: ['--work-ms', '15'],
-  },
-];
+/** Step times of an engine, in milliseconds. */
+export interface EngineSteps {
+  readonly stepMs: number;
+  readonly stepPerRequestMs: number;
+}
+
+const SITE_STEPS: EngineSteps = {stepMs: 18, stepPerRequestMs: 2};
+
+/** Faster engines, for tests that wait for whole answers. */
+export const TEST_STEPS: EngineSteps = {stepMs: 3, stepPerRequestMs: 0.4};
+
+/** The site's targets; tests take fewer of them. */
+export function siteServices(
+  engines: number,
+  plainTargets: number,
+  speed: EngineSteps = SITE_STEPS
+): readonly ServicePlan[] {
+  return [
+    {
+      name: MODEL_SERVICE,
+      kind: 'engine',
+      targets: engines,
+      args: [
+        '--step-ms',
+        String(speed.stepMs),
+        '--step-per-request-ms',
+        String(speed.stepPerRequestMs),
+        '--prefill-per-token-ms',
+        '0.3',
+        '--max-batch',
+        '24',
+        '--resume-grace-ms',
+        '2000',
+      ],
+    },
+    {
+      name: PLAIN_SERVICE,
+      kind: 'plain',
+      targets: plainTargets,
+      args: ['--work-ms', '15'],
+    },
+  ];
+}
--- a/apps/rig/src/lib/promise_checks.ts
+++ b/apps/rig/src/lib/promise_checks.ts
@@ -2,8 +2,10 @@
 import {sha256Hex} from '@applebend/utils';
 import {tokenAt} from '@applebend/standins';
 import {readStream} from './caller_client.js';
+import {requestOf} from './load/load_runner.js';
 
 import type {CallerAnswer} from './caller_client.js';
+import type {CallResult} from './load/load_runner.js';
 
 /** Something that must never happen, and did. */
 export interface Violation {
@@ -86,3 +88,28 @@
     add('own', 'another text than the engine produced');
   }
 }
+
+/** Checks all calls of a load against the runs that targets recorded. */
+export function checkResults(
+  results: readonly CallResult[],
+  runsOf: (key: string) => number
+): Violation[] {
+  const violations: Violation[] = [];
+  for (const {call, answer} of results) {
+    const {id, kind} = call;
+    const streamed = kind === 'layout' || kind === 'check';
+    const checked = {
+      id,
+      body: requestOf(call, '').body,
+      outputTokens: streamed ? call.outputTokens : 0,
+      answer,
+    };
+    const runs = runsOf(id);
+    violations.push(...checkCall(checked, runs));
+    if (kind === 'booking' && runs > 1) {
+      const detail = `ran ${runs} times`;
+      violations.push({promise: 'at_most_once', call: id, detail});
+    }
+  }
+  return violations;
+}
--- a/apps/rig/src/measure.ts
+++ b/apps/rig/src/measure.ts
@@ -8,7 +8,13 @@
 import {LoadRunner} from './lib/load/load_runner.js';
 import {Sampler} from './lib/load/sampler.js';
 import {planCalls} from './lib/load/schedule.js';
-import {ROUTERS, SITE_SERVICES, siteConfig} from './lib/load/site.js';
+import {
+  ENGINES,
+  PLAIN_TARGETS,
+  ROUTERS,
+  siteConfig,
+  siteServices,
+} from './lib/load/site.js';
 
 import type {Figures} from './lib/load/figures.js';
 import type {FleetSample} from './lib/load/sampler.js';
@@ -89,11 +95,12 @@
 
 async function measurePolicy(policy: string): Promise<PolicyReport> {
   const seconds = Number(values.seconds);
-  const calls = planCalls(seconds, Number(values.seed));
+  const seed = Number(values.seed);
+  const calls = planCalls({seconds, seed, scale: 1, routers: ROUTERS});
   const fleet = await Fleet.create({
     routers: ROUTERS,
     policy,
-    services: SITE_SERVICES,
+    services: siteServices(ENGINES, PLAIN_TARGETS),
     config: siteConfig(Number(values['short-call-slots'])),
     logLevel: 'error',
     onLog: (router, line) => console.error(`${router}: ${line}`),
