Requests that crash targets: fuzzed, and stopped after two targets

Cause: the crash fuzz broke the promise three ways: two fresh copies at once put an innocent beside both crashes; a second copy of the culprit was granted between two reports of the same loss; and in processes a broken stream without a name was 'continued' until the engine was up again, so that no loss was seen at all (13 crashes of one request in 18 s).

Change: copies of a request run one after the other until one has ended well; the first report of a loss makes suspects of all that the dispatcher knows to run there; only named streams are continued; a refused connection or a forgotten stream counts as a loss; the probe after a break holds its connection for 100 ms, since an ending process may still accept.

Ruled out: counting every broken connection as a loss (a flaky link would quarantine the innocent).

Conclusion: two targets at most, unless an engine restarts within 100 ms.

--- a/apps/daemon/src/lib/entry/target_attempt.ts
+++ b/apps/daemon/src/lib/entry/target_attempt.ts
@@ -6,7 +6,7 @@
 import {
   connectTarget,
   sendRequest,
-  targetAccepts,
+  targetIsThere,
 } from './target_connection.js';
 
 import type {EngineStream} from '@applebend/platform';
@@ -54,6 +54,8 @@
 
 const MAX_RESUMES = 6;
 const RESUME_BASE_DELAY_MS = 25;
+const OK_STATUS = 200;
+const NOT_FOUND_STATUS = 404;
 const ID_HEADER = 'x-request-id';
 
 /** Headers that are the fleet's own and do not reach targets. */
@@ -64,7 +66,8 @@
   private readonly relay: AnswerRelay;
   private readonly cancel = new AbortController();
   private deadlinePassed = false;
-  private targetGone = false;
+  /** It refused a connection, or had forgotten the stream. */
+  private seenLost = false;
 
   private constructor(private readonly parts: AttemptParts) {
     this.relay = AnswerRelay.create({
@@ -172,11 +175,10 @@
   private async onBroke(): Promise<AttemptEnd> {
     const {caller, service} = this.parts.request;
     if (this.deadlinePassed) return {type: 'unanswered', reason: 'deadline'};
-    for (let tries = 0; service.resume && tries < MAX_RESUMES; tries++) {
-      const end = await this.resume();
+    const {id} = this.stream;
+    if (service.resume && id !== undefined) {
+      const end = await this.resumeUntilWhole(id);
       if (end !== undefined) return end;
-      if (this.targetGone) break;
-      await sleep(RESUME_BASE_DELAY_MS * 2 ** tries, this.cancel.signal);
     }
     if (caller.gone.aborted) return {type: 'caller_gone'};
     const reason = await this.reasonOfBreak();
@@ -184,12 +186,24 @@
     return {type: 'partial', reason};
   }
 
+  private async resumeUntilWhole(id: string): Promise<AttemptEnd | undefined> {
+    for (let tries = 0; tries < MAX_RESUMES; tries++) {
+      const end = await this.resume(id);
+      if (end !== undefined || this.seenLost) return end;
+      await sleep(RESUME_BASE_DELAY_MS * 2 ** tries, this.cancel.signal);
+    }
+    return undefined;
+  }
+
   /** Undefined when the continuation failed too. */
-  private async resume(): Promise<AttemptEnd | undefined> {
-    const {id, outputTokens} = this.stream;
-    if (id === undefined) return undefined;
-    const res = await this.ask('GET', resumePath(id, outputTokens));
-    if (res === undefined || res.statusCode !== 200) return undefined;
+  private async resume(id: string): Promise<AttemptEnd | undefined> {
+    const path = resumePath(id, this.stream.outputTokens);
+    const res = await this.ask('GET', path);
+    if (res?.statusCode !== OK_STATUS) {
+      this.seenLost ||= res?.statusCode === NOT_FOUND_STATUS;
+      res?.destroy();
+      return undefined;
+    }
     const relayed = await this.relay.pass(res);
     return match(relayed)
       .with({type: 'whole'}, ({answer}) => this.whole(answer))
@@ -211,7 +225,7 @@
   private async ask(method: string, path: string) {
     const {address, connectTimeoutMs, stallTimeoutMs} = this.parts;
     const connected = await connectTarget(address, connectTimeoutMs);
-    this.targetGone = !connected.ok;
+    this.seenLost = !connected.ok;
     if (!connected.ok) return undefined;
     const sent = await sendRequest(
       connected.value,
@@ -223,6 +237,7 @@
   }
 
   private async reasonOfBreak(): Promise<'lost' | 'broke'> {
-    return (await targetAccepts(this.parts.address)) ? 'broke' : 'lost';
+    if (this.seenLost) return 'lost';
+    return (await targetIsThere(this.parts.address)) ? 'broke' : 'lost';
   }
 }
--- a/apps/daemon/src/lib/entry/target_connection.ts
+++ b/apps/daemon/src/lib/entry/target_connection.ts
@@ -1,7 +1,7 @@
 /** One connection to a target, for one request. */
 import http from 'node:http';
 import net from 'node:net';
-import {fail, messageOf, ok} from '@applebend/utils';
+import {fail, messageOf, ok, sleep} from '@applebend/utils';
 
 import type {Result} from '@applebend/utils';
 import type {TargetAddress} from '../membership/target_directory.js';
@@ -22,6 +22,7 @@
 }
 
 const PROBE_TIMEOUT_MS = 500;
+const PROBE_HOLD_MS = 100;
 
 /**
  * Opens a connection. As long as this has not succeeded, no byte of the
@@ -53,11 +54,22 @@
   });
 }
 
-/** Whether a target still accepts connections. @public */
-export async function targetAccepts(address: TargetAddress): Promise<boolean> {
+/**
+ * Whether a target is still there: it accepts a connection and keeps it open.
+ * A process that is ending may accept for a moment more.
+ *
+ * @public
+ */
+export async function targetIsThere(address: TargetAddress): Promise<boolean> {
   const connected = await connectTarget(address, PROBE_TIMEOUT_MS);
-  if (connected.ok) connected.value.destroy();
-  return connected.ok;
+  if (!connected.ok) return false;
+  const socket = connected.value;
+  socket.on('error', () => {});
+  const closed = new AbortController();
+  socket.once('close', () => closed.abort());
+  await sleep(PROBE_HOLD_MS, closed.signal);
+  socket.destroy();
+  return !closed.signal.aborted;
 }
 
 /** Sends a request over a connection and waits for the answer's head. */
--- /dev/null
+++ b/packages/core/src/lib/crash/crash.fuzz.test.ts
@@ -0,0 +1,193 @@
+/**
+ * A request that crashes every target that runs it, sent again and again
+ * through several entries, beside innocent ones.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {Dispatcher} from '../dispatch/dispatcher.js';
+import {POLICIES} from '../dispatch/policy.js';
+
+import type {Announcement} from '../dispatch/dispatch_types.js';
+import type {DispatchEvent} from '../dispatch/dispatcher.js';
+
+const RUNS = Number(process.env['APPLEBEND_FUZZ_RUNS'] ?? 500);
+const SEED = Number(process.env['APPLEBEND_FUZZ_SEED'] ?? 20261203);
+const ENTRIES = ['a', 'b'];
+const TARGETS = ['t1', 't2', 't3'];
+const POISON = 'poison';
+const INNOCENT = ['n1', 'n2', 'n3', 'n4'];
+
+const action = fc.oneof(
+  fc.record({
+    type: fc.constant('submit' as const),
+    entry: fc.nat(1),
+    fingerprint: fc.constantFrom(POISON, ...INNOCENT),
+  }),
+  fc.record({type: fc.constant('finish' as const), pick: fc.nat(30)}),
+  fc.record({type: fc.constant('crash' as const), pick: fc.nat(30)}),
+  fc.record({
+    type: fc.constant('wait' as const),
+    ms: fc.integer({min: 100, max: 20_000}),
+  })
+);
+
+interface Running {
+  readonly entry: string;
+  readonly grantId: string;
+  readonly target: string;
+  readonly announcement: Announcement;
+}
+
+class World {
+  nowMs = 0;
+  losses = 0;
+  refused = 0;
+  running: Running[] = [];
+  waiting = new Map<string, {entry: string; announcement: Announcement}>();
+  private sequence = 0;
+  private readonly dispatcher = Dispatcher.create({
+    cell: 'cell',
+    incarnation: 'd',
+    policy: POLICIES.dispatched,
+    slots: {
+      limits: {
+        startSlots: 3,
+        maxSlots: 3,
+        firstTokenMs: 1e9,
+        betweenTokensMs: 1e9,
+      },
+      shortCallSlots: 0,
+    },
+    rulesOf: () => ({
+      share: 1,
+      maxQueued: 1000,
+      priority: 5,
+      short: false,
+      maxWaitMs: 1e9,
+    }),
+    leaseMs: 1e9,
+  });
+
+  constructor() {
+    this.handle({type: 'routers', routers: ENTRIES});
+    const targets = TARGETS.map(id => ({id, leaving: false}));
+    this.handle({type: 'targets', targets});
+    for (const entry of ENTRIES) {
+      this.tell(entry, {
+        type: 'sync',
+        cell: 'cell',
+        waiting: [],
+        held: [],
+        marks: [],
+      });
+    }
+  }
+
+  submit(entry: string, fingerprint: string): void {
+    this.sequence += 1;
+    const announcement: Announcement = {
+      requestId: `r${this.sequence}`,
+      customer: 'c',
+      className: 'x',
+      estimate: 1,
+      fingerprint,
+      affinity: 0,
+      avoid: [],
+      waitedMs: 0,
+    };
+    this.waiting.set(announcement.requestId, {entry, announcement});
+    this.tell(entry, {type: 'enqueue', cell: 'cell', announcement});
+  }
+
+  /** The target is lost with all that it runs; every entry sees that. */
+  crash(target: string): void {
+    this.losses += 1;
+    const lost = this.running.filter(job => job.target === target);
+    this.running = this.running.filter(job => job.target !== target);
+    for (const {entry, grantId} of lost) {
+      this.tell(entry, {
+        type: 'finished',
+        cell: 'cell',
+        grantId,
+        end: 'target_lost',
+        cost: 0,
+      });
+    }
+    for (const {entry, announcement} of lost) {
+      this.submit(entry, announcement.fingerprint);
+    }
+  }
+
+  finish(job: Running): void {
+    this.running = this.running.filter(other => other !== job);
+    const {entry, grantId} = job;
+    const end = 'answered';
+    this.tell(entry, {type: 'finished', cell: 'cell', grantId, end, cost: 1});
+  }
+
+  private tell(
+    entry: string,
+    message: Extract<DispatchEvent, {type: 'entry_message'}>['message']
+  ): void {
+    const sentAtMs = this.nowMs;
+    this.handle({type: 'entry_message', entry, sentAtMs, message});
+  }
+
+  handle(event: DispatchEvent): void {
+    for (const {entry, message} of this.dispatcher.handle(event, this.nowMs)) {
+      const request = this.waiting.get(message.requestId)!;
+      this.waiting.delete(message.requestId);
+      if (message.type === 'refuse') {
+        this.refused += 1;
+        assert.equal(request.announcement.fingerprint, POISON);
+        continue;
+      }
+      const {grantId, target} = message;
+      const {announcement} = request;
+      this.running.push({entry, grantId, target, announcement});
+    }
+  }
+}
+
+test('crash fuzz: one fingerprint costs two targets at most', () => {
+  fc.assert(
+    fc.property(fc.array(action, {maxLength: 120, size: 'max'}), actions => {
+      const world = new World();
+      const pickOf = (jobs: readonly Running[], pick: number) =>
+        jobs[pick % Math.max(1, jobs.length)];
+      const poisoned = () =>
+        world.running.filter(j => j.announcement.fingerprint === POISON);
+      const innocent = () =>
+        world.running.filter(j => j.announcement.fingerprint !== POISON);
+      for (const a of actions) {
+        if (a.type === 'submit') {
+          world.submit(ENTRIES[a.entry]!, a.fingerprint);
+        } else if (a.type === 'finish') {
+          const job = pickOf(innocent(), a.pick);
+          if (job !== undefined) world.finish(job);
+        } else if (a.type === 'crash') {
+          const job = pickOf(poisoned(), a.pick);
+          if (job !== undefined) world.crash(job.target);
+        } else {
+          world.nowMs += a.ms;
+          world.handle({type: 'tick'});
+        }
+        assert.ok(world.losses <= 2, `${world.losses} targets lost`);
+      }
+      for (let round = 0; round < 500; round++) {
+        world.nowMs += 10_000;
+        world.handle({type: 'tick'});
+        for (const job of innocent()) world.finish(job);
+        const job = poisoned()[0];
+        if (job !== undefined) world.crash(job.target);
+      }
+      assert.ok(world.losses <= 2, `${world.losses} targets lost`);
+      const left = [...world.waiting.values()].filter(
+        w => w.announcement.fingerprint !== POISON
+      );
+      assert.equal(left.length, 0, 'the innocent are answered');
+    }),
+    {numRuns: RUNS, seed: SEED}
+  );
+});
--- a/packages/core/src/lib/dispatch/dispatch.fuzz.test.ts
+++ b/packages/core/src/lib/dispatch/dispatch.fuzz.test.ts
@@ -219,6 +219,9 @@
   }
 
   onDispatchCommand(id: string, {entry, message}: DispatchCommand): void {
+    if (message.type === 'grant') {
+      assert.ok(!this.leaving.has(message.target), 'a target that leaves');
+    }
     const session = this.sessions.get(linkOf(id, entry)) ?? 0;
     this.channel(id, entry, session, false)?.queue.push({
       at: this.nowMs,
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -268,11 +268,19 @@
       .with('unreachable', () => this.slots.onLost(grant.target, this.nowMs))
       .with('target_lost', () => {
         this.slots.onLost(grant.target, this.nowMs);
-        this.onLoss({fingerprint, target: grant.target});
+        this.onTargetLost(fingerprint, grant.target);
       })
       .exhaustive();
   }
 
+  /** All that ran there is suspected at once, before its entries say so. */
+  private onTargetLost(fingerprint: string, target: string): void {
+    this.onLoss({fingerprint, target});
+    for (const {request} of this.grants.heldOn(target)) {
+      this.onLoss({fingerprint: request.announcement.fingerprint, target});
+    }
+  }
+
   private onLoss(loss: Loss): void {
     const {fingerprint} = loss;
     this.isolation.ledger.onLoss(loss, this.nowMs);
--- a/packages/core/src/lib/dispatch/grant_book.ts
+++ b/packages/core/src/lib/dispatch/grant_book.ts
@@ -72,6 +72,10 @@
     return [...this.grants.values()].filter(grant => grant.entry === entry);
   }
 
+  heldOn(target: string): Grant[] {
+    return [...this.grants.values()].filter(grant => grant.target === target);
+  }
+
   ghostsOf(entry: string): Grant[] {
     return [...this.ghosts.values()].filter(grant => grant.entry === entry);
   }
--- a/packages/core/src/lib/dispatch/isolation.ts
+++ b/packages/core/src/lib/dispatch/isolation.ts
@@ -5,7 +5,8 @@
 import {match} from 'ts-pattern';
 import {CrashLedger} from '../crash/crash_ledger.js';
 
-const MAX_FRESH_COPIES = 2;
+/** Until one copy has run to its end, copies run one after the other. */
+const MAX_FRESH_COPIES = 1;
 
 /** Decides where a fingerprint may run beside what runs already. @public */
 export class Isolation {
