Floods and bad input: process tests

Cause: the promise had code and no proof.

Change: 300 calls of one customer at once beside short calls of another, judged by the targets' own records; garbage, oversize, wrong keys and unauthenticated links, each with its typed refusal, and a good call afterwards.

--- /dev/null
+++ b/apps/rig/src/floods.process.test.ts
@@ -0,0 +1,200 @@
+/** Promises under floods and bad input: others are served as before. */
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import {once} from 'node:events';
+import {test} from 'node:test';
+import {sleep} from '@applebend/utils';
+import {call, modelBody, readStream} from './lib/caller_client.js';
+import {Fleet} from './lib/fleet.js';
+import {refusalOf} from './lib/promise_checks.js';
+import {CALLER_PORT, PEER_PORT} from './lib/router.js';
+import {customerEntry, keyOf, SAMPLE_CONFIG} from './lib/sample_config.js';
+
+import type {CallerAnswer} from './lib/caller_client.js';
+
+const PATIENCE_MS = 60_000;
+const SLOTS = 4;
+const ENGINES = 2;
+const MAX_QUEUED = 60;
+
+const CONFIG = {
+  ...SAMPLE_CONFIG,
+  services: {'nest-llm': {kind: 'model', slots: SLOTS}},
+  customers: {
+    kpone: customerEntry('kpone', 'standard', {maxQueued: MAX_QUEUED}),
+    tema: customerEntry('tema', 'standard'),
+  },
+};
+
+async function withFleet(work: (fleet: Fleet) => Promise<void>): Promise<void> {
+  const fleet = await Fleet.create({
+    routers: 3,
+    policy: 'dispatched',
+    config: CONFIG,
+    listLagMs: 300,
+    services: [
+      {
+        name: 'nest-llm',
+        kind: 'engine',
+        targets: ENGINES,
+        args: ['--step-ms', '4'],
+      },
+    ],
+  });
+  try {
+    await work(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function ask(
+  fleet: Fleet,
+  customer: string,
+  router: number,
+  tag: string
+): Promise<CallerAnswer> {
+  return call({
+    url: `${fleet.router(router).url}/v1/chat/completions`,
+    method: 'POST',
+    headers: {authorization: `Bearer ${keyOf(customer)}`},
+    body: modelBody({
+      model: 'nest-llm',
+      prompt: `${tag} out=30`,
+      maxTokens: 64,
+      tag,
+      stream: true,
+    }),
+    patienceMs: PATIENCE_MS,
+  });
+}
+
+test('a flood costs the flooder alone', () =>
+  withFleet(async fleet => {
+    const flood = Array.from({length: 300}, (_, i) =>
+      ask(fleet, 'kpone', i % 3, `kpone-${i}`)
+    );
+    await fleet.until('the flood runs', () => fleet.runs.length >= SLOTS);
+    for (let i = 0; i < 8; i++) {
+      const sentAtMs = performance.now();
+      const answer = await ask(fleet, 'tema', i % 3, `tema-${i}`);
+      assert.ok(readStream(answer.body).done, answer.body);
+      const startedAtMs = fleet.runs.find(r => r.key === `tema-${i}`)?.atMs;
+      const overtakenBy = fleet.runs.filter(
+        r => r.atMs > sentAtMs && r.atMs < (startedAtMs ?? 0)
+      );
+      const slots = SLOTS * ENGINES;
+      assert.ok(overtakenBy.length <= slots, `by ${overtakenBy.length}`);
+    }
+    const answers = await Promise.all(flood);
+    const refused = answers.filter(answer => answer.status === 429);
+    assert.ok(refused.length >= 300 - MAX_QUEUED - 100, 'the queue is bounded');
+    for (const answer of refused) {
+      assert.equal(refusalOf(answer)?.type, 'queue_full');
+      assert.equal(refusalOf(answer)?.ran, 'not_run');
+      assert.ok(Number(answer.headers['retry-after']) >= 1);
+    }
+    const whole = answers.filter(a => readStream(a.body).done).length;
+    assert.equal(whole + refused.length, answers.length);
+  }));
+
+/** Sends bytes as they are and returns what came back. */
+async function sendRaw(
+  host: string,
+  port: number,
+  bytes: string | Buffer
+): Promise<string> {
+  const socket = net.connect({host, port});
+  const chunks: Buffer[] = [];
+  socket.on('data', chunk => chunks.push(chunk));
+  socket.on('error', () => {});
+  await once(socket, 'connect');
+  socket.write(bytes);
+  const closed = once(socket, 'close').catch(() => undefined);
+  await Promise.race([closed, sleep(4000)]);
+  socket.destroy();
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+test('bad input gets a typed error and disturbs nothing', () =>
+  withFleet(async fleet => {
+    const host = fleet.hostOf(0);
+    const {url} = fleet.router(0);
+    const garbage = await sendRaw(
+      host,
+      CALLER_PORT,
+      '\u0000\u0001 nonsense\r\n\r\n'
+    );
+    assert.match(garbage, /^HTTP\/1.1 400/);
+    assert.match(garbage, /"ran":"not_run"/);
+    const header = `GET / HTTP/1.1\r\nx: ${'y'.repeat(40_000)}\r\n\r\n`;
+    assert.match(await sendRaw(host, CALLER_PORT, header), /^HTTP\/1.1 431/);
+
+    const authorization = `Bearer ${keyOf('kpone')}`;
+    const chat = `${url}/v1/chat/completions`;
+    const good = modelBody({
+      model: 'nest-llm',
+      prompt: 'x',
+      maxTokens: 8,
+      tag: 'x',
+      stream: true,
+    });
+    const cases: readonly [string, string, string, string, number, string][] = [
+      [chat, 'POST', '', good, 401, 'unauthorized'],
+      [chat, 'POST', 'Bearer nobody', good, 401, 'unauthorized'],
+      [chat, 'POST', authorization, '{"model":', 400, 'bad_request'],
+      [chat, 'GET', authorization, '', 400, 'bad_request'],
+      [
+        chat,
+        'POST',
+        authorization,
+        good.replace('nest-llm', 'none'),
+        404,
+        'unknown_service',
+      ],
+      [`${url}/nothing/here`, 'GET', authorization, '', 404, 'unknown_service'],
+      [
+        chat,
+        'POST',
+        authorization,
+        'x'.repeat(2_000_000),
+        413,
+        'request_too_large',
+      ],
+    ];
+    for (const [at, method, auth, body, status, type] of cases) {
+      const answer = await call({
+        url: at,
+        method,
+        headers: auth === '' ? {} : {authorization: auth},
+        body,
+        patienceMs: 5000,
+      });
+      assert.equal(answer.status, status, `${type}: ${answer.failure}`);
+      assert.equal(refusalOf(answer)?.type, type);
+      assert.equal(refusalOf(answer)?.ran, 'not_run');
+    }
+
+    const upgrade =
+      'GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n' +
+      'Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n';
+    const frame = Buffer.from([0x82, 0x83, 0, 0, 0, 0, 0xc1, 0xc1, 0xc1]);
+    const bytes = Buffer.concat([Buffer.from(upgrade), frame]);
+    await sendRaw(host, PEER_PORT, bytes);
+    await fleet.until('the frame was counted', async () => {
+      const metrics = await call({
+        url: `${fleet.router(0).adminUrl}/metrics`,
+        method: 'GET',
+        headers: {},
+        body: '',
+        patienceMs: 2000,
+      });
+      return /link_closes_total\{reason="malformed_frame"\} 1/.test(
+        metrics.body
+      );
+    });
+    const status = (await fleet.router(0).status()) as {members: unknown[]};
+    assert.equal(status.members.length, 2, 'the good links stand');
+    const after = await ask(fleet, 'tema', 0, 'after');
+    assert.ok(readStream(after.body).done);
+  }));
