The soak run: all faults together, every promise checked

Cause: the promises were proved one by one; faults come together and twice.

It checks the callers' answers against the targets' records and exits with 1 on any violation.

--- a/apps/rig/src/lib/fleet.ts
+++ b/apps/rig/src/lib/fleet.ts
@@ -226,6 +226,22 @@
     this.list.put({id, role, service, host, port, failureDomain, state});
   }
 
+  /** Replaces a router gracefully, as the platform does. */
+  async replace(index: number): Promise<void> {
+    this.listRouter(index, 'leaving');
+    await this.router(index).terminate();
+    await this.restart(index);
+  }
+
+  /** Kills a router and starts it again after a while. */
+  async crash(index: number, downMs: number): Promise<void> {
+    await this.router(index).kill();
+    await sleep(downMs / 2);
+    this.list.remove(this.router(index).id);
+    await sleep(downMs / 2);
+    await this.restart(index);
+  }
+
   /** Ends every process that this rig started. */
   async stop(): Promise<void> {
     await Promise.all(this.routers.map(router => router.kill()));
--- /dev/null
+++ b/apps/rig/src/lib/load/fault_schedule.ts
@@ -0,0 +1,199 @@
+/** The seeded schedule of faults for the soak run, together and twice. */
+import {Random, sleep} from '@applebend/utils';
+import {customerEntry} from '../sample_config.js';
+import {siteConfig} from './site.js';
+
+import type {Faults} from '@applebend/standins';
+import type {Fleet} from '../fleet.js';
+import type {Router} from '../router.js';
+import type {Target} from '../target.js';
+
+type FaultName =
+  | 'crash_router'
+  | 'replace_router'
+  | 'freeze_router'
+  | 'isolate_router'
+  | 'stall_pair'
+  | 'crash_target'
+  | 'freeze_target'
+  | 'sever_streams'
+  | 'leave_target'
+  | 'log_down'
+  | 'log_slow'
+  | 'log_loses_answers'
+  | 'list_down'
+  | 'racing_operators';
+
+/** A target that left, and came back. */
+export interface LeaveMark {
+  readonly target: string;
+  readonly leftAtMs: number;
+  readonly backAtMs: number;
+}
+
+const MEAN_GAP_MS = 1500;
+const MS_PER_S = 1000;
+const OPERATORS = 3;
+
+export class FaultSchedule {
+  readonly counts = new Map<FaultName, number>();
+  readonly leaves: LeaveMark[] = [];
+  private readonly random: Random;
+  private readonly busy = new Set<Router | Target | string>();
+  private readonly pending = new Set<Promise<void>>();
+  private changes = 0;
+
+  private readonly handlers: Readonly<Record<FaultName, () => Promise<void>>> =
+    {
+      crash_router: () =>
+        this.onRouter(index => this.fleet.crash(index, this.span(1, 5))),
+      replace_router: () => this.onRouter(index => this.fleet.replace(index)),
+      freeze_router: () =>
+        this.onRouter(async index => {
+          this.fleet.router(index).freeze();
+          await sleep(this.span(0.5, 5));
+          this.fleet.router(index).thaw();
+        }),
+      isolate_router: () =>
+        this.onRouter(async index => {
+          this.fleet.isolate(index);
+          await sleep(this.span(0.5, 5));
+          this.fleet.rejoin(index);
+        }),
+      stall_pair: () =>
+        this.onRouter(async index => {
+          const other = (index + 1) % this.fleet.routers.length;
+          this.fleet.stall(index, other);
+          await sleep(this.span(0.5, 4));
+          this.fleet.heal(index, other);
+        }),
+      crash_target: () =>
+        this.onTarget(async target => {
+          await target.kill();
+          await sleep(this.span(0.2, 3));
+          await target.start();
+        }),
+      freeze_target: () =>
+        this.onTarget(async target => {
+          target.freeze();
+          await sleep(this.span(0.5, 4));
+          target.thaw();
+        }),
+      sever_streams: () =>
+        this.onTarget(async target => {
+          await target.control({severStreams: true});
+          await sleep(this.span(0.01, 0.2));
+          await target.control({});
+        }),
+      leave_target: () => this.onTarget(target => this.leave(target)),
+      log_down: () => this.onLog({down: true}, this.span(0.5, 4)),
+      log_slow: () => this.onLog({delayMs: 400}, this.span(1, 4)),
+      log_loses_answers: () => this.onLog({loseAnswers: 0.3}, this.span(1, 4)),
+      list_down: () => this.onList(),
+      racing_operators: () => this.raceOperators(),
+    };
+
+  private constructor(
+    private readonly fleet: Fleet,
+    seed: number
+  ) {
+    this.random = Random.create(seed);
+  }
+
+  static create(fleet: Fleet, seed: number): FaultSchedule {
+    return new FaultSchedule(fleet, seed);
+  }
+
+  /** Brings faults about for a while, then waits until all have ended. */
+  async run(seconds: number): Promise<void> {
+    const endMs = performance.now() + seconds * MS_PER_S;
+    const names = Object.keys(this.handlers) as FaultName[];
+    while (performance.now() < endMs) {
+      const name = this.random.pick(names);
+      this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+      const fault: Promise<void> = this.handlers[name]().finally(() =>
+        this.pending.delete(fault)
+      );
+      this.pending.add(fault);
+      await sleep(this.random.exponential(MEAN_GAP_MS));
+    }
+    await Promise.all(this.pending);
+  }
+
+  private span(lowS: number, highS: number): number {
+    return (lowS + this.random.unit() * (highS - lowS)) * MS_PER_S;
+  }
+
+  private async onRouter(fault: (index: number) => Promise<void>) {
+    const {routers} = this.fleet;
+    const index = this.random.int(0, routers.length - 1);
+    await this.alone(routers[index] ?? '', () => fault(index));
+  }
+
+  private async onTarget(fault: (target: Target) => Promise<void>) {
+    const target = this.random.pick(this.fleet.targets);
+    await this.alone(target, () => fault(target));
+  }
+
+  /** One thing has one fault at a time; different things have several. */
+  private async alone(
+    thing: Router | Target | string,
+    fault: () => Promise<void>
+  ): Promise<void> {
+    if (this.busy.has(thing)) return;
+    this.busy.add(thing);
+    await fault();
+    this.busy.delete(thing);
+  }
+
+  private async leave(target: Target): Promise<void> {
+    this.fleet.listTarget(target, 'leaving');
+    const leftAtMs = performance.now();
+    await sleep(this.span(5, 8));
+    const backAtMs = performance.now();
+    this.fleet.list.remove(target.id);
+    this.leaves.push({target: target.id, leftAtMs, backAtMs});
+    await sleep(this.span(3, 4));
+    this.fleet.listTarget(target, 'live');
+  }
+
+  private async onLog(faults: Partial<Faults>, spanMs: number) {
+    const {server} = this.fleet.log;
+    await this.alone('log', async () => {
+      const before = server.faults;
+      server.faults = {...before, ...faults};
+      await sleep(spanMs);
+      server.faults = before;
+    });
+  }
+
+  private async onList(): Promise<void> {
+    const {server} = this.fleet.list;
+    await this.alone('list', async () => {
+      const before = server.faults;
+      server.faults = {...before, down: true};
+      await sleep(this.span(0.5, 4));
+      server.faults = before;
+    });
+  }
+
+  /** Several operators publish from the same base; one may win. */
+  private async raceOperators(): Promise<void> {
+    try {
+      const base = await this.fleet.configState();
+      const races = Array.from({length: OPERATORS}, () => {
+        this.changes += 1;
+        const name = `extra-${this.changes}`;
+        const config = siteConfig(1);
+        const customers = {
+          ...config.customers,
+          [name]: customerEntry(name, 'standard'),
+        };
+        return this.fleet.publishFrom(base, {...config, customers});
+      });
+      await Promise.allSettled(races);
+    } catch {
+      return;
+    }
+  }
+}
--- a/apps/rig/src/lib/load/load_runner.ts
+++ b/apps/rig/src/lib/load/load_runner.ts
@@ -35,6 +35,8 @@
   readonly results: CallResult[] = [];
   readonly tallies = new Map<string, CustomerTally>();
   open = 0;
+  /** Whether each booking is sent twice, through two routers. */
+  repeatBookings = false;
   /** Model calls that no target has started yet. */
   private readonly waiting = new Map<string, () => void>();
 
@@ -55,7 +57,10 @@
     for (const planned of calls) {
       const waitMs = startMs + planned.atMs - performance.now();
       if (waitMs > 1) await sleep(waitMs);
-      void this.sendOne(planned);
+      void this.sendOne(planned, planned.router);
+      if (this.repeatBookings && planned.kind === 'booking') {
+        void this.sendOne(planned, planned.router + 1);
+      }
     }
   }
 
@@ -73,9 +78,9 @@
     return tally;
   }
 
-  private async sendOne(planned: PlannedCall): Promise<void> {
+  private async sendOne(planned: PlannedCall, wanted: number): Promise<void> {
     this.open += 1;
-    const router = this.balance(planned.router);
+    const router = this.balance(wanted);
     const tally = this.tallyOf(planned.customer.name);
     const modelCall = planned.kind === 'layout' || planned.kind === 'check';
     const stopWaiting = () => {
--- a/apps/rig/src/lib/load/sampler.ts
+++ b/apps/rig/src/lib/load/sampler.ts
@@ -14,6 +14,7 @@
 export interface RouterSample {
   readonly instance: string;
   readonly incarnation: string;
+  readonly revision: number;
   readonly controlSeconds: number;
   readonly cpuSeconds: number;
   readonly rssBytes: number;
--- a/apps/rig/src/lib/target.ts
+++ b/apps/rig/src/lib/target.ts
@@ -45,6 +45,11 @@
     return `http://${this.options.host}:${this.options.port}`;
   }
 
+  /** Set when the process ended by itself. */
+  get exitCode(): number | null {
+    return this.child?.exitCode ?? null;
+  }
+
   get running(): boolean {
     return this.child !== undefined && !this.child.exited;
   }
--- /dev/null
+++ b/apps/rig/src/soak.ts
@@ -0,0 +1,260 @@
+/** `npm run soak`: a fleet under load and faults, every promise checked. */
+import {parseArgs} from 'node:util';
+import {POLICY} from '@applebend/core';
+import {CRASH_MARK} from '@applebend/standins';
+import {sleep} from '@applebend/utils';
+import {Balancer} from './lib/balancer.js';
+import {call, modelBody} from './lib/caller_client.js';
+import {Fleet} from './lib/fleet.js';
+import {FaultSchedule} from './lib/load/fault_schedule.js';
+import {LoadRunner} from './lib/load/load_runner.js';
+import {Sampler} from './lib/load/sampler.js';
+import {planCalls} from './lib/load/schedule.js';
+import {
+  ENGINES,
+  MODEL_SERVICE,
+  PLAIN_TARGETS,
+  ROUTERS,
+  siteConfig,
+  siteServices,
+} from './lib/load/site.js';
+import {checkResults, refusalOf} from './lib/promise_checks.js';
+import {keyOf} from './lib/sample_config.js';
+
+import type {FleetSample} from './lib/load/sampler.js';
+
+const {values} = parseArgs({
+  options: {
+    seconds: {type: 'string', default: '60'},
+    seed: {type: 'string', default: '1'},
+    scale: {type: 'string', default: '0.5'},
+    verbose: {type: 'boolean', default: false},
+  },
+});
+
+const LIST_LAG_MS = 1000;
+const NO_NEW_WORK_MS = 3000;
+const PATIENCE_MS = 330_000;
+const DRAIN_MS = 90_000;
+const POISON_EVERY_MS = 25_000;
+const POISON_TRIES = 5;
+const CRASH_EXIT = 70;
+const MAX_LOSSES = 2;
+
+/** Violations by promise, with an example of each. */
+class Verdict {
+  private readonly found = new Map<string, string[]>();
+
+  add(promise: string, detail: string): void {
+    const details = this.found.get(promise) ?? [];
+    details.push(detail);
+    this.found.set(promise, details);
+  }
+
+  count(promise: string): number {
+    return this.found.get(promise)?.length ?? 0;
+  }
+
+  get clean(): boolean {
+    return this.found.size === 0;
+  }
+
+  print(promises: readonly string[]): void {
+    for (const promise of promises) {
+      console.log(`${promise} | violations ${this.count(promise)}`);
+      for (const detail of this.found.get(promise)?.slice(0, 5) ?? []) {
+        console.log(`    ${detail}`);
+      }
+    }
+  }
+}
+
+const PROMISES = [
+  'whole',
+  'own',
+  'not_run',
+  'at_most_once',
+  'at_once',
+  'no_starvation',
+  'fairness_bound',
+  'configuration',
+  'leaving',
+  'crashing_request',
+  'invalid_transition',
+];
+
+/** Starts targets again that crashed by themselves; returns how many did. */
+async function superviseTargets(fleet: Fleet): Promise<number> {
+  let crashes = 0;
+  for (const target of fleet.targets) {
+    if (target.exitCode !== CRASH_EXIT) continue;
+    crashes += 1;
+    await sleep(300);
+    await target.start();
+  }
+  return crashes;
+}
+
+/** Sends requests that crash targets, one kind after the other. */
+async function sendPoison(
+  fleet: Fleet,
+  verdict: Verdict,
+  stop: AbortSignal
+): Promise<void> {
+  for (let kind = 1; !stop.aborted; kind++) {
+    await sleep(POISON_EVERY_MS / 2, stop);
+    let crashes = 0;
+    for (let i = 0; i < POISON_TRIES && !stop.aborted; i++) {
+      const index = (kind + i) % fleet.routers.length;
+      await call({
+        url: `${fleet.router(index).url}/v1/chat/completions`,
+        method: 'POST',
+        headers: {authorization: `Bearer ${keyOf('large-1')}`},
+        body: modelBody({
+          model: MODEL_SERVICE,
+          prompt: `${CRASH_MARK} ${kind} out=60`,
+          maxTokens: 64,
+          tag: `poison-${kind}`,
+          stream: true,
+        }),
+        patienceMs: 20_000,
+      });
+      await sleep(200);
+      crashes += await superviseTargets(fleet);
+    }
+    if (crashes > MAX_LOSSES) {
+      verdict.add('crashing_request', `poison ${kind} cost ${crashes} targets`);
+    }
+    await sleep(POISON_EVERY_MS / 2, stop);
+  }
+}
+
+function checkSamples(samples: readonly FleetSample[], verdict: Verdict): void {
+  const revisions = new Map<string, number>();
+  const bounds = new Map<string, number>();
+  for (const {routers} of samples) {
+    for (const {incarnation, revision, instance, cells} of routers) {
+      const before = revisions.get(incarnation) ?? 0;
+      if (revision < before) {
+        verdict.add('configuration', `${instance}: ${before} to ${revision}`);
+      }
+      revisions.set(incarnation, revision);
+      for (const {service, stats} of cells) {
+        const key = `${instance}/${incarnation}/${service}`;
+        bounds.set(key, stats.fairnessViolations);
+      }
+    }
+  }
+  for (const [key, count] of bounds) {
+    if (count > 0) verdict.add('fairness_bound', `${key}: ${count} times`);
+  }
+}
+
+async function checkEnd(fleet: Fleet, verdict: Verdict): Promise<void> {
+  const {revision} = await fleet.configState();
+  await sleep(NO_NEW_WORK_MS);
+  for (const router of fleet.routers) {
+    const status = (await router.status()) as {revision: number} | undefined;
+    if (status?.revision !== revision) {
+      const seen = status?.revision;
+      verdict.add('configuration', `${router.id}: ${seen}, log ${revision}`);
+    }
+    const metrics = await call({
+      url: `${router.adminUrl}/metrics`,
+      method: 'GET',
+      headers: {},
+      body: '',
+      patienceMs: 2000,
+    });
+    const invalid = /invalid_transitions_total (\d+)/.exec(metrics.body)?.[1];
+    if (invalid !== '0')
+      verdict.add('invalid_transition', `${router.id}: ${invalid}`);
+  }
+}
+
+function checkLeaves(
+  fleet: Fleet,
+  faults: FaultSchedule,
+  verdict: Verdict
+): void {
+  for (const {target, leftAtMs, backAtMs} of faults.leaves) {
+    const deadline = leftAtMs + LIST_LAG_MS + NO_NEW_WORK_MS;
+    const late = fleet.runs.filter(
+      run => run.target === target && run.atMs > deadline && run.atMs < backAtMs
+    );
+    if (late.length > 0)
+      verdict.add('leaving', `${target}: ${late.length} runs`);
+  }
+}
+
+function checkLoad(fleet: Fleet, load: LoadRunner, verdict: Verdict): void {
+  for (const v of checkResults(load.results, key => fleet.runsOf(key))) {
+    verdict.add(v.promise, `${v.call}: ${v.detail}`);
+  }
+  for (const {call: planned, answer} of load.results) {
+    if (answer.failure === 'patience') {
+      verdict.add('no_starvation', `${planned.id} waited too long`);
+    }
+  }
+  if (load.open > 0) verdict.add('no_starvation', `${load.open} never ended`);
+}
+
+function printLoad(load: LoadRunner, faults: FaultSchedule): void {
+  const outcomes = new Map<string, number>();
+  for (const {answer} of load.results) {
+    const type = refusalOf(answer)?.type ?? (answer.failure || 'answered');
+    outcomes.set(type, (outcomes.get(type) ?? 0) + 1);
+  }
+  console.log(`requests | ${load.results.length}`);
+  for (const [type, count] of outcomes) console.log(`    ${type} ${count}`);
+  console.log('faults brought about');
+  for (const [name, count] of faults.counts)
+    console.log(`    ${name} ${count}`);
+}
+
+async function soak(seconds: number, seed: number): Promise<boolean> {
+  const fleet = await Fleet.create({
+    routers: ROUTERS,
+    policy: POLICY.dispatched,
+    services: siteServices(ENGINES, PLAIN_TARGETS),
+    config: siteConfig(1),
+    listLagMs: LIST_LAG_MS,
+    logLevel: values.verbose ? 'debug' : 'error',
+    onLog: (router, line) => console.error(`${router}: ${line}`),
+  });
+  const balancer = Balancer.create(fleet);
+  const verdict = new Verdict();
+  try {
+    const load = LoadRunner.create(fleet, PATIENCE_MS);
+    load.repeatBookings = true;
+    const sampler = Sampler.create(fleet, load);
+    const faults = FaultSchedule.create(fleet, seed);
+    const stop = new AbortController();
+    const scale = Number(values.scale);
+    const calls = planCalls({seconds, seed, scale, routers: ROUTERS});
+    sampler.start();
+    const poison = sendPoison(fleet, verdict, stop.signal);
+    await Promise.all([load.send(calls), faults.run(seconds - 5)]);
+    stop.abort();
+    await poison;
+    await Promise.race([load.finish(), sleep(DRAIN_MS)]);
+    await sampler.stop();
+    checkLoad(fleet, load, verdict);
+    checkLeaves(fleet, faults, verdict);
+    checkSamples(sampler.samples, verdict);
+    await checkEnd(fleet, verdict);
+    printLoad(load, faults);
+    verdict.print(PROMISES);
+    return verdict.clean;
+  } finally {
+    balancer.stop();
+    await fleet.stop();
+  }
+}
+
+const seconds = Number(values.seconds);
+const seed = Number(values.seed);
+console.log(`soak: ${seconds} s, seed ${seed}, scale ${values.scale}`);
+const clean = await soak(seconds, seed);
+console.log(clean ? 'soak: no violations' : 'soak: promises were broken');
+process.exit(clean ? 0 : 1);
