Control traffic and dispatch time: compact frames, no work without change

Change: messages go as positions and small numbers; heartbeats leave out what the link's hello has said; ids are shorter. The picker finds the least customer in one pass and sorts only when that one cannot run; the bound is checked when a counter has moved and no slot is free; cells hear of the fleet when it has changed.

Ruled out: records of the codec library (need exchanged structures); names by number (need a common configuration revision on both sides).

--- a/apps/daemon/src/lib/cells/cell_task.ts
+++ b/apps/daemon/src/lib/cells/cell_task.ts
@@ -166,9 +166,13 @@
     this.toDispatcher({type: 'settings', slots});
   }
 
+  /** Lets time pass: grants to this instance's own entry stay valid. */
+  takeTurn(): void {
+    this.onPeerSeen(this.parts.instance, this.parts.clock.monotonicMs());
+  }
+
   /** Takes in the fleet as it is now. */
   onFleet(view: FleetView): void {
-    this.onPeerSeen(this.parts.instance, this.parts.clock.monotonicMs());
     this.toDispatcher({type: 'targets', targets: view.targets});
     const routers =
       POLICIES[this.parts.policy].scope === 'entry'
--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -18,12 +18,12 @@
 import {MembershipTask} from './membership/membership_task.js';
 import {PeerMesh} from './peers/peer_mesh.js';
 
-import type {Heartbeat} from '@applebend/core';
+import type {PeerState} from '@applebend/core';
 import type {PeerIdentity, PeerMessage} from '@applebend/protocol';
 import type {FleetView} from './cells/cell_task.js';
 import type {Settings} from './settings/settings.js';
 
-const INCARNATION_BYTES = 5;
+const INCARNATION_BYTES = 6;
 const TICK_MS = 1000;
 const PLATFORM_LIST_TIMEOUT_MS = 1500;
 const HANDOVER_MS = 300;
@@ -31,7 +31,7 @@
 
 /** @public */
 export class Daemon {
-  readonly incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  readonly incarnation = randomBytes(INCARNATION_BYTES).toString('base64url');
   readonly metrics = Metrics.create();
   readonly log: Logger;
   readonly membership: MembershipTask;
@@ -51,6 +51,7 @@
   private drainingValue = false;
   private stopped: Promise<void> | undefined;
   private meshUp = false;
+  private lastFleetKey = '';
   private readonly stoppedCallbacks: (() => void)[] = [];
 
   private constructor(readonly settings: Settings) {
@@ -80,7 +81,7 @@
       clock,
       log: this.log,
       metrics: this.metrics,
-      ownHeartbeat: () => this.heartbeat(),
+      ownState: () => this.ownState(),
       onChange: () => this.refreshCells(),
       busy: this.busy,
     });
@@ -233,9 +234,8 @@
     });
   }
 
-  private heartbeat(): Heartbeat {
+  private ownState(): PeerState {
     return {
-      incarnation: this.incarnation,
       ready: this.config.ready,
       draining: this.drainingValue,
       revision: this.config.state.revision,
@@ -249,13 +249,33 @@
     if (this.meshUp) this.membership.beat();
   }
 
+  /** Tells the cells of the fleet when it is not what they saw last. */
   private refreshCells(): void {
     if (!this.meshUp) return;
+    const seen = this.fleetKey();
+    const changed = seen !== this.lastFleetKey;
+    this.lastFleetKey = seen;
     for (const [service, cell] of this.cells) {
-      cell.onFleet(this.fleetView(service));
+      cell.takeTurn();
+      if (changed) cell.onFleet(this.fleetView(service));
     }
   }
 
+  /** Differs whenever a cell would see another fleet. */
+  private fleetKey(): string {
+    const {candidates, slotOwners} = this.fleetView();
+    const {targets} = this.membership;
+    const sessions = slotOwners.map(id => this.mesh.sessionOf(id) ?? '');
+    return [
+      this.config.state.revision,
+      candidates.join(),
+      slotOwners.join(),
+      sessions.join(),
+      targets.version,
+      this.membership.routersKey,
+    ].join(';');
+  }
+
   private onPeerUp(peer: PeerIdentity): void {
     const {instance, incarnation} = peer;
     const before = this.peerIncarnations.get(instance);
@@ -280,9 +300,9 @@
   ): void {
     const {instance} = peer;
     match(message)
-      .with({type: 'heartbeat'}, ({heartbeat, sentAtMs}) => {
-        this.membership.onHeartbeat(instance, heartbeat);
-        this.config.onPeerRevision(heartbeat.revision);
+      .with({type: 'heartbeat'}, ({state, sentAtMs}) => {
+        this.membership.onHeartbeat(peer, state);
+        this.config.onPeerRevision(state.revision);
         for (const [, cell] of this.cells) cell.onPeerSeen(instance, sentAtMs);
       })
       .with({type: 'goodbye'}, () => {
--- a/apps/daemon/src/lib/entry/admission.ts
+++ b/apps/daemon/src/lib/entry/admission.ts
@@ -2,6 +2,7 @@
  * Admission as a pipe of filters: each adds what it found out to the request,
  * or refuses it. Nothing has run while a request is in this pipe.
  */
+import {createHash} from 'node:crypto';
 import {
   classifyRequest,
   estimateInputTokens,
@@ -64,7 +65,9 @@
 const BEARER = 'Bearer ';
 const MAX_KEY_LENGTH = 256;
 const MAX_DEADLINE_MS = 3_600_000;
-const FINGERPRINT_LENGTH = 16;
+const FINGERPRINT_BYTES = 8;
+/** Enough to tell the prefixes of one cell apart. */
+const AFFINITY_MASK = 0xffff;
 
 /** Runs a request through all filters. @public */
 export async function admit(
@@ -83,7 +86,7 @@
   if (!key.ok) return key;
   const deadline = deadlineOf(caller, cls.value);
   if (!deadline.ok) return deadline;
-  const fingerprint = sha256Hex(
+  const fingerprint = fingerprintOf(
     [
       customer.value.name,
       caller.req.method,
@@ -91,7 +94,7 @@
       routed.value.targetPath,
       body.value.toString('latin1'),
     ].join('\u0000')
-  ).slice(0, FINGERPRINT_LENGTH);
+  );
   return ok({
     caller,
     customer: customer.value,
@@ -99,7 +102,7 @@
     cls: cls.value,
     body: body.value,
     fingerprint,
-    affinity: hash32(routed.value.call?.prefix ?? fingerprint),
+    affinity: hash32(routed.value.call?.prefix ?? fingerprint) & AFFINITY_MASK,
     estimate: estimate(
       customer.value,
       cls.value,
@@ -112,6 +115,12 @@
   });
 }
 
+/** A short name that equal requests share. */
+function fingerprintOf(text: string): string {
+  const hash = createHash('sha256').update(text, 'latin1').digest();
+  return hash.subarray(0, FINGERPRINT_BYTES).toString('base64url');
+}
+
 function identify(
   caller: Caller,
   parts: AdmissionParts
--- a/apps/daemon/src/lib/membership/membership_task.ts
+++ b/apps/daemon/src/lib/membership/membership_task.ts
@@ -5,8 +5,9 @@
 import {MemberView} from '@applebend/core';
 import {TargetDirectory} from './target_directory.js';
 
-import type {Heartbeat} from '@applebend/core';
+import type {PeerState} from '@applebend/core';
 import type {InstanceList, ListedInstance} from '@applebend/platform';
+import type {PeerIdentity} from '@applebend/protocol';
 import type {Logger, Metrics} from '@applebend/telemetry';
 import type {BusyMeter, Clock} from '@applebend/utils';
 import type {PeerMesh} from '../peers/peer_mesh.js';
@@ -21,7 +22,7 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   /** What this instance says of itself. */
-  readonly ownHeartbeat: () => Heartbeat;
+  readonly ownState: () => PeerState;
   readonly onChange: () => void;
   readonly busy: BusyMeter;
 }
@@ -53,6 +54,11 @@
     return new MembershipTask(parts);
   }
 
+  /** Differs whenever the listed routers do. */
+  get routersKey(): string {
+    return this.routers.map(({id, state}) => `${id} ${state}`).join();
+  }
+
   /** Whether the instance list has been read at least once. */
   get listRead(): boolean {
     return this.listReads > 0;
@@ -75,13 +81,15 @@
     this.parts.mesh().broadcast({
       type: 'heartbeat',
       sentAtMs: this.parts.clock.monotonicMs(),
-      heartbeat: this.parts.ownHeartbeat(),
+      state: this.parts.ownState(),
     });
   }
 
-  onHeartbeat(peer: string, heartbeat: Heartbeat): void {
-    this.view.onHeartbeat(peer, heartbeat, this.parts.clock.monotonicMs());
-    this.targets.onSeenLeaving(heartbeat.leavingTargets);
+  onHeartbeat(peer: PeerIdentity, state: PeerState): void {
+    const {instance, incarnation} = peer;
+    const nowMs = this.parts.clock.monotonicMs();
+    this.view.onHeartbeat(instance, incarnation, state, nowMs);
+    this.targets.onSeenLeaving(state.leavingTargets);
   }
 
   private every(intervalMs: number, turn: () => void): void {
--- a/apps/daemon/src/lib/membership/target_directory.ts
+++ b/apps/daemon/src/lib/membership/target_directory.ts
@@ -15,6 +15,9 @@
   /** Targets that some instance has seen leaving; never taken back. */
   private readonly leaving = new Set<string>();
 
+  /** Grows whenever a target comes, goes or is seen leaving. */
+  version = 0;
+
   private constructor() {}
 
   static create(): TargetDirectory {
@@ -28,6 +31,7 @@
 
   onList(instances: readonly ListedInstance[]): void {
     const targets = instances.filter(instance => instance.role === 'target');
+    const before = this.summary();
     this.targets = new Map(targets.map(target => [target.id, target]));
     for (const target of targets) {
       if (target.state === 'leaving') this.leaving.add(target.id);
@@ -35,15 +39,25 @@
     for (const id of this.leaving) {
       if (!this.targets.has(id)) this.leaving.delete(id);
     }
+    if (this.summary() !== before) this.version += 1;
   }
 
   /** Takes in what other instances have seen. */
   onSeenLeaving(ids: Iterable<string>): void {
     for (const id of ids) {
-      if (this.targets.has(id)) this.leaving.add(id);
+      if (!this.targets.has(id) || this.leaving.has(id)) continue;
+      this.leaving.add(id);
+      this.version += 1;
     }
   }
 
+  private summary(): string {
+    const known = [...this.targets.values()].map(
+      ({id, service, host, port}) => `${id} ${service} ${host}:${port}`
+    );
+    return [...known, ...this.leaving].join();
+  }
+
   isLeaving(id: string): boolean {
     return this.leaving.has(id);
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -96,9 +96,9 @@
 export {ServiceLedger} from './lib/fairness/service_ledger.js';
 export {MemberView} from './lib/membership/member_view.js';
 export type {
-  Heartbeat,
   ListedRouter,
   Member,
+  PeerState,
 } from './lib/membership/member_view.js';
 export {rendezvousPick} from './lib/membership/rendezvous.js';
 export {
--- a/packages/core/src/lib/dispatch/backlog.ts
+++ b/packages/core/src/lib/dispatch/backlog.ts
@@ -6,6 +6,7 @@
 /** The waiting requests of a cell. @public */
 export class Backlog {
   private readonly queues = new Map<string, CustomerQueue>();
+  private shortRequests = 0;
   private readonly byId = new Map<string, QueuedRequest>();
 
   private constructor() {}
@@ -18,6 +19,11 @@
     return this.byId.size;
   }
 
+  /** Waiting requests that may use the slots for short calls. */
+  get shortCount(): number {
+    return this.shortRequests;
+  }
+
   /** Customers with at least one waiting request. */
   get customers(): Iterable<string> {
     return this.queues.keys();
@@ -40,15 +46,17 @@
       queue = CustomerQueue.create();
       this.queues.set(customer, queue);
     }
-    queue.restore(request);
+    queue.add(request);
     this.byId.set(requestId, request);
+    if (request.short) this.shortRequests += 1;
     return first;
   }
 
   /** Removes a request; true when its customer has none left. */
   remove(request: QueuedRequest): boolean {
     const {customer, requestId} = request.announcement;
-    this.byId.delete(requestId);
+    if (!this.byId.delete(requestId)) return false;
+    if (request.short) this.shortRequests -= 1;
     const queue = this.queues.get(customer);
     if (queue === undefined) return false;
     queue.remove(request);
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -101,6 +101,8 @@
   private commands: DispatchCommand[] = [];
   private nowMs = 0;
   private overLimit = 0;
+  /** Whether any counter moved since fairness was last checked. */
+  private charged = false;
 
   private constructor(private readonly options: DispatcherOptions) {
     this.slots = SlotTable.create(options.slots);
@@ -354,11 +356,18 @@
     ) {
       this.grant(pick.request, pick.target);
     }
-    if (this.options.policy.order === 'fair') {
-      this.monitor.check(this.picker.lastEligible);
+    if (this.charged && !this.slots.anyFree(false, this.nowMs)) {
+      this.checkFairness();
     }
   }
 
+  /** With every slot in use, all that wait could run as well as another. */
+  private checkFairness(): void {
+    this.charged = false;
+    if (this.options.policy.order !== 'fair') return;
+    this.monitor.check(this.backlog.customers);
+  }
+
   private grant(request: QueuedRequest, target: string): void {
     const {customer, requestId, estimate} = request.announcement;
     this.ledger.reachLevel(customer);
@@ -400,6 +409,7 @@
     const {customer} = grant.request.announcement;
     this.ledger.charge(customer, cost - grant.charged);
     grant.charged = cost;
+    this.charged = true;
   }
 
   private refuse(
--- a/packages/core/src/lib/dispatch/request_picker.ts
+++ b/packages/core/src/lib/dispatch/request_picker.ts
@@ -37,8 +37,6 @@
 /** @public */
 export class RequestPicker {
   private rotation = 0;
-  /** Customers that could have been served when it last looked. */
-  lastEligible: string[] = [];
 
   private constructor(private readonly parts: PickerParts) {}
 
@@ -48,23 +46,33 @@
 
   /** The next grant, or undefined when nothing that waits can run. */
   next(nowMs: number): Pick | undefined {
-    this.lastEligible = [];
     const {backlog, slots} = this.parts;
-    if (backlog.size === 0) return undefined;
     const open = slots.anyFree(false, nowMs);
-    if (!open && !slots.anyFree(true, nowMs)) {
-      this.lastEligible = [...backlog.customers];
+    if (!open && (backlog.shortCount === 0 || !slots.anyFree(true, nowMs))) {
       return undefined;
     }
-    const candidates = this.rankedCandidates(nowMs);
-    const least = candidates[0]?.rank ?? 0;
+    const first = this.leastCandidate(nowMs);
+    if (first === undefined) return undefined;
+    return (
+      this.pickFor(first.customer, open, nowMs) ??
+      this.pickOther(first, open, nowMs)
+    );
+  }
+
+  /** The first customer in order whose work can run, `first` left out. */
+  private pickOther(
+    first: Candidate,
+    open: boolean,
+    nowMs: number
+  ): Pick | undefined {
+    const candidates = [...this.candidates(nowMs)];
+    candidates.sort((a, b) => a.rank - b.rank);
     for (const {customer, rank} of candidates) {
-      if (!open && this.isTooFarAhead(rank, least)) break;
-      const pick = this.pickFor(customer, nowMs);
+      if (customer === first.customer) continue;
+      if (!open && this.isTooFarAhead(rank, first.rank)) return undefined;
+      const pick = this.pickFor(customer, open, nowMs);
       if (pick !== undefined) return pick;
-      this.lastEligible.push(customer);
     }
-    this.lastEligible = open ? [] : this.lastEligible;
     return undefined;
   }
 
@@ -74,12 +82,18 @@
     return rank - least > this.parts.monitor.slack;
   }
 
-  private rankedCandidates(nowMs: number): Candidate[] {
-    const candidates: Candidate[] = [];
+  private leastCandidate(nowMs: number): Candidate | undefined {
+    let least: Candidate | undefined;
+    for (const candidate of this.candidates(nowMs)) {
+      if (least === undefined || candidate.rank < least.rank) least = candidate;
+    }
+    return least;
+  }
+
+  private *candidates(nowMs: number): Generator<Candidate> {
     for (const customer of this.parts.backlog.customers) {
-      candidates.push({customer, rank: this.rankOf(customer, nowMs)});
+      yield {customer, rank: this.rankOf(customer, nowMs)};
     }
-    return candidates.sort((a, b) => a.rank - b.rank);
   }
 
   private rankOf(customer: string, nowMs: number): number {
@@ -91,9 +105,14 @@
     return Infinity;
   }
 
-  private pickFor(customer: string, nowMs: number): Pick | undefined {
+  private pickFor(
+    customer: string,
+    open: boolean,
+    nowMs: number
+  ): Pick | undefined {
     let tried = 0;
     for (const request of this.parts.backlog.inOrder(customer, nowMs)) {
+      if (!open && !request.short) continue;
       const target = this.targetFor(request, nowMs);
       if (target !== undefined) return {request, target};
       tried += 1;
--- a/packages/core/src/lib/membership/member_view.ts
+++ b/packages/core/src/lib/membership/member_view.ts
@@ -5,10 +5,8 @@
  * and as a dispatcher only while its heartbeats arrive.
  */
 
-/** A heartbeat's content, apart from who sent it. @public */
-export interface Heartbeat {
-  /** Changes with every start of the process. */
-  readonly incarnation: string;
+/** What a heartbeat says of its sender. @public */
+export interface PeerState {
   readonly ready: boolean;
   readonly draining: boolean;
   /** Revision of the configuration in force there. */
@@ -24,8 +22,10 @@
 }
 
 /** One router as this instance sees it. @public */
-export interface Member extends Heartbeat {
+export interface Member extends PeerState {
   readonly id: string;
+  /** Changes with every start of the process. */
+  readonly incarnation: string;
   readonly lastSeenMs: number;
 }
 
@@ -45,10 +45,15 @@
     return new MemberView(self, silenceMs);
   }
 
-  onHeartbeat(id: string, heartbeat: Heartbeat, nowMs: number): void {
-    if (this.departed.get(id) === heartbeat.incarnation) return;
+  onHeartbeat(
+    id: string,
+    incarnation: string,
+    state: PeerState,
+    nowMs: number
+  ): void {
+    if (this.departed.get(id) === incarnation) return;
     this.departed.delete(id);
-    this.members.set(id, {...heartbeat, id, lastSeenMs: nowMs});
+    this.members.set(id, {...state, id, incarnation, lastSeenMs: nowMs});
   }
 
   onGoodbye(id: string): void {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,5 @@
 /** The protocol between instances: messages, codec and authenticated links. */
-export {decodeMessages, encodeFrame} from './lib/codec.js';
+export {decodeMessages, encodeFrame, encodeMessages} from './lib/codec.js';
 export type {FrameError} from './lib/codec.js';
 export type {PeerIdentity} from './lib/handshake.js';
 export {Link} from './lib/link.js';
--- a/packages/protocol/src/lib/codec.ts
+++ b/packages/protocol/src/lib/codec.ts
@@ -2,6 +2,7 @@
 import {Packr} from 'msgpackr';
 import {fail, messageOf, ok} from '@applebend/utils';
 import {frameSchema} from './messages.js';
+import {fromWire, toWire} from './wire.js';
 
 import type {Result} from '@applebend/utils';
 import type {PeerMessage} from './messages.js';
@@ -12,6 +13,8 @@
   readonly message: string;
 }
 
+const MAX_MESSAGES = 65_536;
+
 const packr = new Packr({useRecords: false});
 
 /** Encodes any frame, a hello included. @public */
@@ -28,13 +31,22 @@
   }
 }
 
+/** Encodes the messages of one turn. @public */
+export function encodeMessages(messages: readonly PeerMessage[]): Buffer {
+  return encodeFrame(messages.map(toWire));
+}
+
 /** Decodes and checks a frame of messages. @public */
 export function decodeMessages(
   data: Uint8Array
 ): Result<readonly PeerMessage[], FrameError> {
   const decoded = decodeFrame(data);
   if (!decoded.ok) return decoded;
-  const parsed = frameSchema.safeParse(decoded.value);
+  const wire = decoded.value;
+  if (!Array.isArray(wire) || wire.length > MAX_MESSAGES) {
+    return fail({kind: 'malformed_frame', message: 'no list of messages'});
+  }
+  const parsed = frameSchema.safeParse(wire.map(fromWire));
   if (parsed.success) return ok(parsed.data);
   const issue = parsed.error.issues[0];
   const message = `${issue?.path.join('.')}: ${issue?.message}`;
--- a/packages/protocol/src/lib/link.ts
+++ b/packages/protocol/src/lib/link.ts
@@ -3,7 +3,12 @@
  * cannot be understood or a peer that cannot prove itself closes the link.
  */
 import {match} from 'ts-pattern';
-import {decodeFrame, decodeMessages, encodeFrame} from './codec.js';
+import {
+  decodeFrame,
+  decodeMessages,
+  encodeFrame,
+  encodeMessages,
+} from './codec.js';
 import {makeHello, makeProof, proofIsValid} from './handshake.js';
 import {helloSchema, PROTOCOL_VERSION, proofSchema} from './messages.js';
 
@@ -115,12 +120,15 @@
     if (this.state !== 'open' || this.outgoing.length === 0) return;
     const frame = this.outgoing;
     this.outgoing = [];
-    this.write(frame);
+    this.writeBytes(encodeMessages(frame));
     if (this.socket.bufferedAmount > MAX_BUFFERED_BYTES) this.close('too_slow');
   }
 
-  private write(frame: unknown): void {
-    const data = encodeFrame(frame);
+  private write(handshake: unknown): void {
+    this.writeBytes(encodeFrame(handshake));
+  }
+
+  private writeBytes(data: Buffer): void {
     this.sentBytes += data.length;
     this.socket.send(data);
   }
--- a/packages/protocol/src/lib/messages.ts
+++ b/packages/protocol/src/lib/messages.ts
@@ -81,8 +81,7 @@
   }),
 ]);
 
-const heartbeatSchema = z.strictObject({
-  incarnation: id,
+const peerStateSchema = z.strictObject({
   ready: z.boolean(),
   draining: z.boolean(),
   revision: z.number().int().min(0),
@@ -93,7 +92,7 @@
   z.strictObject({
     type: z.literal('heartbeat'),
     sentAtMs: amount,
-    heartbeat: heartbeatSchema,
+    state: peerStateSchema,
   }),
   z.strictObject({type: z.literal('goodbye')}),
   z.strictObject({
@@ -110,8 +109,8 @@
   z.strictObject({type: z.literal('loss'), fingerprint: id, target: id}),
 ]);
 
-/** One frame: the messages that were sent in one turn. @public */
-export const frameSchema = z.array(peerMessageSchema).max(65_536);
+/** One frame, unpacked: the messages that were sent in one turn. @public */
+export const frameSchema = z.array(peerMessageSchema);
 
 /** The first frame of each side. @public */
 export const helloSchema = z.strictObject({
