Tracing loads its exporter only where it is used; slow callers hold nothing

Cause: every daemon loaded the exporter (memory is near its 128 MB); a caller that read slowly made its target look stalled, and one that read nothing held its slot for ever.

Change: the exporter is imported when an address is set; the stall timer stops while a caller is slow; a caller that reads nothing for a minute counts as gone and its work is cancelled.

Ruled out: a higher stall timeout, which would hide targets that stall.

--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -42,7 +42,7 @@
   mesh!: PeerMesh;
   entry!: EntryServer;
   private admin!: AdminServer;
-  private readonly tracing: Tracing;
+  private tracing!: Tracing;
   /** Time spent on control: links, cells and membership. */
   readonly busy = BusyMeter.create();
   private readonly clock = systemClock;
@@ -60,8 +60,6 @@
       instance,
       failureDomain: settings.failure_domain,
     });
-    const otlpUrl = settings.tracing.otlp_url;
-    this.tracing = Tracing.create({otlpUrl, instance});
     const localAddress = settings.listen.peer.host;
     const log = HttpLogClient.create({
       baseUrl: platform.log_url,
@@ -169,6 +167,8 @@
   private async start(): Promise<void> {
     const {settings, metrics, log} = this;
     const {instance, listen} = settings;
+    const otlpUrl = settings.tracing.otlp_url;
+    this.tracing = await Tracing.create({otlpUrl, instance});
     this.mesh = await PeerMesh.create({
       identity: {instance, incarnation: this.incarnation},
       secret: settings.link_secret,
--- a/apps/daemon/src/lib/entry/answer_relay.ts
+++ b/apps/daemon/src/lib/entry/answer_relay.ts
@@ -87,7 +87,7 @@
         if (events.length === 0) continue;
         this.begin(res, {});
         onTokens(this.stream);
-        await caller.write(events.map(event => event.raw).join(''));
+        await this.write(res, events.map(event => event.raw).join(''));
         if (caller.gone.aborted) return {type: 'caller_gone'};
         if (this.stream.whole) break;
       }
@@ -110,14 +110,14 @@
       for await (const part of res) {
         const chunk = part as Buffer;
         if (streaming) {
-          await caller.write(chunk);
+          await this.write(res, chunk);
         } else {
           held.push(chunk);
           heldBytes += chunk.length;
           if (heldBytes <= MAX_HELD_BYTES) continue;
           streaming = true;
           this.begin(res, res.headers);
-          await caller.write(Buffer.concat(held));
+          await this.write(res, Buffer.concat(held));
           held = [];
         }
         if (caller.gone.aborted) return {type: 'caller_gone'};
@@ -137,6 +137,18 @@
     return this.whole(res, body.toString('utf8'), parseUsage(body));
   }
 
+  /** While the caller is slow, the target's silence is no stall. */
+  private async write(
+    res: IncomingMessage,
+    part: Uint8Array | string
+  ): Promise<void> {
+    const {socket} = res;
+    const stallTimeoutMs = socket.timeout ?? 0;
+    socket.setTimeout(0);
+    await this.parts.caller.write(part);
+    socket.setTimeout(stallTimeoutMs);
+  }
+
   private begin(res: IncomingMessage, headers: AnswerHeaders): void {
     if (this.parts.caller.begun) return;
     this.parts.onBegin();
--- a/apps/daemon/src/lib/entry/caller.ts
+++ b/apps/daemon/src/lib/entry/caller.ts
@@ -15,19 +15,22 @@
   private constructor(
     readonly requestId: string,
     readonly req: IncomingMessage,
-    private readonly res: ServerResponse
+    private readonly res: ServerResponse,
+    private readonly slowTimeoutMs: number
   ) {
     res.on('close', () => {
       if (!this.finished) this.goneController.abort();
     });
   }
 
+  /** A caller that reads nothing for `slowTimeoutMs` counts as gone. */
   static create(
     requestId: string,
     req: IncomingMessage,
-    res: ServerResponse
+    res: ServerResponse,
+    slowTimeoutMs: number
   ): Caller {
-    return new Caller(requestId, req, res);
+    return new Caller(requestId, req, res, slowTimeoutMs);
   }
 
   /** Aborts when the caller goes away before its answer ended. */
@@ -52,7 +55,9 @@
   async write(part: Uint8Array | string): Promise<void> {
     if (this.gone.aborted || this.res.write(part)) return;
     await new Promise<void>(resolve => {
+      const timer = setTimeout(() => this.res.destroy(), this.slowTimeoutMs);
       const done = () => {
+        clearTimeout(timer);
         this.res.off('drain', done);
         this.res.off('close', done);
         resolve();
--- a/apps/daemon/src/lib/entry/entry_server.ts
+++ b/apps/daemon/src/lib/entry/entry_server.ts
@@ -86,7 +86,8 @@
     const number = this.sequence.toString(ID_RADIX);
     const requestId = `${this.parts.incarnation}${number}`;
     if (this.draining) res.setHeader('connection', 'close');
-    const caller = Caller.create(requestId, req, res);
+    const {slow_caller_timeout_ms: slowMs} = this.parts.settings.limits;
+    const caller = Caller.create(requestId, req, res, slowMs);
     const log = this.parts.log.with({requestId});
     this.open += 1;
     try {
--- a/apps/daemon/src/lib/settings/settings.ts
+++ b/apps/daemon/src/lib/settings/settings.ts
@@ -33,6 +33,8 @@
   max_open_requests: z.number().int().positive().default(4000),
   /** How long a target may be silent in the middle of an answer. */
   stall_timeout_ms: z.number().int().positive().default(10_000),
+  /** How long a caller may read nothing of its answer. */
+  slow_caller_timeout_ms: z.number().int().positive().default(60_000),
   connect_timeout_ms: z.number().int().positive().default(1000),
 });
 
--- a/packages/telemetry/src/lib/tracing.ts
+++ b/packages/telemetry/src/lib/tracing.ts
@@ -4,14 +4,9 @@
  */
 import {context, SpanStatusCode, trace} from '@opentelemetry/api';
 import {W3CTraceContextPropagator} from '@opentelemetry/core';
-import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
-import {resourceFromAttributes} from '@opentelemetry/resources';
-import {
-  BasicTracerProvider,
-  BatchSpanProcessor,
-} from '@opentelemetry/sdk-trace-base';
 
 import type {Attributes, Context, Span, Tracer} from '@opentelemetry/api';
+import type {BasicTracerProvider} from '@opentelemetry/sdk-trace-base';
 
 const PROPAGATOR = new W3CTraceContextPropagator();
 
@@ -32,18 +27,13 @@
     private readonly provider: BasicTracerProvider | undefined
   ) {}
 
-  static create(options: TracingOptions): Tracing {
-    if (options.otlpUrl === undefined) {
+  static async create(options: TracingOptions): Promise<Tracing> {
+    const {otlpUrl, instance} = options;
+    if (otlpUrl === undefined) {
       return new Tracing(trace.getTracer('applebend'), undefined);
     }
-    const exporter = new OTLPTraceExporter({url: options.otlpUrl});
-    const provider = new BasicTracerProvider({
-      resource: resourceFromAttributes({
-        'service.name': 'applebendd',
-        'service.instance.id': options.instance,
-      }),
-      spanProcessors: [new BatchSpanProcessor(exporter)],
-    });
+    const {exportingProvider} = await import('./span_export.js');
+    const provider = exportingProvider(otlpUrl, instance);
     return new Tracing(provider.getTracer('applebend'), provider);
   }
 
