--- a/apps/daemon/src/lib/claims/claim_batcher.ts
+++ b/apps/daemon/src/lib/claims/claim_batcher.ts
@@ -66,8 +66,8 @@
       const records = this.waiting.splice(0, MAX_BATCH);
       const appended = await this.log.append(CLAIM_STREAM, {records});
       if (!appended.ok) {
-        await sleep(RETRY_MS, this.stopping.signal);
         this.onFailure(records, appended.err.kind !== 'append_unknown');
+        await sleep(RETRY_MS, this.stopping.signal);
       }
       await sleep(MIN_APPEND_GAP_MS, this.stopping.signal);
     }
--- a/apps/daemon/src/lib/entry/entry_server.ts
+++ b/apps/daemon/src/lib/entry/entry_server.ts
@@ -27,6 +27,7 @@
 }
 
 const KEEP_ALIVE_MS = 30_000;
+const CLOSE_IDLE_EVERY_MS = 200;
 const ID_RADIX = 36;
 
 /** @public */
@@ -74,8 +75,13 @@
   /** Stops accepting, and resolves when every open request has ended. */
   async finish(): Promise<void> {
     const closed = new Promise(resolve => this.server.close(resolve));
+    const timer = setInterval(
+      () => this.server.closeIdleConnections(),
+      CLOSE_IDLE_EVERY_MS
+    );
     this.server.closeIdleConnections();
     await closed;
+    clearInterval(timer);
   }
 
   private async serve(
--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -296,8 +296,8 @@
       .with({type: 'unanswered'}, ({reason}) =>
         this.onUnanswered(slot, stream, reason)
       )
-      .with({type: 'partial'}, async ({reason}) => {
-        await this.onBroken(slot, stream, reason === 'lost');
+      .with({type: 'partial'}, ({reason}) => {
+        void this.onBroken(slot, stream, reason === 'lost');
         this.tracker.advance('connection_broke');
         const kind = reason === 'stalled' ? 'target_stalled' : 'target_lost';
         const message = 'the answer broke off';
@@ -341,7 +341,7 @@
     stream: EngineStream,
     reason: 'lost' | 'broke' | 'stalled' | 'mismatched' | 'deadline'
   ): Promise<{done: boolean; refusal?: Refusal | undefined}> {
-    const recorded = await this.onBroken(slot, stream, reason === 'lost');
+    const recorded = this.onBroken(slot, stream, reason === 'lost');
     if (reason === 'mismatched') this.parts.metrics.mismatchedAnswers.inc();
     const {ran} = this.tracker;
     const refused = match(reason)
@@ -355,8 +355,8 @@
         refusal('deadline_passed', 'no answer came before the deadline', ran)
       )
       .exhaustive();
-    const final = reason === 'deadline' || reason === 'stalled' || !recorded;
-    if (final || !this.mayRunAgain()) {
+    const final = reason === 'deadline' || reason === 'stalled';
+    if (final || !this.mayRunAgain() || !(await recorded)) {
       this.tracker.advance('connection_broke');
       return {done: true, refusal: refused};
     }
--- /dev/null
+++ b/packages/core/src/lib/dispatch/slot_table.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {SlotTable} from './slot_table.js';
+
+function tableOf(
+  routers: readonly string[],
+  synced: readonly string[],
+  slots: number
+): SlotTable {
+  const table = SlotTable.create({
+    limits: {
+      startSlots: slots,
+      maxSlots: slots,
+      firstTokenMs: 890,
+      betweenTokensMs: 46,
+    },
+    shortCallSlots: 0,
+  });
+  table.setTargets([{id: 't1', leaving: false}]);
+  table.setRouters(routers, new Set(synced));
+  return table;
+}
+
+test('the sides of a cut share every limit exactly', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 12}),
+      fc.integer({min: 1, max: 64}),
+      fc.infiniteStream(fc.nat(2)),
+      (count, slots, sides) => {
+        const routers = Array.from({length: count}, (_, i) => `entry-${i}`);
+        const groups: string[][] = [[], [], []];
+        for (const router of routers) {
+          const side = sides.next().value as number;
+          groups[side]?.push(router);
+        }
+        let usable = 0;
+        for (const group of groups) {
+          usable += tableOf(routers, group, slots).usableSlots();
+        }
+        assert.equal(usable, slots);
+      }
+    ),
+    {numRuns: 200, seed: 20261203}
+  );
+});
+
+test('a target that was lost is left alone for longer each time', () => {
+  const table = tableOf(['a'], ['a'], 1);
+  let nowMs = 0;
+  const waits: number[] = [];
+  for (let i = 0; i < 6; i++) {
+    table.onLost('t1', nowMs);
+    const lostAtMs = nowMs;
+    while (!table.anyFree(false, nowMs)) nowMs += 100;
+    waits.push(nowMs - lostAtMs);
+  }
+  assert.deepEqual(waits, [500, 1000, 2000, 4000, 8000, 8000]);
+  table.onAnswer('t1', undefined);
+  table.onLost('t1', nowMs);
+  assert.ok(table.anyFree(false, nowMs + 500));
+});
+
+test('what a silent entry ran counts until it is known to have ended', () => {
+  const table = tableOf(['a', 'b'], ['a', 'b'], 2);
+  table.take('t1');
+  table.take('t1');
+  assert.equal(table.anyFree(false, 0), false);
+  table.toGhost('t1');
+  assert.equal(table.anyFree(false, 0), false, 'it may still be running');
+  table.dropGhost('t1');
+  assert.equal(table.anyFree(false, 0), true);
+});
