A dispatcher that does not know an entry asks for its state; smaller modules

Cause: messages for a cell that an instance did not know yet (its configuration came later) were dropped, the sync among them; the entry's requests then waited until their deadline.

Change: a dispatcher answers messages of an entry that is not synced with 'resync', and an instance remembers who spoke to a cell before it was made. The claim gate, the wait for a slot, the entry roster, the drain rates and the peer inbox stand in files of their own.

Ruled out: choosing only dispatchers with the own revision or a later one; a cut would then leave a cell without any.

--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -3,7 +3,6 @@
  * program, and each role falls to whichever instance its key picks.
  */
 import {randomBytes} from 'node:crypto';
-import {match} from 'ts-pattern';
 import {OutputEstimator, RetryBudget} from '@applebend/core';
 import {HttpInstanceList, HttpLogClient} from '@applebend/platform';
 import {Logger, Metrics, Tracing} from '@applebend/telemetry';
@@ -16,10 +15,10 @@
 import {EntryServer} from './entry/entry_server.js';
 import {LossTask} from './losses/loss_task.js';
 import {MembershipTask} from './membership/membership_task.js';
+import {PeerInbox} from './peers/peer_inbox.js';
 import {PeerMesh} from './peers/peer_mesh.js';
 
 import type {PeerState} from '@applebend/core';
-import type {PeerIdentity, PeerMessage} from '@applebend/protocol';
 import type {FleetView} from './cells/cell_task.js';
 import type {Settings} from './settings/settings.js';
 
@@ -46,7 +45,7 @@
   /** Time spent on control: links, cells and membership. */
   readonly busy = BusyMeter.create();
   private readonly clock = systemClock;
-  private readonly peerIncarnations = new Map<string, string>();
+  private readonly inbox: PeerInbox;
   private readonly timers: NodeJS.Timeout[] = [];
   private drainingValue = false;
   private stopped: Promise<void> | undefined;
@@ -118,6 +117,14 @@
       busy: this.busy,
       config: () => this.config.config,
     });
+    const {membership, config, cells} = this;
+    this.inbox = PeerInbox.create({
+      membership,
+      config,
+      cells,
+      mesh,
+      onFleetChange: () => this.refreshCells(),
+    });
   }
 
   /** Starts a daemon; it becomes ready by itself. */
@@ -178,11 +185,12 @@
       metrics,
       busy: this.busy,
       events: {
-        onUp: peer => this.onPeerUp(peer),
-        onDown: peer => this.onPeerDown(peer),
+        onUp: peer => this.inbox.onUp(peer),
+        onDown: peer => this.inbox.onDown(peer),
         onMessages: (peer, session, messages) => {
-          for (const message of messages)
-            this.onMessage(peer, session, message);
+          for (const message of messages) {
+            this.inbox.onMessage(peer, session, message);
+          }
         },
       },
     });
@@ -245,6 +253,7 @@
 
   private onConfigChange(): void {
     this.cells.onConfig();
+    if (this.meshUp) this.inbox.onCellsChange();
     this.refreshCells();
     if (this.meshUp) this.membership.beat();
   }
@@ -276,62 +285,6 @@
     ].join(';');
   }
 
-  private onPeerUp(peer: PeerIdentity): void {
-    const {instance, incarnation} = peer;
-    const before = this.peerIncarnations.get(instance);
-    this.peerIncarnations.set(instance, incarnation);
-    if (before !== undefined && before !== incarnation) {
-      for (const [, cell] of this.cells) cell.onPeerEnded(instance);
-    }
-    this.membership.beat();
-    if (!this.config.ready) this.mesh.send(instance, {type: 'config_request'});
-  }
-
-  private onPeerDown({instance}: PeerIdentity): void {
-    this.membership.view.onLinkLost(instance);
-    for (const [, cell] of this.cells) cell.onPeerDown(instance);
-    this.refreshCells();
-  }
-
-  private onMessage(
-    peer: PeerIdentity,
-    session: number,
-    message: PeerMessage
-  ): void {
-    const {instance} = peer;
-    match(message)
-      .with({type: 'heartbeat'}, ({state, sentAtMs}) => {
-        this.membership.onHeartbeat(peer, state);
-        this.config.onPeerRevision(state.revision);
-        for (const [, cell] of this.cells) cell.onPeerSeen(instance, sentAtMs);
-      })
-      .with({type: 'goodbye'}, () => {
-        this.membership.view.onGoodbye(instance);
-        for (const [, cell] of this.cells) cell.onPeerEnded(instance);
-        this.refreshCells();
-      })
-      .with({type: 'to_dispatcher'}, ({sentAtMs, message: inner}) =>
-        this.cells.get(inner.cell)?.onEntryMessage(instance, sentAtMs, inner)
-      )
-      .with({type: 'to_entry'}, ({message: inner}) =>
-        this.cells
-          .get(inner.cell)
-          ?.onDispatcherMessage({peer: instance, session}, inner)
-      )
-      .with({type: 'config_request'}, () => {
-        if (!this.config.ready) return;
-        const snapshot = this.config.snapshot();
-        this.mesh.send(instance, {type: 'config_state', snapshot});
-      })
-      .with({type: 'config_state'}, ({snapshot}) =>
-        this.config.onPeerState(snapshot)
-      )
-      .with({type: 'loss'}, ({fingerprint, target}) => {
-        for (const [, cell] of this.cells) cell.onLoss({fingerprint, target});
-      })
-      .exhaustive();
-  }
-
   /** Whether the life of an instance that owns a claim still goes on. */
   private ownerIsAlive(owner: string): boolean {
     const [instance = '', incarnation = ''] = owner.split('/');
@@ -340,7 +293,7 @@
     }
     const {view} = this.membership;
     if (!view.isAlive(instance, this.clock.monotonicMs())) return false;
-    return this.peerIncarnations.get(instance) === incarnation;
+    return this.inbox.incarnationOf(instance) === incarnation;
   }
 
   private tick(): void {
--- a/apps/daemon/src/lib/entry/refusals.ts
+++ b/apps/daemon/src/lib/entry/refusals.ts
@@ -1,7 +1,9 @@
 /** Makes the refusals that an entry gives, each with its own fixed part. */
+import {match} from 'ts-pattern';
 import {RAN} from '@applebend/core';
 
 import type {Ran, Refusal, RefusalKind} from '@applebend/core';
+import type {UnansweredReason} from './target_attempt.js';
 
 const SOON_MS = 1000;
 const LATER_MS = 5000;
@@ -40,3 +42,18 @@
 ): Refusal {
   return {kind, message, ran, retryAfterMs};
 }
+
+/** What a caller is told when no answer came from the target. @public */
+export function unansweredRefusal(reason: UnansweredReason, ran: Ran): Refusal {
+  return match(reason)
+    .with('lost', () => refusal('target_lost', 'the target was lost', ran))
+    .with('broke', () => refusal('target_lost', 'no answer came', ran))
+    .with('stalled', () => refusal('target_stalled', 'no answer came', ran))
+    .with('mismatched', () =>
+      refusal('answer_mismatched', 'another answer came', ran)
+    )
+    .with('deadline', () =>
+      refusal('deadline_passed', 'no answer came before the deadline', ran)
+    )
+    .exhaustive();
+}
--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -2,10 +2,12 @@
  * Carries one admitted request from its queue to its end: claim, slot,
  * attempt, and further attempts where running it again is allowed.
  */
-import {match, P} from 'ts-pattern';
+import {match} from 'ts-pattern';
 import {modelCost} from '@applebend/core';
-import {notRun, refusal} from './refusals.js';
+import {ClaimGate} from './claim_gate.js';
+import {notRun, refusal, unansweredRefusal} from './refusals.js';
 import {RequestTracker} from './request_tracker.js';
+import {refusalOfWait, waitForSlot} from './slot_wait.js';
 import {TargetAttempt} from './target_attempt.js';
 
 import type {
@@ -17,14 +19,14 @@
 import type {EngineStream} from '@applebend/platform';
 import type {Logger, Metrics, RequestTrace} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
-import type {CellTask, GrantedSlot} from '../cells/cell_task.js';
-import type {Claim, ClaimTask} from '../claims/claim_task.js';
+import type {Acquired, CellTask, GrantedSlot} from '../cells/cell_task.js';
+import type {ClaimTask} from '../claims/claim_task.js';
 import type {LossTask} from '../losses/loss_task.js';
 import type {TargetDirectory} from '../membership/target_directory.js';
 import type {Settings} from '../settings/settings.js';
 import type {AdmittedRequest} from './admission.js';
 import type {WholeAnswer} from './answer_relay.js';
-import type {AttemptEnd} from './target_attempt.js';
+import type {AttemptEnd, UnansweredReason} from './target_attempt.js';
 
 /** What all runs of an instance share. @public */
 export interface RunnerParts {
@@ -49,7 +51,7 @@
   private readonly startedAtMs: number;
   private readonly deadlineAtMs: number;
   private attempts = 0;
-  private claim: Claim | undefined;
+  private readonly gate: ClaimGate;
   private replayed = false;
 
   private constructor(
@@ -58,8 +60,9 @@
     private readonly trace: RequestTrace,
     private readonly log: Logger
   ) {
-    const idempotent = request.idempotencyKey === undefined;
-    this.tracker = RequestTracker.create(idempotent, log, parts.metrics);
+    const {claims, clock, metrics} = parts;
+    this.gate = ClaimGate.create(claims, clock, request);
+    this.tracker = RequestTracker.create(!this.gate.guards, log, metrics);
     this.startedAtMs = parts.clock.monotonicMs();
     this.deadlineAtMs = this.startedAtMs + request.deadlineMs;
   }
@@ -77,10 +80,10 @@
   async run(): Promise<void> {
     const {caller, cls, customer, serviceName} = this.request;
     this.parts.budget.onFreshRequest();
-    const refused = (await this.takeClaim()) ?? (await this.attemptAll());
+    const refused = await this.carryOut();
     if (refused !== undefined) this.refuse(refused);
     if (this.tracker.state.end === undefined) this.tracker.advance('gave_up');
-    this.releaseUnsent();
+    this.gate.leave(this.tracker.ran);
     const end = this.replayed ? 'replayed' : this.tracker.state.end;
     this.parts.metrics.requests.inc({service: serviceName, end});
     this.trace.end(refused?.kind);
@@ -93,136 +96,61 @@
     });
   }
 
-  /** Claims the right to run a non-idempotent request. */
-  private async takeClaim(): Promise<Refusal | undefined> {
-    const {idempotencyKey, customer, fingerprint} = this.request;
-    if (idempotencyKey === undefined) return undefined;
-    this.tracker.advance('claim_started');
-    this.trace.next('claim');
-    const outcome = await this.parts.claims.claim({
-      customer: customer.name,
-      key: idempotencyKey,
-      fingerprint,
-    });
-    return match(outcome)
-      .with({type: 'won', claim: P.select()}, claim => {
-        this.claim = claim;
+  /** Passes the gate, then makes attempts; returns why it was refused. */
+  private async carryOut(): Promise<Refusal | undefined> {
+    if (this.gate.guards) {
+      this.tracker.advance('claim_started');
+      this.trace.next('claim');
+    }
+    const gate = await this.gate.pass();
+    return match(gate)
+      .with({type: 'passed'}, () => this.attemptAll())
+      .with({type: 'replayed'}, () => {
+        this.replayed = true;
         return undefined;
       })
-      .with({type: 'done'}, ({done}) => this.replay(done))
-      .with({type: 'in_progress'}, () =>
-        refusal('claim_in_progress', 'this key is being run now', 'unknown')
-      )
-      .with({type: 'outcome_unknown'}, () =>
-        refusal(
-          'claim_outcome_unknown',
-          'this key was claimed, and whether it ran is not known',
-          'unknown'
-        )
-      )
-      .with({type: 'key_reused'}, () =>
-        notRun('idempotency_key_reused', 'this key names another request')
-      )
-      .with({type: 'unavailable'}, () =>
-        notRun('claim_log_unavailable', 'the claim could not be recorded')
-      )
+      .with({type: 'refused'}, ({refusal}) => refusal)
       .exhaustive();
   }
 
-  /** Gives a repeat the answer of the request that ran. */
-  private replay(done: {
-    status: number;
-    contentType: string;
-    body: string | null;
-  }): Refusal | undefined {
-    if (done.body === null) {
-      const message = 'this key has run; its answer was too large to keep';
-      return refusal('claim_outcome_unknown', message, 'ran');
-    }
-    const {caller} = this.request;
-    caller.begin(done.status, {
-      'content-type': done.contentType,
-      'content-length': String(Buffer.byteLength(done.body)),
-      'idempotency-replayed': 'true',
-    });
-    caller.end(done.body);
-    this.replayed = true;
-    this.trace.next('replay');
-    return undefined;
-  }
-
   private async attemptAll(): Promise<Refusal | undefined> {
-    if (this.request.caller.begun) return undefined;
     for (;;) {
-      const slot = await this.acquireSlot();
-      if (slot.type === 'refused') return slot.refusal;
-      const {done, refusal} = await this.useSlot(slot.slot);
+      const acquired = await this.acquireSlot();
+      if (acquired === undefined) {
+        return notRun('not_ready', 'the service is being set up');
+      }
+      if (acquired.type !== 'granted') {
+        return refusalOfWait(acquired, this.tracker.ran);
+      }
+      this.onGranted(acquired.slot);
+      const {done, refusal} = await this.useSlot(acquired.slot);
       if (done) return refusal;
     }
   }
 
-  private async acquireSlot(): Promise<
-    | {type: 'granted'; slot: GrantedSlot}
-    | {type: 'refused'; refusal: Refusal | undefined}
-  > {
-    const {caller, serviceName, cls, customer} = this.request;
-    const cell = this.parts.cellOf(serviceName);
-    if (cell === undefined) {
-      return refused(notRun('not_ready', 'the service is being set up'));
-    }
+  /** Undefined when the service has no cell here yet. */
+  private async acquireSlot(): Promise<Acquired | undefined> {
+    const {request, cell, avoid, startedAtMs, deadlineAtMs} = this;
+    if (cell === undefined) return undefined;
     if (this.tracker.state.phase !== 'queued') this.tracker.advance('queued');
-    this.trace.next('queue', {service: serviceName, customer: customer.name});
-    const leftMs = this.deadlineAtMs - this.parts.clock.monotonicMs();
-    const deadline = new AbortController();
-    const timer = setTimeout(() => deadline.abort(), Math.max(0, leftMs));
-    const {requestId} = caller;
-    const acquired = await cell.acquire(
-      {
-        requestId,
-        customer: customer.name,
-        className: cls.name,
-        estimate: this.request.estimate,
-        fingerprint: this.request.fingerprint,
-        affinity: this.request.affinity,
-        avoid: [...this.avoid],
-        waitedMs: this.parts.clock.monotonicMs() - this.startedAtMs,
-      },
-      AbortSignal.any([caller.gone, deadline.signal])
-    );
-    clearTimeout(timer);
-    return match(acquired)
-      .with({type: 'granted'}, ({slot}) => this.onGranted(slot))
-      .with({type: 'cancelled'}, () => refused(this.onWaitCancelled()))
-      .with({type: 'refused', reason: 'queue_full'}, ({retryAfterMs}) => {
-        const message = 'too many requests of this customer wait';
-        const {ran} = this.tracker;
-        return refused(refusal('queue_full', message, ran, retryAfterMs));
-      })
-      .with({type: 'refused', reason: 'quarantined'}, () =>
-        refused(
-          refusal(
-            'quarantined',
-            'equal requests were running when targets were lost',
-            this.tracker.ran,
-            undefined
-          )
-        )
-      )
-      .exhaustive();
+    const {serviceName: service, customer} = request;
+    this.trace.next('queue', {service, customer: customer.name});
+    const {clock} = this.parts;
+    return waitForSlot({
+      cell,
+      request,
+      avoid,
+      startedAtMs,
+      deadlineAtMs,
+      clock,
+    });
   }
 
-  private onGranted(slot: GrantedSlot) {
+  private onGranted(slot: GrantedSlot): void {
     this.tracker.advance('granted');
     const waitedMs = this.parts.clock.monotonicMs() - this.startedAtMs;
     this.parts.metrics.queueSeconds.observe(waitedMs / MS_PER_S);
     this.trace.next('grant', {target: slot.target});
-    return {type: 'granted' as const, slot};
-  }
-
-  private onWaitCancelled(): Refusal | undefined {
-    if (this.request.caller.gone.aborted) return undefined;
-    const message = 'no slot came free before the deadline';
-    return refusal('deadline_passed', message, this.tracker.ran);
   }
 
   /** Makes one attempt; `done` is false when the request may run again. */
@@ -261,9 +189,7 @@
     const nowMs = this.parts.clock.monotonicMs();
     if (nowMs > slot.expiresAtMs) return false;
     if (this.parts.targets.isLeaving(slot.target)) return false;
-    if (this.claim !== undefined && nowMs > this.claim.expiresAtMs) {
-      return false;
-    }
+    if (this.gate.lapsed) return false;
     return this.tracker.advance('bytes_leaving');
   }
 
@@ -330,31 +256,17 @@
       firstTokenSeconds.observe(firstTokenMs / MS_PER_S);
       betweenTokensSeconds.observe(betweenTokensMs / MS_PER_S);
     }
-    if (this.claim !== undefined) {
-      const {status, contentType, body = ''} = answer;
-      this.parts.claims.done(this.claim.claimId, status, contentType, body);
-    }
+    this.gate.keep(answer);
   }
 
   private async onUnanswered(
     slot: GrantedSlot,
     stream: EngineStream,
-    reason: 'lost' | 'broke' | 'stalled' | 'mismatched' | 'deadline'
+    reason: UnansweredReason
   ): Promise<{done: boolean; refusal?: Refusal | undefined}> {
     const recorded = this.onBroken(slot, stream, reason === 'lost');
     if (reason === 'mismatched') this.parts.metrics.mismatchedAnswers.inc();
-    const {ran} = this.tracker;
-    const refused = match(reason)
-      .with('lost', () => refusal('target_lost', 'the target was lost', ran))
-      .with('broke', () => refusal('target_lost', 'no answer came', ran))
-      .with('stalled', () => refusal('target_stalled', 'no answer came', ran))
-      .with('mismatched', () =>
-        refusal('answer_mismatched', 'another answer came', ran)
-      )
-      .with('deadline', () =>
-        refusal('deadline_passed', 'no answer came before the deadline', ran)
-      )
-      .exhaustive();
+    const refused = unansweredRefusal(reason, this.tracker.ran);
     const final = reason === 'deadline' || reason === 'stalled';
     if (final || !this.mayRunAgain() || !(await recorded)) {
       this.tracker.advance('connection_broke');
@@ -389,13 +301,10 @@
     done: boolean;
     refusal?: Refusal;
   } {
-    const claimLapsed =
-      this.claim !== undefined &&
-      this.parts.clock.monotonicMs() > this.claim.expiresAtMs;
     const limited = reason === 'unreachable';
     const allowed =
       !limited || (this.attempts < MAX_ATTEMPTS && this.parts.budget.tryTake());
-    if (claimLapsed || !allowed) {
+    if (this.gate.lapsed || !allowed) {
       const message = 'no target could be reached';
       const {ran} = this.tracker;
       return {done: true, refusal: refusal('target_unreachable', message, ran)};
@@ -409,13 +318,8 @@
     this.cell?.finish(slot.grantId, {end, cost});
   }
 
-  /** A key is free again when its request was surely never sent. */
-  private releaseUnsent(): void {
-    if (this.claim === undefined || this.tracker.ran !== 'not_run') return;
-    this.parts.claims.release(this.claim.claimId);
-  }
-
   private refuse(refused: Refusal): void {
+    if (this.request.caller.gone.aborted) return;
     const {kind, ran} = refused;
     this.parts.metrics.refusals.inc({kind, ran});
     this.log.info('refused', {kind, ran, customer: this.request.customer.name});
@@ -435,7 +339,3 @@
     return this.parts.cellOf(this.request.serviceName);
   }
 }
-
-function refused(refusal: Refusal | undefined) {
-  return {type: 'refused' as const, refusal};
-}
--- /dev/null
+++ b/apps/daemon/src/lib/entry/slot_wait.ts
@@ -0,0 +1,65 @@
+/** Waits for a slot until it is granted, refused, too late or not wanted. */
+import {match} from 'ts-pattern';
+import {refusal} from './refusals.js';
+
+import type {Ran, Refusal} from '@applebend/core';
+import type {Clock} from '@applebend/utils';
+import type {Acquired, CellTask} from '../cells/cell_task.js';
+import type {AdmittedRequest} from './admission.js';
+
+/** What a wait is made from. @public */
+export interface SlotWait {
+  readonly cell: CellTask;
+  readonly request: AdmittedRequest;
+  /** Targets that must not run it again. */
+  readonly avoid: readonly string[];
+  readonly startedAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly clock: Clock;
+}
+
+/** Queues the request and waits. @public */
+export async function waitForSlot(wait: SlotWait): Promise<Acquired> {
+  const {request, avoid, startedAtMs, deadlineAtMs, clock} = wait;
+  const {caller, customer, cls} = request;
+  const {estimate, fingerprint, affinity} = request;
+  const nowMs = clock.monotonicMs();
+  const deadline = new AbortController();
+  const leftMs = Math.max(0, deadlineAtMs - nowMs);
+  const timer = setTimeout(() => deadline.abort(), leftMs);
+  const acquired = await wait.cell.acquire(
+    {
+      requestId: caller.requestId,
+      customer: customer.name,
+      className: cls.name,
+      estimate,
+      fingerprint,
+      affinity,
+      avoid: [...avoid],
+      waitedMs: nowMs - startedAtMs,
+    },
+    AbortSignal.any([caller.gone, deadline.signal])
+  );
+  clearTimeout(timer);
+  return acquired;
+}
+
+/** What a caller is told when its wait did not end with a slot. @public */
+export function refusalOfWait(
+  acquired: Exclude<Acquired, {type: 'granted'}>,
+  ran: Ran
+): Refusal {
+  return match(acquired)
+    .with({type: 'cancelled'}, () =>
+      refusal('deadline_passed', 'no slot came free before the deadline', ran)
+    )
+    .with({reason: 'queue_full'}, ({retryAfterMs}) => {
+      const message = 'too many requests of this customer wait';
+      return refusal('queue_full', message, ran, retryAfterMs);
+    })
+    .with({reason: 'quarantined'}, () => {
+      const message = 'equal requests were running when targets were lost';
+      return refusal('quarantined', message, ran);
+    })
+    .exhaustive();
+}
--- a/apps/daemon/src/lib/entry/target_attempt.ts
+++ b/apps/daemon/src/lib/entry/target_attempt.ts
@@ -17,6 +17,10 @@
 import type {AnswerHeaders} from './caller.js';
 import type {TargetFailure, TargetRequest} from './target_connection.js';
 
+/** Why no answer began. @public */
+export type UnansweredReason =
+  'lost' | 'broke' | 'stalled' | 'mismatched' | 'deadline';
+
 /** How an attempt ended. @public */
 export type AttemptEnd =
   | {readonly type: 'answered'; readonly answer: WholeAnswer}
@@ -25,7 +29,7 @@
   /** It was sent, and no byte of an answer reached the caller. */
   | {
       readonly type: 'unanswered';
-      readonly reason: 'lost' | 'broke' | 'stalled' | 'mismatched' | 'deadline';
+      readonly reason: UnansweredReason;
     }
   /** The answer broke off after it had begun. */
   | {
--- a/apps/rig/src/configuration.process.test.ts
+++ b/apps/rig/src/configuration.process.test.ts
@@ -3,13 +3,21 @@
 import {test} from 'node:test';
 import {sleep} from '@applebend/utils';
 import {CONFIG_STREAM} from '@applebend/platform';
+import {call} from './lib/caller_client.js';
 import {Fleet} from './lib/fleet.js';
-import {customerEntry, SAMPLE_CONFIG} from './lib/sample_config.js';
+import {customerEntry, keyOf, SAMPLE_CONFIG} from './lib/sample_config.js';
 
 import type {FleetOptions} from './lib/fleet.js';
 
 const IN_FORCE_MS = 3000;
 
+const NEW_SERVICES = Array.from({length: 6}, (_, i) => ({
+  name: `service-${i + 1}`,
+  kind: 'plain' as const,
+  targets: 1,
+  args: [],
+}));
+
 async function withFleet(
   options: Partial<FleetOptions>,
   work: (fleet: Fleet) => Promise<void>
@@ -126,3 +134,26 @@
       assert.ok(await allAt(fleet, revision));
     }
   ));
+
+test('a new service is served by every router, whoever heard of it first', () =>
+  withFleet({services: NEW_SERVICES}, async fleet => {
+    const services: Record<string, unknown> = {...SAMPLE_CONFIG.services};
+    for (const {name} of NEW_SERVICES) {
+      services[name] = {kind: 'plain', slots: 2};
+      const late = [fleet.hostOf(0)];
+      fleet.log.server.faults = {...fleet.log.server.faults, cut: late};
+      const revision = await fleet.publish({...SAMPLE_CONFIG, services});
+      await fleet.until('in force', () => allAt(fleet, revision));
+      fleet.log.server.faults = {...fleet.log.server.faults, cut: []};
+      for (const router of fleet.routers) {
+        const answer = await call({
+          url: `${router.url}/${name}/stock`,
+          method: 'GET',
+          headers: {authorization: `Bearer ${keyOf('kpone')}`},
+          body: '',
+          patienceMs: 5000,
+        });
+        assert.equal(answer.status, 200, `${name} at ${router.id}`);
+      }
+    }
+  }));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -63,14 +63,14 @@
   SlotEnd,
   TargetView,
 } from './lib/dispatch/dispatch_types.js';
-export {Dispatcher} from './lib/dispatch/dispatcher.js';
 export type {
   DispatchCommand,
   DispatcherOptions,
   DispatcherStats,
   DispatchEvent,
   RulesLookup,
-} from './lib/dispatch/dispatcher.js';
+} from './lib/dispatch/dispatch_events.js';
+export {Dispatcher} from './lib/dispatch/dispatcher.js';
 export {EntryCell} from './lib/dispatch/entry_cell.js';
 export type {
   DispatcherHome,
--- a/packages/core/src/lib/crash/crash.fuzz.test.ts
+++ b/packages/core/src/lib/crash/crash.fuzz.test.ts
@@ -9,7 +9,7 @@
 import {POLICIES} from '../dispatch/policy.js';
 
 import type {Announcement} from '../dispatch/dispatch_types.js';
-import type {DispatchEvent} from '../dispatch/dispatcher.js';
+import type {DispatchEvent} from '../dispatch/dispatch_events.js';
 
 const RUNS = Number(process.env['APPLEBEND_FUZZ_RUNS'] ?? 500);
 const SEED = Number(process.env['APPLEBEND_FUZZ_SEED'] ?? 20261203);
@@ -136,6 +136,7 @@
 
   handle(event: DispatchEvent): void {
     for (const {entry, message} of this.dispatcher.handle(event, this.nowMs)) {
+      if (message.type === 'resync') continue;
       const request = this.waiting.get(message.requestId)!;
       this.waiting.delete(message.requestId);
       if (message.type === 'refuse') {
--- a/packages/core/src/lib/dispatch/dispatch_types.ts
+++ b/packages/core/src/lib/dispatch/dispatch_types.ts
@@ -95,6 +95,8 @@
 
 /** What a dispatcher tells an entry. @public */
 export type DispatcherMessage =
+  /** It does not know the entry's state and asks for all of it. */
+  | {readonly type: 'resync'; readonly cell: string}
   | {
       readonly type: 'grant';
       readonly cell: string;
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -6,7 +6,8 @@
 import {match} from 'ts-pattern';
 import {ServiceLedger} from '../fairness/service_ledger.js';
 import {Backlog} from './backlog.js';
-import {DrainRate} from './drain_rate.js';
+import {DrainRates} from './drain_rates.js';
+import {EntryRoster} from './entry_roster.js';
 import {FairnessMonitor} from './fairness_monitor.js';
 import {GrantBook} from './grant_book.js';
 import {Isolation} from './isolation.js';
@@ -14,77 +15,20 @@
 import {SlotTable} from './slot_table.js';
 
 import type {Loss} from '../crash/crash_ledger.js';
+import type {
+  DispatchCommand,
+  DispatcherOptions,
+  DispatcherStats,
+  DispatchEvent,
+} from './dispatch_events.js';
 import type {
   Announcement,
   DispatcherMessage,
   DispatchRefusal,
   EntryMessage,
   QueuedRequest,
-  QueueRules,
-  TargetView,
 } from './dispatch_types.js';
 import type {Grant} from './grant_book.js';
-import type {Policy} from './policy.js';
-import type {SlotSettings} from './slot_table.js';
-
-/** Looks up the rules for a customer's class. @public */
-export type RulesLookup = (customer: string, className: string) => QueueRules;
-
-/** What happens to a dispatcher. @public */
-export type DispatchEvent =
-  | {
-      readonly type: 'entry_message';
-      readonly entry: string;
-      /** The entry's own monotonic clock when it sent the message. */
-      readonly sentAtMs: number;
-      readonly message: EntryMessage;
-    }
-  | {
-      readonly type: 'entry_seen';
-      readonly entry: string;
-      readonly sentAtMs: number;
-    }
-  | {readonly type: 'entry_silent'; readonly entry: string}
-  | {readonly type: 'entry_ended'; readonly entry: string}
-  | {readonly type: 'routers'; readonly routers: readonly string[]}
-  | {readonly type: 'targets'; readonly targets: readonly TargetView[]}
-  | {readonly type: 'settings'; readonly slots: SlotSettings}
-  | {readonly type: 'loss'; readonly loss: Loss}
-  | {readonly type: 'tick'};
-
-/** A message for one entry. @public */
-export interface DispatchCommand {
-  readonly entry: string;
-  readonly message: DispatcherMessage;
-}
-
-/** What a dispatcher is made from. @public */
-export interface DispatcherOptions {
-  readonly cell: string;
-  /** Distinguishes this dispatcher's grants from those of earlier lives. */
-  readonly incarnation: string;
-  readonly policy: Policy;
-  readonly slots: SlotSettings;
-  readonly rulesOf: RulesLookup;
-  readonly leaseMs: number;
-}
-
-/** Figures of a dispatcher, for metrics and the status page. @public */
-export interface DispatcherStats {
-  readonly queued: number;
-  readonly held: number;
-  readonly ghosts: number;
-  readonly usableSlots: number;
-  readonly fairnessGap: number;
-  readonly fairnessBound: number;
-  readonly fairnessViolations: number;
-  readonly overLimit: number;
-}
-
-interface EntryRecord {
-  synced: boolean;
-  lastSentAtMs: number;
-}
 
 /** @public */
 export class Dispatcher {
@@ -92,8 +36,8 @@
   private readonly monitor = FairnessMonitor.create(this.ledger);
   private readonly backlog = Backlog.create();
   private readonly isolation = Isolation.create();
-  private readonly entries = new Map<string, EntryRecord>();
-  private readonly drainRates = new Map<string, DrainRate>();
+  private readonly entries = EntryRoster.create();
+  private readonly drainRates = DrainRates.create();
   private readonly slots: SlotTable;
   private readonly grants: GrantBook;
   private readonly picker: RequestPicker;
@@ -146,7 +90,7 @@
     this.commands = [];
     match(event)
       .with({type: 'entry_message'}, e => this.onMessage(e))
-      .with({type: 'entry_seen'}, e => this.onSeen(e.entry, e.sentAtMs))
+      .with({type: 'entry_seen'}, e => this.entries.onSeen(e.entry, e.sentAtMs))
       .with({type: 'entry_silent'}, e => this.onSilent(e.entry))
       .with({type: 'entry_ended'}, e => this.onEnded(e.entry))
       .with({type: 'routers'}, e => this.onRouters(e.routers))
@@ -166,13 +110,16 @@
   }): void {
     const {entry, message} = event;
     if (message.type === 'sync') {
-      this.entryRecord(entry).synced = true;
-      this.onSeen(entry, event.sentAtMs);
+      this.entries.onSync(entry, event.sentAtMs);
       this.onSync(entry, message);
       return;
     }
-    if (!this.entries.get(entry)?.synced) return;
-    this.onSeen(entry, event.sentAtMs);
+    if (!this.entries.isSynced(entry)) {
+      const {cell} = this.options;
+      if (message.type !== 'leave') this.send(entry, {type: 'resync', cell});
+      return;
+    }
+    this.entries.onSeen(entry, event.sentAtMs);
     match(message)
       .with({type: 'leave'}, () => this.onEnded(entry))
       .with({type: 'enqueue'}, m => this.enqueue(entry, m.announcement))
@@ -182,12 +129,6 @@
       .exhaustive();
   }
 
-  private onSeen(entry: string, sentAtMs: number): void {
-    const record = this.entries.get(entry);
-    if (record === undefined) return;
-    record.lastSentAtMs = Math.max(record.lastSentAtMs, sentAtMs);
-  }
-
   /** Replaces all that was known of an entry by what it says now. */
   private onSync(
     entry: string,
@@ -219,7 +160,7 @@
     }
     const queued = this.backlog.queued(customer);
     if (queued >= rules.maxQueued) {
-      const retryAfterMs = this.drainRateOf(customer).retryAfterMs(queued);
+      const retryAfterMs = this.drainRates.retryAfterMs(customer, queued);
       return this.refuse(entry, requestId, 'queue_full', retryAfterMs);
     }
     this.addToBacklog({
@@ -299,9 +240,7 @@
 
   /** A silent entry's slots may still be running, so they stay counted. */
   private onSilent(entry: string): void {
-    const record = this.entries.get(entry);
-    if (record === undefined || !record.synced) return;
-    record.synced = false;
+    if (!this.entries.onSilent(entry)) return;
     for (const request of this.backlog.of(entry)) {
       this.backlog.remove(request);
     }
@@ -316,7 +255,7 @@
   /** The entry's process is over, or it left with nothing behind. */
   private onEnded(entry: string): void {
     this.clearEntry(entry);
-    this.entries.delete(entry);
+    this.entries.forget(entry);
     this.updateSlotOwners();
   }
 
@@ -341,11 +280,7 @@
   }
 
   private updateSlotOwners(): void {
-    const synced = new Set<string>();
-    for (const [entry, record] of this.entries) {
-      if (record.synced) synced.add(entry);
-    }
-    this.slots.setRouters(this.routers, synced);
+    this.slots.setRouters(this.routers, this.entries.synced());
   }
 
   private grantFreeSlots(): void {
@@ -375,14 +310,14 @@
     const grant = this.grants.open(request, target);
     this.started(grant);
     this.charge(grant, estimate);
-    this.drainRateOf(customer).onGrant(this.nowMs);
+    this.drainRates.onGrant(customer, this.nowMs);
     this.send(request.entry, {
       type: 'grant',
       cell: this.options.cell,
       requestId,
       grantId: grant.grantId,
       target,
-      echoMs: this.entries.get(request.entry)?.lastSentAtMs ?? 0,
+      echoMs: this.entries.lastSentAtMs(request.entry),
       leaseMs: this.options.leaseMs,
       service: this.ledger.serviceOf(customer),
     });
@@ -426,32 +361,12 @@
     this.commands.push({entry, message});
   }
 
-  private entryRecord(entry: string): EntryRecord {
-    let record = this.entries.get(entry);
-    if (record === undefined) {
-      record = {synced: false, lastSentAtMs: -Infinity};
-      this.entries.set(entry, record);
-    }
-    return record;
-  }
-
-  private drainRateOf(customer: string): DrainRate {
-    let rate = this.drainRates.get(customer);
-    if (rate === undefined) {
-      rate = DrainRate.create();
-      this.drainRates.set(customer, rate);
-    }
-    return rate;
-  }
-
   private forgetIdle(): void {
     const active = new Set(this.backlog.customers);
     for (const customer of this.grants.customers()) active.add(customer);
     for (const customer of this.ledger.forgetAllBut(active)) {
       this.monitor.forget(customer);
     }
-    for (const customer of this.drainRates.keys()) {
-      if (!active.has(customer)) this.drainRates.delete(customer);
-    }
+    this.drainRates.forgetAllBut(active);
   }
 }
--- a/packages/core/src/lib/dispatch/entry_cell.ts
+++ b/packages/core/src/lib/dispatch/entry_cell.ts
@@ -164,6 +164,7 @@
       return;
     }
     match(message)
+      .with({type: 'resync'}, () => this.send(this.syncMessage()))
       .with({type: 'grant'}, grant => this.onGrant(grant))
       .with({type: 'refuse'}, refusal => this.onRefuse(refusal))
       .exhaustive();
--- a/packages/protocol/src/lib/messages.ts
+++ b/packages/protocol/src/lib/messages.ts
@@ -62,6 +62,7 @@
 ]);
 
 const dispatcherMessageSchema = z.discriminatedUnion('type', [
+  z.strictObject({type: z.literal('resync'), cell: id}),
   z.strictObject({
     type: z.literal('grant'),
     cell: id,
--- a/packages/protocol/src/lib/wire.fuzz.test.ts
+++ b/packages/protocol/src/lib/wire.fuzz.test.ts
@@ -64,6 +64,7 @@
 );
 
 const dispatcherMessage = fc.oneof(
+  fc.record({type: fc.constant('resync' as const), cell: id}),
   fc.record({
     type: fc.constant('grant' as const),
     cell: id,
--- a/packages/protocol/src/lib/wire.ts
+++ b/packages/protocol/src/lib/wire.ts
@@ -33,6 +33,7 @@
   finished: 10,
   grant: 11,
   refuse: 12,
+  resync: 13,
 } as const;
 
 type Code = keyof typeof CODE;
@@ -46,7 +47,10 @@
       return [CODE[inner.type], Math.floor(message.sentAtMs), ...fields];
     }
     case 'to_entry':
-      return [CODE[message.message.type], ...packGrant(message.message)];
+      return [
+        CODE[message.message.type],
+        ...packDispatcherMessage(message.message),
+      ];
     case 'heartbeat': {
       const {ready, draining, revision, leavingTargets} = message.state;
       const sentAtMs = Math.floor(message.sentAtMs);
@@ -100,6 +104,10 @@
   [CODE.finished, toDispatcher('finished', unpackFinished)],
   [CODE.grant, unpackGrant],
   [CODE.refuse, unpackRefuse],
+  [
+    CODE.resync,
+    ([cell]) => ({type: 'to_entry', message: {type: 'resync', cell}}),
+  ],
 ]);
 
 function packEntryMessage(message: EntryMessage): Wire {
@@ -132,7 +140,8 @@
   }
 }
 
-function packGrant(message: DispatcherMessage): Wire {
+function packDispatcherMessage(message: DispatcherMessage): Wire {
+  if (message.type === 'resync') return [message.cell];
   if (message.type === 'refuse') {
     const {cell, requestId, reason, retryAfterMs} = message;
     const code = REFUSALS.indexOf(reason);
