--- a/apps/daemon/src/lib/cells/cell_task.ts
+++ b/apps/daemon/src/lib/cells/cell_task.ts
@@ -154,6 +154,7 @@
 
   /** Tells how many weighted tokens a running request has used. */
   progress(grantId: string, cost: number): void {
+    if (!this.entry.isProgressDue(grantId, cost)) return;
     this.toEntry({type: 'progress', grantId, cost});
   }
 
--- a/apps/rig/src/slopes.ts
+++ b/apps/rig/src/slopes.ts
@@ -14,11 +14,13 @@
   snapshotOf,
 } from '@applebend/core';
 import {decodeMessages, encodeMessages} from '@applebend/protocol';
-import {Random} from '@applebend/utils';
+import {Random, sleep} from '@applebend/utils';
+import {Fleet} from './lib/fleet.js';
 import {customerEntry, SAMPLE_CONFIG} from './lib/sample_config.js';
 
 import type {Announcement, DispatchCommand} from '@applebend/core';
 import type {PeerMessage} from '@applebend/protocol';
+import type {RouterSample} from './lib/load/sampler.js';
 
 /** One line of the table. */
 interface Slope {
@@ -30,6 +32,10 @@
 
 const slopes: Slope[] = [];
 const MICROSECONDS = 1000;
+const MS_PER_S = 1000;
+const MB = 1024 * 1024;
+const IDLE_SETTLE_MS = 4000;
+const IDLE_MS = 10_000;
 const random = Random.create(1);
 
 function note(what: string, size: number, unit: string, value: number): void {
@@ -331,14 +337,53 @@
   }
 }
 
+/** What an idle instance spends, by the number of instances. */
+async function measureIdleFleets(): Promise<void> {
+  for (const routers of [3, 9, 18]) {
+    const fleet = await Fleet.create({
+      routers,
+      policy: 'dispatched',
+      config: SAMPLE_CONFIG,
+      services: [],
+    });
+    await sleep(IDLE_SETTLE_MS);
+    const before = await statusesOf(fleet);
+    await sleep(IDLE_MS);
+    const after = await statusesOf(fleet);
+    await fleet.stop();
+    const meanOf = (figure: (status: RouterSample) => number) =>
+      after.reduce((sum, status) => sum + figure(status), 0) / routers;
+    const rateOf = (figure: (status: RouterSample) => number) => {
+      const start = before.reduce((sum, status) => sum + figure(status), 0);
+      const seconds = IDLE_MS / MS_PER_S;
+      return (meanOf(figure) - start / routers) / seconds;
+    };
+    const bytes = rateOf(
+      ({traffic}) => traffic.sentBytes + traffic.receivedBytes
+    );
+    note('idle instance, links', routers, 'B/s', bytes);
+    const control = rateOf(status => status.controlSeconds);
+    note('idle instance, control', routers, '% of a core', control * 100);
+    const memory = meanOf(status => status.rssBytes) / MB;
+    note('idle instance, memory', routers, 'MB', memory);
+  }
+}
+
+async function statusesOf(fleet: Fleet): Promise<RouterSample[]> {
+  const statuses = await Promise.all(fleet.routers.map(r => r.status()));
+  return statuses.filter((s): s is RouterSample => s !== undefined);
+}
+
 measureDispatch();
 measureMessages();
 measureClaims();
 measureConfig();
 measureMembership();
+await measureIdleFleets();
 console.log('| what | size | value | unit |');
 console.log('| --- | ---: | ---: | --- |');
 for (const {what, size, unit, value} of slopes) {
   const digits = value < 10 ? 2 : 0;
   console.log(`| ${what} | ${size} | ${value.toFixed(digits)} | ${unit} |`);
 }
+process.exit(0);
--- a/packages/core/src/lib/dispatch/entry_cell.ts
+++ b/packages/core/src/lib/dispatch/entry_cell.ts
@@ -121,6 +121,14 @@
     return this.home;
   }
 
+  /** Whether a cost is far enough past the charge to be told. */
+  isProgressDue(grantId: string, cost: number): boolean {
+    const charged = this.held.get(grantId)?.charged;
+    if (charged === undefined) return false;
+    const step = Math.max(MIN_PROGRESS_STEP, charged * PROGRESS_STEP_PART);
+    return cost >= charged + step;
+  }
+
   handle(event: EntryCellEvent, nowMs: number): EntryCellCommand[] {
     this.nowMs = nowMs;
     this.commands = [];
@@ -200,9 +208,7 @@
 
   private onProgress(grantId: string, cost: number): void {
     const held = this.held.get(grantId);
-    if (held === undefined) return;
-    const step = Math.max(MIN_PROGRESS_STEP, held.charged * PROGRESS_STEP_PART);
-    if (cost < held.charged + step) return;
+    if (held === undefined || !this.isProgressDue(grantId, cost)) return;
     held.charged = cost;
     this.send({type: 'progress', cell: this.cell, grantId, cost});
   }
