A quarantine survives the restart of all instances, whatever starts first

Cause: losses that were replayed from the log before the configuration had made the cells reached no cell, so a quarantine could be forgotten; and one loss that the log told more than 10 s late counted as a second one.

Change: the loss task keeps what it heard and new cells are told of it; losses carry when they were seen, by which reports of one loss are told from two.

Ruled out: readiness that waits for the losses (an instance could then not start while the log is down).

--- a/apps/daemon/src/lib/cells/cell_registry.ts
+++ b/apps/daemon/src/lib/cells/cell_registry.ts
@@ -4,6 +4,7 @@
 
 import type {
   FleetConfig,
+  Loss,
   PolicyName,
   QueueRules,
   ServiceConfig,
@@ -52,13 +53,18 @@
   }
 
   /** Makes the cells of new services and updates the others. */
-  onConfig(): void {
+  onConfig(knownLosses: readonly Loss[]): void {
     for (const [name, service] of Object.entries(
       this.parts.config().services
     )) {
       const cell = this.cells.get(name);
-      if (cell === undefined) this.cells.set(name, this.make(name, service));
-      else cell.setSlots(slotSettings(service));
+      if (cell !== undefined) {
+        cell.setSlots(slotSettings(service));
+        continue;
+      }
+      const made = this.make(name, service);
+      for (const loss of knownLosses) made.onLoss(loss);
+      this.cells.set(name, made);
     }
   }
 
--- a/apps/daemon/src/lib/cells/cell_task.ts
+++ b/apps/daemon/src/lib/cells/cell_task.ts
@@ -102,6 +102,7 @@
       slots,
       rulesOf,
       leaseMs,
+      wallMs: () => parts.clock.wallMs(),
     });
     this.mailbox = Mailbox.create(event =>
       parts.busy.measure(() => this.handle(event))
--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -102,7 +102,7 @@
     });
     this.losses = LossTask.create({
       log,
-      tellPeers: loss => this.mesh.broadcast({type: 'loss', ...loss}),
+      tellPeers: loss => this.mesh.broadcast({type: 'loss', loss}),
       onLoss: loss => {
         for (const [, cell] of this.cells) cell.onLoss(loss);
       },
@@ -117,11 +117,12 @@
       busy: this.busy,
       config: () => this.config.config,
     });
-    const {membership, config, cells} = this;
+    const {membership, config, cells, losses} = this;
     this.inbox = PeerInbox.create({
       membership,
       config,
       cells,
+      losses,
       mesh,
       onFleetChange: () => this.refreshCells(),
     });
@@ -252,7 +253,7 @@
   }
 
   private onConfigChange(): void {
-    this.cells.onConfig();
+    this.cells.onConfig(this.losses.known);
     if (this.meshUp) this.inbox.onCellsChange();
     this.refreshCells();
     if (this.meshUp) this.membership.beat();
--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -288,7 +288,9 @@
     if (!lost) return true;
     this.log.warn('target_lost', {target: slot.target});
     const {fingerprint} = this.request;
-    return this.parts.losses.report({fingerprint, target: slot.target});
+    const seenAtMs = this.parts.clock.wallMs();
+    const {target} = slot;
+    return this.parts.losses.report({fingerprint, target, seenAtMs});
   }
 
   private mayRunAgain(): boolean {
--- a/apps/daemon/src/lib/losses/loss_task.ts
+++ b/apps/daemon/src/lib/losses/loss_task.ts
@@ -17,6 +17,8 @@
   readonly onLoss: (loss: Loss) => void;
 }
 
+const MAX_KNOWN = 20_000;
+
 const LOSS_STREAM = 'losses';
 const READ_WAIT_MS = 2000;
 const RETRY_MS = 500;
@@ -24,10 +26,13 @@
 const lossSchema = z.strictObject({
   fingerprint: z.string().max(64),
   target: z.string().max(128),
+  seenAtMs: z.number(),
 });
 
 /** @public */
 export class LossTask {
+  /** For cells that are made later; oldest first. */
+  private readonly losses: Loss[] = [];
   private nextOffset = 0;
   private replayed = false;
   private readonly stopping = new AbortController();
@@ -38,9 +43,9 @@
     return new LossTask(parts);
   }
 
-  /** Whether what the log keeps has been read once. */
-  get ready(): boolean {
-    return this.replayed;
+  /** Every loss that was heard of, from the log or from peers. */
+  get known(): readonly Loss[] {
+    return this.losses;
   }
 
   start(): void {
@@ -54,11 +59,18 @@
   /** Reports a loss; true once the log keeps it. */
   async report(loss: Loss): Promise<boolean> {
     this.parts.tellPeers(loss);
-    this.parts.onLoss(loss);
+    this.note(loss);
     const appended = await this.parts.log.append(LOSS_STREAM, loss);
     return appended.ok;
   }
 
+  /** Takes in a loss that was seen here, by a peer or on the log. */
+  note(loss: Loss): void {
+    this.losses.push(loss);
+    if (this.losses.length > MAX_KNOWN) this.losses.shift();
+    this.parts.onLoss(loss);
+  }
+
   private async follow(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const waitMs = this.replayed ? READ_WAIT_MS : 0;
@@ -76,7 +88,7 @@
       for (const {offset, data} of records) {
         this.nextOffset = offset + 1;
         const loss = lossSchema.safeParse(data);
-        if (loss.success) this.parts.onLoss(loss.data);
+        if (loss.success) this.note(loss.data);
       }
       if (this.nextOffset >= end) this.replayed = true;
     }
--- a/apps/daemon/src/lib/peers/peer_inbox.ts
+++ b/apps/daemon/src/lib/peers/peer_inbox.ts
@@ -5,6 +5,7 @@
 import type {PeerIdentity, PeerMessage} from '@applebend/protocol';
 import type {CellRegistry} from '../cells/cell_registry.js';
 import type {ConfigTask} from '../config/config_task.js';
+import type {LossTask} from '../losses/loss_task.js';
 import type {MembershipTask} from '../membership/membership_task.js';
 import type {PeerMesh} from './peer_mesh.js';
 
@@ -13,6 +14,7 @@
   readonly membership: MembershipTask;
   readonly config: ConfigTask;
   readonly cells: CellRegistry;
+  readonly losses: LossTask;
   readonly mesh: () => PeerMesh;
   /** Called when the fleet may look different. */
   readonly onFleetChange: () => void;
@@ -63,7 +65,7 @@
   }
 
   onMessage(peer: PeerIdentity, session: number, message: PeerMessage): void {
-    const {membership, config, cells, mesh} = this.parts;
+    const {membership, config, cells, losses, mesh} = this.parts;
     const {instance} = peer;
     match(message)
       .with({type: 'heartbeat'}, ({state, sentAtMs}) => {
@@ -92,9 +94,7 @@
       .with({type: 'config_state'}, ({snapshot}) =>
         config.onPeerState(snapshot)
       )
-      .with({type: 'loss'}, ({fingerprint, target}) => {
-        for (const [, cell] of cells) cell.onLoss({fingerprint, target});
-      })
+      .with({type: 'loss'}, ({loss}) => losses.note(loss))
       .exhaustive();
   }
 
--- a/apps/rig/src/slopes.ts
+++ b/apps/rig/src/slopes.ts
@@ -93,6 +93,7 @@
       maxWaitMs: 1e6,
     }),
     leaseMs: 2500,
+    wallMs: () => 0,
   });
   dispatcher.handle({type: 'routers', routers: ['entry-1']}, 0);
   const views = Array.from({length: targets}, (_, i) => ({
--- a/packages/core/src/lib/crash/crash.fuzz.test.ts
+++ b/packages/core/src/lib/crash/crash.fuzz.test.ts
@@ -67,6 +67,7 @@
       maxWaitMs: 1e9,
     }),
     leaseMs: 1e9,
+    wallMs: () => this.nowMs,
   });
 
   constructor() {
--- a/packages/core/src/lib/crash/crash_ledger.ts
+++ b/packages/core/src/lib/crash/crash_ledger.ts
@@ -18,12 +18,20 @@
 export interface Loss {
   readonly fingerprint: string;
   readonly target: string;
+  /** When it was seen, by the wall clock of whoever saw it. */
+  readonly seenAtMs: number;
+}
+
+interface KnownLoss {
+  readonly seenAtMs: number;
+  /** The own monotonic clock. */
+  readonly heardAtMs: number;
 }
 
 interface Suspicion {
   losses: number;
-  /** Target to the time of its last loss. */
-  readonly lostAtMs: Map<string, number>;
+  /** Target to its last loss. */
+  readonly lastLosses: Map<string, KnownLoss>;
 }
 
 const LOSSES_TO_QUARANTINE = 2;
@@ -51,20 +59,20 @@
 
   /** Whether the fingerprint was at a recent loss of this very target. */
   wasJustLostAt(fingerprint: string, target: string, nowMs: number): boolean {
-    const lostAtMs = this.suspicions.get(fingerprint)?.lostAtMs.get(target);
-    return lostAtMs !== undefined && nowMs - lostAtMs < SAME_LOSS_MS;
+    const known = this.suspicions.get(fingerprint)?.lastLosses.get(target);
+    return known !== undefined && nowMs - known.heardAtMs < SAME_LOSS_MS;
   }
 
   /** Notes a loss; several reports of the same loss count once. */
-  onLoss({fingerprint, target}: Loss, nowMs: number): void {
-    const known = this.wasJustLostAt(fingerprint, target, nowMs);
+  onLoss({fingerprint, target, seenAtMs}: Loss, nowMs: number): void {
     const suspicion = this.suspicions.get(fingerprint) ?? {
       losses: 0,
-      lostAtMs: new Map<string, number>(),
+      lastLosses: new Map<string, KnownLoss>(),
     };
-    if (known) return;
+    const known = suspicion.lastLosses.get(target);
+    if (known !== undefined && isSameLoss(known, seenAtMs)) return;
     suspicion.losses += 1;
-    suspicion.lostAtMs.set(target, nowMs);
+    suspicion.lastLosses.set(target, {seenAtMs, heardAtMs: nowMs});
     this.cleared.delete(fingerprint);
     this.suspicions.set(fingerprint, suspicion);
     if (this.suspicions.size > MAX_REMEMBERED) dropOldest(this.suspicions);
@@ -79,6 +87,10 @@
   }
 }
 
+function isSameLoss(known: KnownLoss, seenAtMs: number): boolean {
+  return Math.abs(seenAtMs - known.seenAtMs) < SAME_LOSS_MS;
+}
+
 function dropOldest(collection: Map<string, unknown> | Set<string>): void {
   for (const key of collection.keys()) {
     collection.delete(key);
--- a/packages/core/src/lib/dispatch/dispatch.fuzz.test.ts
+++ b/packages/core/src/lib/dispatch/dispatch.fuzz.test.ts
@@ -173,6 +173,7 @@
       },
       rulesOf,
       leaseMs: LEASE_MS,
+      wallMs: () => this.nowMs,
     });
     this.dispatchers.set(id, dispatcher);
     dispatcher.handle({type: 'routers', routers: INSTANCES}, this.nowMs);
--- a/packages/core/src/lib/dispatch/dispatch_events.ts
+++ b/packages/core/src/lib/dispatch/dispatch_events.ts
@@ -49,6 +49,8 @@
   readonly slots: SlotSettings;
   readonly rulesOf: RulesLookup;
   readonly leaseMs: number;
+  /** The wall clock, by which losses are told from each other. */
+  readonly wallMs: () => number;
 }
 
 /** Figures of a dispatcher, for metrics and the status page. @public */
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -218,9 +218,11 @@
 
   /** All that ran there is suspected at once, before its entries say so. */
   private onTargetLost(fingerprint: string, target: string): void {
-    this.onLoss({fingerprint, target});
+    const seenAtMs = this.options.wallMs();
+    this.onLoss({fingerprint, target, seenAtMs});
     for (const {request} of this.grants.heldOn(target)) {
-      this.onLoss({fingerprint: request.announcement.fingerprint, target});
+      const {fingerprint: beside} = request.announcement;
+      this.onLoss({fingerprint: beside, target, seenAtMs});
     }
   }
 
--- a/packages/protocol/src/lib/messages.ts
+++ b/packages/protocol/src/lib/messages.ts
@@ -107,7 +107,10 @@
   }),
   z.strictObject({type: z.literal('config_request')}),
   z.strictObject({type: z.literal('config_state'), snapshot: z.unknown()}),
-  z.strictObject({type: z.literal('loss'), fingerprint: id, target: id}),
+  z.strictObject({
+    type: z.literal('loss'),
+    loss: z.strictObject({fingerprint: id, target: id, seenAtMs: amount}),
+  }),
 ]);
 
 /** One frame, unpacked: the messages that were sent in one turn. @public */
--- a/packages/protocol/src/lib/wire.ts
+++ b/packages/protocol/src/lib/wire.ts
@@ -57,8 +57,10 @@
       const flags = Number(ready) + 2 * Number(draining);
       return [CODE.heartbeat, sentAtMs, flags, revision, ...leavingTargets];
     }
-    case 'loss':
-      return [CODE.loss, message.fingerprint, message.target];
+    case 'loss': {
+      const {fingerprint, target, seenAtMs} = message.loss;
+      return [CODE.loss, fingerprint, target, seenAtMs];
+    }
     case 'config_state':
       return [CODE.config_state, message.snapshot];
     case 'goodbye':
@@ -80,7 +82,13 @@
   [CODE.goodbye, () => ({type: 'goodbye'})],
   [CODE.config_request, () => ({type: 'config_request'})],
   [CODE.config_state, ([snapshot]) => ({type: 'config_state', snapshot})],
-  [CODE.loss, ([fingerprint, target]) => ({type: 'loss', fingerprint, target})],
+  [
+    CODE.loss,
+    ([fingerprint, target, seenAtMs]) => ({
+      type: 'loss',
+      loss: {fingerprint, target, seenAtMs},
+    }),
+  ],
   [
     CODE.sync,
     toDispatcher('sync', ([waiting, held, marks]) => ({
