An instance knows the losses before it dispatches; probes ask for an answer

An instance that was not ready could be a dispatcher at all. And a process that is ending can keep its port open for more than the 100 ms that the probe waited.

Change: readiness waits for the losses (or for the log to be unreachable, when peers tell what they know); only ready instances dispatch; a target is there when it answers a request within a second. Losses are kept once each. The rig's tests share one way to start a fleet and to call.

Ruled out: waiting for the losses with the log down (nothing could start).

--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -144,6 +144,7 @@
     const reasons: string[] = [];
     if (!this.config.ready) reasons.push('configuration not caught up');
     if (!this.membership.listRead) reasons.push('instance list not read');
+    if (!this.losses.ready) reasons.push('losses not read');
     if (this.drainingValue) reasons.push('draining');
     return reasons;
   }
@@ -154,6 +155,16 @@
     return this.stopped;
   }
 
+  /** Whether everything that a request needs is known here. */
+  private get prepared(): boolean {
+    const {config, membership, losses} = this;
+    return config.ready && membership.listRead && losses.ready;
+  }
+
+  private get mayDispatch(): boolean {
+    return this.prepared && !this.drainingValue;
+  }
+
   /** Calls back when a shutdown, whoever asked for it, is over. */
   onStopped(callback: () => void): void {
     this.stoppedCallbacks.push(callback);
@@ -164,7 +175,7 @@
     const nowMs = this.clock.monotonicMs();
     const {view, targets} = this.membership;
     return {
-      candidates: view.candidates(nowMs, this.drainingValue),
+      candidates: view.candidates(nowMs, this.mayDispatch),
       slotOwners: view.slotOwners(nowMs),
       targets: targets.viewsOf(service),
       isAlive: id => view.isAlive(id, nowMs),
@@ -222,7 +233,7 @@
       log: this.log,
       metrics,
       tracing: this.tracing,
-      ready: () => this.config.ready && this.membership.listRead,
+      ready: () => this.prepared,
       admission: {
         config: () => this.config.config,
         customerOf: keyHash => this.config.customerOf(keyHash),
@@ -245,7 +256,7 @@
 
   private ownState(): PeerState {
     return {
-      ready: this.config.ready,
+      ready: this.prepared,
       draining: this.drainingValue,
       revision: this.config.state.revision,
       leavingTargets: this.membership.targets.leavingIds,
--- a/apps/daemon/src/lib/entry/target_connection.ts
+++ b/apps/daemon/src/lib/entry/target_connection.ts
@@ -1,7 +1,7 @@
 /** One connection to a target, for one request. */
 import http from 'node:http';
 import net from 'node:net';
-import {fail, messageOf, ok, sleep} from '@applebend/utils';
+import {fail, messageOf, ok} from '@applebend/utils';
 
 import type {Result} from '@applebend/utils';
 import type {TargetAddress} from '../membership/target_directory.js';
@@ -21,8 +21,7 @@
   readonly message: string;
 }
 
-const PROBE_TIMEOUT_MS = 500;
-const PROBE_HOLD_MS = 100;
+const PROBE_TIMEOUT_MS = 1000;
 
 /**
  * Opens a connection. As long as this has not succeeded, no byte of the
@@ -55,21 +54,27 @@
 }
 
 /**
- * Whether a target is still there: it accepts a connection and keeps it open.
- * A process that is ending may accept for a moment more.
+ * Whether a target is still there: it answers a request, whatever it says. A
+ * process that is ending may still accept connections, and answers nothing.
  *
  * @public
  */
-export async function targetIsThere(address: TargetAddress): Promise<boolean> {
-  const connected = await connectTarget(address, PROBE_TIMEOUT_MS);
-  if (!connected.ok) return false;
-  const socket = connected.value;
-  socket.on('error', () => {});
-  const closed = new AbortController();
-  socket.once('close', () => closed.abort());
-  await sleep(PROBE_HOLD_MS, closed.signal);
-  socket.destroy();
-  return !closed.signal.aborted;
+export function targetIsThere(address: TargetAddress): Promise<boolean> {
+  const {host, port} = address;
+  return new Promise(resolve => {
+    const req = http.request({host, port, path: '/', agent: false});
+    const timer = setTimeout(() => req.destroy(), PROBE_TIMEOUT_MS);
+    req.on('response', res => {
+      res.resume();
+      resolve(true);
+    });
+    req.on('error', () => resolve(false));
+    req.on('close', () => {
+      clearTimeout(timer);
+      resolve(false);
+    });
+    req.end();
+  });
 }
 
 /** Sends a request over a connection and waits for the answer's head. */
--- a/apps/daemon/src/lib/losses/loss_task.ts
+++ b/apps/daemon/src/lib/losses/loss_task.ts
@@ -32,9 +32,10 @@
 /** @public */
 export class LossTask {
   /** For cells that are made later; oldest first. */
-  private readonly losses: Loss[] = [];
+  private readonly losses = new Map<string, Loss>();
   private nextOffset = 0;
   private replayed = false;
+  private unreachable = false;
   private readonly stopping = new AbortController();
 
   private constructor(private readonly parts: LossTaskParts) {}
@@ -43,9 +44,14 @@
     return new LossTask(parts);
   }
 
+  /** Whether the log was read once, or cannot be read at the moment. */
+  get ready(): boolean {
+    return this.replayed || this.unreachable;
+  }
+
   /** Every loss that was heard of, from the log or from peers. */
   get known(): readonly Loss[] {
-    return this.losses;
+    return [...this.losses.values()];
   }
 
   start(): void {
@@ -66,11 +72,20 @@
 
   /** Takes in a loss that was seen here, by a peer or on the log. */
   note(loss: Loss): void {
-    this.losses.push(loss);
-    if (this.losses.length > MAX_KNOWN) this.losses.shift();
+    const key = `${loss.fingerprint} ${loss.target} ${loss.seenAtMs}`;
+    if (this.losses.has(key)) return;
+    this.losses.set(key, loss);
+    if (this.losses.size > MAX_KNOWN) this.forgetOldest();
     this.parts.onLoss(loss);
   }
 
+  private forgetOldest(): void {
+    for (const key of this.losses.keys()) {
+      this.losses.delete(key);
+      return;
+    }
+  }
+
   private async follow(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const waitMs = this.replayed ? READ_WAIT_MS : 0;
@@ -79,6 +94,7 @@
         this.nextOffset,
         waitMs
       );
+      this.unreachable = !read.ok;
       if (!read.ok) {
         await sleep(RETRY_MS, this.stopping.signal);
         continue;
--- a/apps/daemon/src/lib/peers/peer_inbox.ts
+++ b/apps/daemon/src/lib/peers/peer_inbox.ts
@@ -38,11 +38,13 @@
   }
 
   onUp({instance, incarnation}: PeerIdentity): void {
-    const {membership, config, mesh} = this.parts;
+    const {membership, config, losses, mesh} = this.parts;
     const before = this.incarnations.get(instance);
     this.incarnations.set(instance, incarnation);
     if (before !== undefined && before !== incarnation) this.onEnded(instance);
     membership.beat();
+    for (const loss of losses.known)
+      mesh().send(instance, {type: 'loss', loss});
     if (!config.ready) mesh().send(instance, {type: 'config_request'});
   }
 
--- /dev/null
+++ b/apps/rig/src/lib/sample_calls.ts
@@ -0,0 +1,109 @@
+/** A small fleet for one piece of work, and the calls that tests make. */
+import {call, modelBody} from './caller_client.js';
+import {Fleet} from './fleet.js';
+import {keyOf, SAMPLE_CONFIG, SAMPLE_SERVICES} from './sample_config.js';
+
+import type {CallerAnswer} from './caller_client.js';
+import type {FleetOptions} from './fleet.js';
+
+/** One streamed model call of a customer. */
+export interface SampleModelCall {
+  readonly customer: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly tag: string;
+}
+
+/** One call of a plain service. */
+export interface SamplePlainCall {
+  readonly customer: string;
+  /** Service and path. */
+  readonly path: string;
+  readonly method: string;
+  readonly body: string;
+  /** Names work that must run once. */
+  readonly key?: string;
+}
+
+const PATIENCE_MS = 30_000;
+const LIST_LAG_MS = 300;
+const ROUTERS = 3;
+
+/** Starts a fleet, does the work, and ends every process of it. */
+export async function withFleet(
+  options: Partial<FleetOptions>,
+  work: (fleet: Fleet) => Promise<void>
+): Promise<void> {
+  const fleet = await Fleet.create({
+    routers: ROUTERS,
+    policy: 'dispatched',
+    config: SAMPLE_CONFIG,
+    services: SAMPLE_SERVICES,
+    listLagMs: LIST_LAG_MS,
+    ...options,
+  });
+  try {
+    await work(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** The body that a sample model call sends. */
+export function sampleBody(sample: SampleModelCall): string {
+  const {model, prompt, maxTokens, tag} = sample;
+  return modelBody({model, prompt, maxTokens, tag, stream: true});
+}
+
+/** Sends a streamed model call through one router. */
+export function callModel(
+  fleet: Fleet,
+  router: number,
+  sample: SampleModelCall,
+  patienceMs = PATIENCE_MS
+): Promise<CallerAnswer> {
+  return call({
+    url: `${fleet.router(router).url}/v1/chat/completions`,
+    method: 'POST',
+    headers: {authorization: `Bearer ${keyOf(sample.customer)}`},
+    body: sampleBody(sample),
+    patienceMs,
+  });
+}
+
+/** Sends a call of a plain service through one router. */
+export function callPlain(
+  fleet: Fleet,
+  router: number,
+  sample: SamplePlainCall
+): Promise<CallerAnswer> {
+  const {customer, path, method, body, key} = sample;
+  const authorization = `Bearer ${keyOf(customer)}`;
+  return call({
+    url: `${fleet.router(router).url}/${path}`,
+    method,
+    headers:
+      key === undefined
+        ? {authorization}
+        : {authorization, 'idempotency-key': key},
+    body,
+    patienceMs: PATIENCE_MS,
+  });
+}
+
+/** Reads a page of a router's admin port. */
+export async function adminPage(
+  fleet: Fleet,
+  router: number,
+  path: string
+): Promise<string> {
+  const answer = await call({
+    url: `${fleet.router(router).adminUrl}${path}`,
+    method: 'GET',
+    headers: {},
+    body: '',
+    patienceMs: 2000,
+  });
+  return answer.body;
+}
--- a/apps/rig/src/slopes.ts
+++ b/apps/rig/src/slopes.ts
@@ -329,7 +329,7 @@
     };
     for (const id of ids) view.onHeartbeat(id, 'life', state, 0);
     const us = timeOf(500, () => {
-      view.candidates(1, false);
+      view.candidates(1, true);
       view.slotOwners(1);
     });
     note('view of the members', routers, 'us', us);
--- a/packages/core/src/lib/membership/member_view.ts
+++ b/packages/core/src/lib/membership/member_view.ts
@@ -105,12 +105,15 @@
     return member !== undefined && nowMs - member.lastSeenMs <= this.silenceMs;
   }
 
-  /** Instances that may be dispatchers, as this one sees it. */
-  candidates(nowMs: number, selfDraining: boolean): string[] {
+  /**
+   * Instances that may be dispatchers, as this one sees it. An instance that
+   * is not ready or drains is one only for itself, when there is no other.
+   */
+  candidates(nowMs: number, selfMay: boolean): string[] {
     const ids = this.alive(nowMs)
-      .filter(member => !member.draining)
+      .filter(member => member.ready && !member.draining)
       .map(member => member.id);
-    if (!selfDraining || ids.length === 0) ids.push(this.self);
+    if (selfMay || ids.length === 0) ids.push(this.self);
     return ids.sort();
   }
 
