A service without any target refuses at once

Cause: requests for a service with no live target waited for their deadline.

Ruled out: waiting for a target to come; the final answer is to be given at once.

Figures: the bad-input test has the case and passes.

--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -115,6 +115,10 @@
 
   private async attemptAll(): Promise<Refusal | undefined> {
     for (;;) {
+      if (!this.parts.targets.hasLive(this.request.serviceName)) {
+        const message = 'the service has no target';
+        return refusal('no_target', message, this.tracker.ran);
+      }
       const acquired = await this.acquireSlot();
       if (acquired === undefined) {
         return notRun('not_ready', 'the service is being set up');
@@ -123,8 +127,8 @@
         return refusalOfWait(acquired, this.tracker.ran);
       }
       this.onGranted(acquired.slot);
-      const {done, refusal} = await this.useSlot(acquired.slot);
-      if (done) return refusal;
+      const use = await this.useSlot(acquired.slot);
+      if (use.done) return use.refusal;
     }
   }
 
--- a/apps/daemon/src/lib/membership/target_directory.ts
+++ b/apps/daemon/src/lib/membership/target_directory.ts
@@ -66,6 +66,11 @@
     return this.targets.get(id);
   }
 
+  /** Whether any target of a service could run new work. */
+  hasLive(service: string): boolean {
+    return this.viewsOf(service).some(view => !view.leaving);
+  }
+
   /** The targets of one service. */
   viewsOf(service: string): TargetView[] {
     const views: TargetView[] = [];
--- a/apps/rig/src/floods.process.test.ts
+++ b/apps/rig/src/floods.process.test.ts
@@ -25,7 +25,10 @@
 
 const CONFIG = {
   ...SAMPLE_CONFIG,
-  services: {'nest-llm': {kind: 'model', slots: SLOTS}},
+  services: {
+    'nest-llm': {kind: 'model', slots: SLOTS},
+    'floor-app': {kind: 'plain', slots: SLOTS},
+  },
   customers: {
     kpone: customerEntry('kpone', 'standard', {maxQueued: MAX_QUEUED}),
     tema: customerEntry('tema', 'standard'),
@@ -148,6 +151,7 @@
         404,
         'unknown_service',
       ],
+      [`${url}/floor-app/stock`, 'GET', authorization, '', 503, 'no_target'],
       [`${url}/nothing/here`, 'GET', authorization, '', 404, 'unknown_service'],
       [
         chat,
