Changed limits and shares are in force for what is there already

Cause: reading the code from main along one request showed that a changed 'slots' reached new targets only, and a changed share only customers that sent a further request.

Change: new limits start anew for all targets; the share is read at each grant.

Ruled out: keeping an adapted limit across a change (the operator's word goes first).

--- /dev/null
+++ b/apps/rig/src/lib/slopes/dispatch_slopes.ts
@@ -0,0 +1,198 @@
+/** What dispatching costs: decisions, state, messages. */
+import {Dispatcher, POLICIES} from '@applebend/core';
+import {decodeMessages, encodeMessages} from '@applebend/protocol';
+import {Random} from '@applebend/utils';
+import {heapBytes, note, timeOf} from './slope_table.js';
+
+import type {Announcement, DispatchCommand} from '@applebend/core';
+import type {PeerMessage} from '@applebend/protocol';
+
+const random = Random.create(1);
+
+function announcementOf(index: number, customers: number): Announcement {
+  return {
+    requestId: `Ab3dEf9h${index.toString(36)}`,
+    customer: `customer-${index % customers}`,
+    className: 'layout',
+    estimate: random.int(100, 600),
+    fingerprint: `fp${index.toString(36).padStart(9, '0')}`,
+    affinity: index & 0xffff,
+    avoid: [],
+    waitedMs: 0,
+  };
+}
+
+function newDispatcher(targets: number, slots: number): Dispatcher {
+  const dispatcher = Dispatcher.create({
+    cell: 'nest-llm',
+    incarnation: 'AbCdEfGh',
+    policy: POLICIES.dispatched,
+    slots: {
+      limits: {
+        startSlots: slots,
+        maxSlots: slots,
+        firstTokenMs: 890,
+        betweenTokensMs: 46,
+      },
+      shortCallSlots: 1,
+    },
+    rulesOf: () => ({
+      share: 1,
+      maxQueued: 1e6,
+      priority: 5,
+      short: false,
+      maxWaitMs: 1e6,
+    }),
+    leaseMs: 2500,
+    wallMs: () => 0,
+  });
+  dispatcher.handle({type: 'routers', routers: ['entry-1']}, 0);
+  const views = Array.from({length: targets}, (_, i) => ({
+    id: `nest-llm-${i}`,
+    leaving: false,
+  }));
+  dispatcher.handle({type: 'targets', targets: views}, 0);
+  tell(dispatcher, {
+    type: 'sync',
+    cell: 'nest-llm',
+    waiting: [],
+    held: [],
+    marks: [],
+  });
+  return dispatcher;
+}
+
+function tell(
+  dispatcher: Dispatcher,
+  message: Extract<PeerMessage, {type: 'to_dispatcher'}>['message']
+): DispatchCommand[] {
+  return dispatcher.handle(
+    {type: 'entry_message', entry: 'entry-1', sentAtMs: 1, message},
+    1
+  );
+}
+
+/** Time of one request at a full cell, by backlogged customers. */
+export function measureDispatch(): void {
+  for (const customers of [10, 91, 300]) {
+    const dispatcher = newDispatcher(2, 16);
+    const grants: string[] = [];
+    const feed = (index: number) => {
+      const announcement = announcementOf(index, customers);
+      const message = {
+        type: 'enqueue',
+        cell: 'nest-llm',
+        announcement,
+      } as const;
+      for (const command of tell(dispatcher, message)) {
+        if (command.message.type === 'grant') {
+          grants.push(command.message.grantId);
+        }
+      }
+    };
+    const before = heapBytes();
+    const waiting = customers * 10;
+    for (let i = 0; i < waiting; i++) feed(i);
+    note(
+      'queued request, state',
+      waiting,
+      'B',
+      (heapBytes() - before) / waiting
+    );
+    let next = waiting;
+    const perRequestUs = timeOf(2000, () => {
+      feed(next++);
+      const grantId = grants.shift();
+      if (grantId === undefined) return;
+      const commands = tell(dispatcher, {
+        type: 'finished',
+        cell: 'nest-llm',
+        grantId,
+        end: 'answered',
+        cost: 300,
+        times: {firstTokenMs: 100, betweenTokensMs: 30},
+      });
+      for (const {message} of commands) {
+        if (message.type === 'grant') grants.push(message.grantId);
+      }
+    });
+    note(
+      'dispatch of one request, by customers',
+      customers,
+      'us',
+      perRequestUs
+    );
+  }
+}
+
+/** Bytes and time of each message. */
+export function measureMessages(): void {
+  const announcement = announcementOf(12345, 91);
+  const cell = 'nest-llm';
+  const grantId = 'AbCdEfGh-12345';
+  const messages: Record<string, PeerMessage> = {
+    enqueue: {
+      type: 'to_dispatcher',
+      sentAtMs: 86_400_000,
+      message: {type: 'enqueue', cell, announcement},
+    },
+    grant: {
+      type: 'to_entry',
+      message: {
+        type: 'grant',
+        cell,
+        requestId: announcement.requestId,
+        grantId,
+        target: 'nest-llm-11',
+        echoMs: 86_400_000,
+        leaseMs: 2500,
+        service: 123_456_789,
+      },
+    },
+    progress: {
+      type: 'to_dispatcher',
+      sentAtMs: 86_400_000,
+      message: {type: 'progress', cell, grantId, cost: 812},
+    },
+    finished: {
+      type: 'to_dispatcher',
+      sentAtMs: 86_400_000,
+      message: {
+        type: 'finished',
+        cell,
+        grantId,
+        end: 'answered',
+        cost: 901,
+        times: {firstTokenMs: 101, betweenTokensMs: 31},
+      },
+    },
+    heartbeat: {
+      type: 'heartbeat',
+      sentAtMs: 86_400_000,
+      state: {ready: true, draining: false, revision: 371, leavingTargets: []},
+    },
+  };
+  for (const [name, message] of Object.entries(messages)) {
+    const frame = encodeMessages([message]);
+    note(`message ${name}`, 1, 'B', frame.length);
+    const us = timeOf(20_000, () => {
+      decodeMessages(encodeMessages([message]));
+    });
+    note(`message ${name}, both ends`, 1, 'us', us);
+  }
+  for (const waiting of [10, 100, 1000]) {
+    const message: PeerMessage = {
+      type: 'to_dispatcher',
+      sentAtMs: 1,
+      message: {
+        type: 'sync',
+        cell,
+        waiting: Array.from({length: waiting}, (_, i) => announcementOf(i, 91)),
+        held: [],
+        marks: [],
+      },
+    };
+    const bytes = encodeMessages([message]).length;
+    note('sync after a takeover, by waiting requests', waiting, 'B', bytes);
+  }
+}
--- /dev/null
+++ b/apps/rig/src/lib/slopes/state_slopes.ts
@@ -0,0 +1,109 @@
+/** What claims, the configuration and the members cost. */
+import {
+  ClaimTable,
+  fleetConfigSchema,
+  foldConfig,
+  INITIAL_CONFIG_STATE,
+  MemberView,
+  rendezvousPick,
+  snapshotOf,
+} from '@applebend/core';
+import {customerEntry, SAMPLE_CONFIG} from '../sample_config.js';
+import {heapBytes, note, timeOf} from './slope_table.js';
+
+const MICROSECONDS = 1000;
+
+/** Claims in the window, by their number. */
+export function measureClaims(): void {
+  for (const claims of [10_000, 50_000, 200_000]) {
+    const before = heapBytes();
+    const table = ClaimTable.create(600_000);
+    let bytes = 0;
+    const startMs = performance.now();
+    for (let i = 0; i < claims; i++) {
+      const record = {
+        type: 'claim',
+        claimId: `claimid${i.toString(36).padStart(5, '0')}`,
+        customer: `customer-${i % 910}`,
+        keyHash: i.toString(16).padStart(32, '0'),
+        fingerprint: 'fingerprint',
+        owner: 'entry-123/AbCdEfGh',
+      };
+      const data = JSON.parse(JSON.stringify({records: [record]})) as unknown;
+      bytes += JSON.stringify(record).length;
+      table.fold(i, i, data);
+    }
+    const tookMs = performance.now() - startMs;
+    const state = (heapBytes() - before) / table.size;
+    note('claim, state', claims, 'B', state);
+    note('claim, on the log', claims, 'B', bytes / claims);
+    note('claim, folded', claims, 'us', (tookMs / claims) * MICROSECONDS);
+  }
+}
+
+/** The configuration, by its customers. */
+export function measureConfig(): void {
+  for (const customers of [100, 910, 3000]) {
+    const names = Array.from({length: customers}, (_, i) => `customer-${i}`);
+    const entries = names.map(name => [name, customerEntry(name, 'standard')]);
+    const config = fleetConfigSchema.parse({
+      ...SAMPLE_CONFIG,
+      customers: Object.fromEntries(entries) as unknown,
+    });
+    const before = heapBytes();
+    const first = {
+      type: 'change',
+      changeId: 'first',
+      base: 0,
+      author: 'operator',
+      upserts: config,
+      removals: {},
+    };
+    const state = foldConfig(INITIAL_CONFIG_STATE, {offset: 0, data: first});
+    const stateBytes = heapBytes() - before;
+    const snapshotBytes = JSON.stringify(snapshotOf(state)).length;
+    note('configuration, state', customers, 'B', stateBytes);
+    note('configuration snapshot', customers, 'B', snapshotBytes);
+    const change = {
+      type: 'change',
+      changeId: 'next',
+      base: state.revision,
+      author: 'operator',
+      upserts: {customers: {'customer-1': customerEntry('x', 'standard')}},
+      removals: {},
+    };
+    note(
+      'change of one customer',
+      customers,
+      'B',
+      JSON.stringify(change).length
+    );
+    const us = timeOf(20, () => {
+      foldConfig(state, {offset: state.nextOffset, data: change});
+    });
+    note('change of one customer, folded', customers, 'us', us);
+  }
+}
+
+/** The view of the members, by their number. */
+export function measureMembership(): void {
+  for (const routers of [9, 100, 350]) {
+    const ids = Array.from({length: routers}, (_, i) => `entry-${i}`);
+    const view = MemberView.create('entry-0', 1600);
+    view.onList(ids.map(id => ({id, leaving: false})));
+    const state = {
+      ready: true,
+      draining: false,
+      revision: 1,
+      leavingTargets: [],
+    };
+    for (const id of ids) view.onHeartbeat(id, 'life', state, 0);
+    const us = timeOf(500, () => {
+      view.candidates(1, true);
+      view.slotOwners(1);
+    });
+    note('view of the members', routers, 'us', us);
+    const pickUs = timeOf(500, () => rendezvousPick('nest-llm', ids));
+    note('choice of a dispatcher', routers, 'us', pickUs);
+  }
+}
--- a/packages/core/src/lib/dispatch/backlog.ts
+++ b/packages/core/src/lib/dispatch/backlog.ts
@@ -70,8 +70,17 @@
     return this.queues.get(customer)?.inOrder(nowMs) ?? [];
   }
 
-  /** The requests that one entry announced. */
-  of(entry: string): QueuedRequest[] {
-    return [...this.byId.values()].filter(request => request.entry === entry);
+  /** Removes what one entry announced. */
+  removeAllOf(entry: string): void {
+    for (const request of [...this.byId.values()]) {
+      if (request.entry === entry) this.remove(request);
+    }
+  }
+
+  /** The requests that are equal to one another. */
+  equalTo(fingerprint: string): QueuedRequest[] {
+    return [...this.byId.values()].filter(
+      request => request.announcement.fingerprint === fingerprint
+    );
   }
 }
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -12,6 +12,7 @@
 import {GrantBook} from './grant_book.js';
 import {Isolation} from './isolation.js';
 import {RequestPicker} from './request_picker.js';
+import {RunningWork} from './running_work.js';
 import {SlotTable} from './slot_table.js';
 
 import type {Loss} from '../crash/crash_ledger.js';
@@ -28,7 +29,6 @@
   EntryMessage,
   QueuedRequest,
 } from './dispatch_types.js';
-import type {Grant} from './grant_book.js';
 
 /** @public */
 export class Dispatcher {
@@ -40,24 +40,26 @@
   private readonly drainRates = DrainRates.create();
   private readonly slots: SlotTable;
   private readonly grants: GrantBook;
+  private readonly running: RunningWork;
   private readonly picker: RequestPicker;
   private routers: readonly string[] = [];
   private commands: DispatchCommand[] = [];
   private nowMs = 0;
-  private overLimit = 0;
-  /** Whether any counter moved since fairness was last checked. */
-  private charged = false;
+  /** The charges at which fairness was last checked. */
+  private checkedCharges = 0;
 
   private constructor(private readonly options: DispatcherOptions) {
     this.slots = SlotTable.create(options.slots);
     this.grants = GrantBook.create(options.incarnation);
+    const {slots, isolation, monitor, ledger} = this;
+    this.running = RunningWork.create({slots, isolation, monitor, ledger});
     this.picker = RequestPicker.create({
       policy: options.policy,
       backlog: this.backlog,
-      ledger: this.ledger,
-      slots: this.slots,
-      isolation: this.isolation,
-      monitor: this.monitor,
+      ledger,
+      slots,
+      isolation,
+      monitor,
     });
   }
 
@@ -75,15 +77,10 @@
       fairnessGap: gap,
       fairnessBound: bound,
       fairnessViolations: this.monitor.violations,
-      overLimit: this.overLimit,
+      overLimit: this.running.overLimit,
     };
   }
 
-  /** Requests of one customer that wait here. */
-  queued(customer: string): number {
-    return this.backlog.queued(customer);
-  }
-
   /** Handles one event and returns the messages that follow from it. */
   handle(event: DispatchEvent, nowMs: number): DispatchCommand[] {
     this.nowMs = nowMs;
@@ -142,7 +139,7 @@
     for (const held of message.held) {
       const grant = this.grants.adopt(entry, held, this.nowMs);
       this.monitor.onCost(held.charged);
-      this.started(grant);
+      this.running.start(grant);
     }
     for (const announcement of message.waiting) {
       this.enqueue(entry, announcement);
@@ -153,8 +150,7 @@
     const {customer, className, requestId, fingerprint} = announcement;
     if (this.backlog.get(requestId) !== undefined) return;
     const rules = this.options.rulesOf(customer, className);
-    this.ledger.setShare(customer, rules.share);
-    this.monitor.onShare(customer, rules.share);
+    this.setShare(customer, rules.share);
     if (this.isolation.ledger.standingOf(fingerprint) === 'quarantined') {
       return this.refuse(entry, requestId, 'quarantined', 0);
     }
@@ -173,6 +169,12 @@
     });
   }
 
+  /** A share that the configuration changed counts from the next charge. */
+  private setShare(customer: string, share: number): void {
+    this.ledger.setShare(customer, share);
+    this.monitor.onShare(customer, share);
+  }
+
   private addToBacklog(request: QueuedRequest): void {
     if (!this.backlog.add(request)) return;
     const {customer} = request.announcement;
@@ -187,7 +189,7 @@
   private onProgress(entry: string, grantId: string, cost: number): void {
     const grant = this.grants.held(entry, grantId);
     if (grant === undefined || cost <= grant.charged) return;
-    this.charge(grant, cost);
+    this.running.charge(grant, cost);
   }
 
   private onFinished(
@@ -196,10 +198,10 @@
   ): void {
     const grant = this.grants.held(entry, message.grantId);
     if (grant === undefined) return;
-    this.stopped(grant);
+    this.running.stop(grant);
     this.grants.end(grant);
     this.slots.giveBack(grant.target);
-    this.charge(grant, message.cost);
+    this.running.charge(grant, message.cost);
     const {fingerprint} = grant.request.announcement;
     match(message.end)
       .with('returned', () => this.addToBacklog(grant.request))
@@ -230,24 +232,19 @@
     const {fingerprint} = loss;
     this.isolation.ledger.onLoss(loss, this.nowMs);
     if (this.isolation.ledger.standingOf(fingerprint) !== 'quarantined') return;
-    for (const customer of [...this.backlog.customers]) {
-      for (const request of [...this.backlog.inOrder(customer, this.nowMs)]) {
-        if (request.announcement.fingerprint !== fingerprint) continue;
-        this.backlog.remove(request);
-        const {requestId} = request.announcement;
-        this.refuse(request.entry, requestId, 'quarantined', 0);
-      }
+    for (const request of this.backlog.equalTo(fingerprint)) {
+      this.backlog.remove(request);
+      const {requestId} = request.announcement;
+      this.refuse(request.entry, requestId, 'quarantined', 0);
     }
   }
 
   /** A silent entry's slots may still be running, so they stay counted. */
   private onSilent(entry: string): void {
     if (!this.entries.onSilent(entry)) return;
-    for (const request of this.backlog.of(entry)) {
-      this.backlog.remove(request);
-    }
+    this.backlog.removeAllOf(entry);
     for (const grant of this.grants.heldBy(entry)) {
-      this.stopped(grant);
+      this.running.stop(grant);
       this.grants.toGhost(grant);
       this.slots.toGhost(grant.target);
     }
@@ -262,11 +259,9 @@
   }
 
   private clearEntry(entry: string): void {
-    for (const request of this.backlog.of(entry)) {
-      this.backlog.remove(request);
-    }
+    this.backlog.removeAllOf(entry);
     for (const grant of this.grants.heldBy(entry)) {
-      this.stopped(grant);
+      this.running.stop(grant);
       this.grants.end(grant);
       this.slots.giveBack(grant.target);
     }
@@ -293,25 +288,27 @@
     ) {
       this.grant(pick.request, pick.target);
     }
-    if (this.charged && !this.slots.anyFree(false, this.nowMs)) {
+    const moved = this.running.chargeCount !== this.checkedCharges;
+    if (moved && !this.slots.anyFree(false, this.nowMs)) {
       this.checkFairness();
     }
   }
 
   /** With every slot in use, all that wait could run as well as another. */
   private checkFairness(): void {
-    this.charged = false;
+    this.checkedCharges = this.running.chargeCount;
     if (this.options.policy.order !== 'fair') return;
     this.monitor.check(this.backlog.customers);
   }
 
   private grant(request: QueuedRequest, target: string): void {
-    const {customer, requestId, estimate} = request.announcement;
+    const {customer, className, requestId, estimate} = request.announcement;
+    this.setShare(customer, this.options.rulesOf(customer, className).share);
     this.ledger.reachLevel(customer);
     this.backlog.remove(request);
     const grant = this.grants.open(request, target);
-    this.started(grant);
-    this.charge(grant, estimate);
+    this.running.start(grant);
+    this.running.charge(grant, estimate);
     this.drainRates.onGrant(customer, this.nowMs);
     this.send(request.entry, {
       type: 'grant',
@@ -325,30 +322,6 @@
     });
   }
 
-  private started(grant: Grant): void {
-    const {customer, fingerprint} = grant.request.announcement;
-    this.slots.take(grant.target);
-    if (this.slots.inFlight(grant.target) > this.slots.ceiling(grant.target)) {
-      this.overLimit += 1;
-    }
-    this.isolation.onStart(fingerprint, grant.target);
-    this.monitor.onStart(customer);
-  }
-
-  private stopped(grant: Grant): void {
-    const {customer, fingerprint} = grant.request.announcement;
-    this.isolation.onStop(fingerprint, grant.target);
-    this.monitor.onStop(customer);
-  }
-
-  private charge(grant: Grant, cost: number): void {
-    this.monitor.onCost(cost);
-    const {customer} = grant.request.announcement;
-    this.ledger.charge(customer, cost - grant.charged);
-    grant.charged = cost;
-    this.charged = true;
-  }
-
   private refuse(
     entry: string,
     requestId: string,
--- a/packages/core/src/lib/dispatch/slot_table.test.ts
+++ b/packages/core/src/lib/dispatch/slot_table.test.ts
@@ -3,20 +3,24 @@
 import fc from 'fast-check';
 import {SlotTable} from './slot_table.js';
 
+import type {SlotSettings} from './slot_table.js';
+
+function settingsOf(slots: number): SlotSettings {
+  const limits = {
+    startSlots: slots,
+    maxSlots: slots,
+    firstTokenMs: 890,
+    betweenTokensMs: 46,
+  };
+  return {limits, shortCallSlots: 0};
+}
+
 function tableOf(
   routers: readonly string[],
   synced: readonly string[],
   slots: number
 ): SlotTable {
-  const table = SlotTable.create({
-    limits: {
-      startSlots: slots,
-      maxSlots: slots,
-      firstTokenMs: 890,
-      betweenTokensMs: 46,
-    },
-    shortCallSlots: 0,
-  });
+  const table = SlotTable.create(settingsOf(slots));
   table.setTargets([{id: 't1', leaving: false}]);
   table.setRouters(routers, new Set(synced));
   return table;
@@ -72,3 +76,14 @@
   table.dropGhost('t1');
   assert.equal(table.anyFree(false, 0), true);
 });
+
+test('a changed limit is in force for the targets that are there', () => {
+  const table = tableOf(['a'], ['a'], 1);
+  table.take('t1');
+  assert.equal(table.anyFree(false, 0), false);
+  table.setSettings(settingsOf(3));
+  assert.equal(table.usableSlots(), 3);
+  assert.equal(table.anyFree(false, 0), true);
+  table.setSettings(settingsOf(1));
+  assert.equal(table.anyFree(false, 0), false);
+});
--- a/packages/core/src/lib/dispatch/slot_table.ts
+++ b/packages/core/src/lib/dispatch/slot_table.ts
@@ -18,7 +18,7 @@
   /** No grants before this time, after the target was lost. */
   shunnedUntilMs: number;
   losses: number;
-  readonly limit: LimitController;
+  limit: LimitController;
   /** Slot owners by slot number, filled as the limit asks for them. */
   owners: string[];
   /** Slots that may be granted: below the limit and owned by a member. */
@@ -58,8 +58,15 @@
     return this.routers.every(router => this.synced.has(router));
   }
 
+  /** New limits start anew; what runs above them is let end. */
   setSettings(settings: SlotSettings): void {
+    const before = this.settings.limits;
     this.settings = settings;
+    if (sameLimits(before, settings.limits)) return;
+    for (const target of this.targets.values()) {
+      target.limit = LimitController.create(settings.limits);
+      this.recount(target);
+    }
   }
 
   setTargets(views: readonly TargetView[]): void {
@@ -227,3 +234,12 @@
     return owner;
   }
 }
+
+function sameLimits(a: LimitTargets, b: LimitTargets): boolean {
+  return (
+    a.startSlots === b.startSlots &&
+    a.maxSlots === b.maxSlots &&
+    a.firstTokenMs === b.firstTokenMs &&
+    a.betweenTokensMs === b.betweenTokensMs
+  );
+}
