--- a/apps/rig/src/demo.ts
+++ b/apps/rig/src/demo.ts
@@ -1,32 +1,21 @@
 /** The demo: one short tour through a fleet of processes, line by line. */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
-import {fileURLToPath} from 'node:url';
 import {stringify} from 'smol-toml';
 import {readStream} from './lib/caller_client.js';
-import {Child} from './lib/child.js';
 import {Fleet} from './lib/fleet.js';
 import {callModel, callPlain} from './lib/sample_calls.js';
 import {SAMPLE_CONFIG, SAMPLE_SERVICES} from './lib/sample_config.js';
-
-const TOOL = fileURLToPath(
-  new URL('../../cli/bin/applebend.mjs', import.meta.url)
-);
+import {runTool} from './lib/tool.js';
 
 function say(line: string): void {
   console.log(`demo: ${line}`);
 }
 
-/** Runs the operators' tool and returns what it printed. */
+/** Runs the operators' tool and returns what it printed, in one line. */
 async function tool(args: readonly string[]): Promise<string> {
-  const lines: string[] = [];
-  const child = Child.create({
-    args: [TOOL, ...args],
-    onLine: line => lines.push(line),
-    onErrorLine: line => lines.push(line),
-  });
-  await child.ended();
-  return `${lines.join(' | ')} (exit ${child.exitCode})`;
+  const {output, exitCode} = await runTool(args);
+  return `${output.split('\n').join(' | ')} (exit ${exitCode})`;
 }
 
 async function streamModelCall(fleet: Fleet): Promise<void> {
