--- a/apps/rig/src/lib/load/fault_schedule.ts
+++ b/apps/rig/src/lib/load/fault_schedule.ts
@@ -10,6 +10,7 @@
 
 type FaultName =
   | 'crash_router'
+  | 'crash_domain'
   | 'replace_router'
   | 'freeze_router'
   | 'isolate_router'
@@ -47,6 +48,7 @@
     {
       crash_router: () =>
         this.onRouter(index => this.fleet.crash(index, this.span(1, 5))),
+      crash_domain: () => this.crashDomain(),
       replace_router: () => this.onRouter(index => this.fleet.replace(index)),
       freeze_router: () =>
         this.onRouter(async index => {
@@ -130,6 +132,19 @@
     await this.alone(routers[index] ?? '', () => fault(index));
   }
 
+  /** Every router of one failure domain, at the same time. */
+  private async crashDomain(): Promise<void> {
+    const domains = this.fleet.routers.map(r => r.options.failureDomain);
+    const lost = this.random.pick(domains);
+    const downMs = this.span(1, 4);
+    const crashes = this.fleet.routers.map((router, index) =>
+      router.options.failureDomain === lost
+        ? this.alone(router, () => this.fleet.crash(index, downMs))
+        : undefined
+    );
+    await Promise.all(crashes);
+  }
+
   private async onTarget(fault: (target: Target) => Promise<void>) {
     const target = this.random.pick(this.fleet.targets);
     await this.alone(target, () => fault(target));
--- a/apps/rig/src/lib/load/site.ts
+++ b/apps/rig/src/lib/load/site.ts
@@ -97,13 +97,16 @@
 ];
 
 /** The site's configuration. */
-export function siteConfig(shortCallSlots: number) {
+export function siteConfig(
+  shortCallSlots: number,
+  maxSlots = SLOTS_PER_ENGINE
+) {
   return {
     services: {
       [MODEL_SERVICE]: {
         kind: 'model',
         slots: SLOTS_PER_ENGINE,
-        maxSlots: SLOTS_PER_ENGINE,
+        maxSlots,
         shortCallSlots,
         resume: true,
       },
--- a/apps/rig/src/measure.ts
+++ b/apps/rig/src/measure.ts
@@ -27,6 +27,7 @@
     policies: {type: 'string', default: Object.values(POLICY).join(',')},
     faults: {type: 'boolean', default: false},
     'short-call-slots': {type: 'string', default: '1'},
+    'max-slots': {type: 'string', default: '8'},
   },
 });
 
@@ -101,7 +102,10 @@
     routers: ROUTERS,
     policy,
     services: siteServices(ENGINES, PLAIN_TARGETS),
-    config: siteConfig(Number(values['short-call-slots'])),
+    config: siteConfig(
+      Number(values['short-call-slots']),
+      Number(values['max-slots'])
+    ),
     logLevel: 'error',
     onLog: (router, line) => console.error(`${router}: ${line}`),
   });
