--- a/apps/daemon/src/lib/config/config_task.ts
+++ b/apps/daemon/src/lib/config/config_task.ts
@@ -111,7 +111,8 @@
 
   private onRead(read: ConfigRead): void {
     this.apply(laterState(this.stateValue, read.state));
-    this.lastSnapshotAtMs = read.snapshotAtMs ?? this.lastSnapshotAtMs;
+    const {snapshotAtMs, oldestAtMs} = read;
+    this.lastSnapshotAtMs = snapshotAtMs ?? this.lastSnapshotAtMs ?? oldestAtMs;
     if (!read.caughtUp || this.caughtUp) return;
     this.caughtUp = true;
     this.parts.onChange();
--- a/apps/daemon/src/lib/entry/answer_relay.ts
+++ b/apps/daemon/src/lib/entry/answer_relay.ts
@@ -41,6 +41,7 @@
 /** Headers that belong to one connection only. */
 const HOP_HEADERS = new Set([
   'connection',
+  'expect',
   'keep-alive',
   'proxy-connection',
   'te',
--- a/packages/platform/src/lib/config_reader.ts
+++ b/packages/platform/src/lib/config_reader.ts
@@ -15,6 +15,8 @@
   readonly caughtUp: boolean;
   /** When the last snapshot on the log was appended, by the log's clock. */
   readonly snapshotAtMs: number | undefined;
+  /** When the first record of the page was appended. */
+  readonly oldestAtMs: number | undefined;
   /** The log's clock at the read. */
   readonly logNowMs: number;
 }
@@ -45,6 +47,7 @@
     state: next,
     caughtUp: next.nextOffset >= page.end,
     snapshotAtMs: snapshotTimeOf(page),
+    oldestAtMs: page.records[0]?.appendedAtMs,
     logNowMs: page.nowMs,
   };
 }
