The shutdown test runs a stream longer than the lame duck

Cause: a trial without waiting for open streams passed the shutdown tests: all answers of the load ended within the lame duck of 1.5 s.

Change: a lame duck of 0.4 s and a stream of 500 tokens that runs when the shutdown is asked for.

Ruled out: slower engines for all tests of the file (minutes more).

--- a/apps/rig/src/leaving.process.test.ts
+++ b/apps/rig/src/leaving.process.test.ts
@@ -3,11 +3,13 @@
 import {test} from 'node:test';
 import {sleep} from '@applebend/utils';
 import {Balancer} from './lib/balancer.js';
+import {readStream} from './lib/caller_client.js';
 import {Fleet} from './lib/fleet.js';
 import {LoadRunner} from './lib/load/load_runner.js';
 import {planCalls} from './lib/load/schedule.js';
 import {siteConfig, siteServices, TEST_STEPS} from './lib/load/site.js';
 import {checkResults, refusalOf} from './lib/promise_checks.js';
+import {callModel} from './lib/sample_calls.js';
 
 import type {CallResult} from './lib/load/load_runner.js';
 
@@ -15,6 +17,16 @@
 const NO_NEW_WORK_MS = 3000;
 const PATIENCE_MS = 60_000;
 const ROUTERS = 3;
+/** Shorter than the answers that run when a shutdown is asked for. */
+const LAME_DUCK_MS = 400;
+const LONG_TOKENS = 500;
+const LONG_CALL = {
+  customer: 'small-1',
+  model: 'nest-llm',
+  prompt: `a long plan out=${LONG_TOKENS}`,
+  maxTokens: 512,
+  tag: 'long-call',
+};
 
 async function underLoad(
   seconds: number,
@@ -27,6 +39,7 @@
     config: siteConfig(1),
     services: siteServices(4, 2, TEST_STEPS),
     listLagMs: LIST_LAG_MS,
+    timing: {lame_duck_ms: LAME_DUCK_MS},
   });
   const balancer = Balancer.create(fleet);
   try {
@@ -84,8 +97,13 @@
 test('a shutdown under load cuts nothing', async () => {
   const {fleet, results} = await underLoad(6, 12, async fleet => {
     await sleep(2000);
+    const long = callModel(fleet, 0, LONG_CALL);
+    await fleet.until('it runs', () => fleet.runsOf(LONG_CALL.tag) === 1);
     await fleet.router(0).terminate();
     assert.equal(fleet.router(0).exitCode, 0);
+    const stream = readStream((await long).body);
+    assert.ok(stream.done, 'a stream longer than the lame duck is whole');
+    assert.equal(stream.tokens, LONG_TOKENS);
   });
   assertNothingCut(fleet, results);
 });
