One list of what an instance still lacks; no fixed 'not run' after an attempt

Cause: the last reading of the change found readiness worked out twice (for operators and for the gate), the bytes of a token written again as a number, and a refusal that said 'not run' without asking the request's state.

Change: readiness is the empty list of what is missing; the token estimate is the one of the core; the refusal takes 'ran' from the request's state.

--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -141,10 +141,7 @@
 
   /** Why callers should not be sent here; empty when they may. */
   unreadiness(): string[] {
-    const reasons: string[] = [];
-    if (!this.config.ready) reasons.push('configuration not caught up');
-    if (!this.membership.listRead) reasons.push('instance list not read');
-    if (!this.losses.ready) reasons.push('losses not read');
+    const reasons = this.missing();
     if (this.drainingValue) reasons.push('draining');
     return reasons;
   }
@@ -157,8 +154,16 @@
 
   /** Whether everything that a request needs is known here. */
   private get prepared(): boolean {
-    const {config, membership, losses} = this;
-    return config.ready && membership.listRead && losses.ready;
+    return this.missing().length === 0;
+  }
+
+  /** What a request needs and is not known here yet. */
+  private missing(): string[] {
+    const reasons: string[] = [];
+    if (!this.config.ready) reasons.push('configuration not caught up');
+    if (!this.membership.listRead) reasons.push('instance list not read');
+    if (!this.losses.ready) reasons.push('losses not read');
+    return reasons;
   }
 
   private get mayDispatch(): boolean {
--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -3,9 +3,9 @@
  * attempt, and further attempts where running it again is allowed.
  */
 import {match} from 'ts-pattern';
-import {modelCost} from '@applebend/core';
+import {estimateInputTokens, modelCost} from '@applebend/core';
 import {ClaimGate} from './claim_gate.js';
-import {notRun, refusal, unansweredRefusal} from './refusals.js';
+import {refusal, unansweredRefusal} from './refusals.js';
 import {RequestTracker} from './request_tracker.js';
 import {refusalOfWait, waitForSlot} from './slot_wait.js';
 import {TargetAttempt} from './target_attempt.js';
@@ -121,7 +121,8 @@
       }
       const acquired = await this.acquireSlot();
       if (acquired === undefined) {
-        return notRun('not_ready', 'the service is being set up');
+        const message = 'the service is being set up';
+        return refusal('not_ready', message, this.tracker.ran);
       }
       if (acquired.type !== 'granted') {
         return refusalOfWait(acquired, this.tracker.ran);
@@ -336,7 +337,7 @@
     const {customer, call, estimate, body} = this.request;
     if (call === undefined) return estimate;
     return modelCost(customer.template, {
-      inputTokens: stream.inputTokens ?? Math.ceil(body.length / 4),
+      inputTokens: stream.inputTokens ?? estimateInputTokens(body.length),
       outputTokens: stream.outputTokens,
     });
   }
