--- a/apps/cli/src/lib/fleet_log.ts
+++ b/apps/cli/src/lib/fleet_log.ts
@@ -1,7 +1,7 @@
 /** The configuration stream as the tool uses it. */
 import {randomUUID} from 'node:crypto';
 import {INITIAL_CONFIG_STATE} from '@applebend/core';
-import {CONFIG_STREAM, HttpLogClient, readConfig} from '@applebend/platform';
+import {CONFIG_STREAM, HttpLogClient, readConfig} from '@applebend/externals';
 import {fail, ok, sleep} from '@applebend/utils';
 
 import type {
--- a/apps/cli/src/lib/instances.ts
+++ b/apps/cli/src/lib/instances.ts
@@ -1,6 +1,6 @@
 /** Asks running instances over their admin ports. */
 import {z} from 'zod';
-import {requestJson} from '@applebend/platform';
+import {requestJson} from '@applebend/externals';
 import {fail, ok, sleep} from '@applebend/utils';
 
 import type {Result} from '@applebend/utils';
--- a/apps/daemon/src/lib/claims/claim_batcher.ts
+++ b/apps/daemon/src/lib/claims/claim_batcher.ts
@@ -6,7 +6,7 @@
 import {sleep} from '@applebend/utils';
 
 import type {ClaimStreamRecord} from '@applebend/core';
-import type {LogService} from '@applebend/platform';
+import type {LogService} from '@applebend/externals';
 
 /** The stream that claims lie on. @public */
 export const CLAIM_STREAM = 'claims';
--- a/apps/daemon/src/lib/claims/claim_task.ts
+++ b/apps/daemon/src/lib/claims/claim_task.ts
@@ -15,7 +15,7 @@
   ClaimStreamRecord,
   DoneRecord,
 } from '@applebend/core';
-import type {LogPage, LogService} from '@applebend/platform';
+import type {LogPage, LogService} from '@applebend/externals';
 import type {Metrics} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
--- a/apps/daemon/src/lib/config/config_task.ts
+++ b/apps/daemon/src/lib/config/config_task.ts
@@ -11,10 +11,10 @@
   snapshotOf,
   stateFromSnapshot,
 } from '@applebend/core';
-import {CONFIG_STREAM, readConfig} from '@applebend/platform';
+import {CONFIG_STREAM, readConfig} from '@applebend/externals';
 import {sleep} from '@applebend/utils';
 
-import type {ConfigRead, LogService} from '@applebend/platform';
+import type {ConfigRead, LogService} from '@applebend/externals';
 import type {ConfigState, FleetConfig} from '@applebend/core';
 import type {Logger, Metrics} from '@applebend/telemetry';
 
--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -4,7 +4,7 @@
  */
 import {randomBytes} from 'node:crypto';
 import {OutputEstimator, RetryBudget} from '@applebend/core';
-import {HttpInstanceList, HttpLogClient} from '@applebend/platform';
+import {HttpInstanceList, HttpLogClient} from '@applebend/externals';
 import {Logger, Metrics, Tracing} from '@applebend/telemetry';
 import {BusyMeter, sleep, systemClock} from '@applebend/utils';
 import {AdminServer} from './admin/admin_server.js';
--- a/apps/daemon/src/lib/entry/admission.ts
+++ b/apps/daemon/src/lib/entry/admission.ts
@@ -10,7 +10,7 @@
   resolveCustomer,
   SERVICE_KIND,
 } from '@applebend/core';
-import {CHAT_PATH, parseChatCall} from '@applebend/platform';
+import {CHAT_PATH, parseChatCall} from '@applebend/externals';
 import {fail, hash32, ok, sha256Hex} from '@applebend/utils';
 import {notRun} from './refusals.js';
 
@@ -22,7 +22,7 @@
   ResolvedCustomer,
   ServiceConfig,
 } from '@applebend/core';
-import type {ChatCall} from '@applebend/platform';
+import type {ChatCall} from '@applebend/externals';
 import type {Result} from '@applebend/utils';
 import type {Caller} from './caller.js';
 
--- a/apps/daemon/src/lib/entry/answer_relay.ts
+++ b/apps/daemon/src/lib/entry/answer_relay.ts
@@ -2,11 +2,11 @@
  * Passes a target's answer on to the caller, with the caller's speed setting
  * the pace, and tells a whole answer from one that broke off.
  */
-import {EngineStream, parseUsage} from '@applebend/platform';
+import {EngineStream, parseUsage} from '@applebend/externals';
 import {messageOf} from '@applebend/utils';
 
 import type {IncomingMessage} from 'node:http';
-import type {EngineUsage} from '@applebend/platform';
+import type {EngineUsage} from '@applebend/externals';
 import type {Clock} from '@applebend/utils';
 import type {AnswerHeaders, Caller} from './caller.js';
 
--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -16,7 +16,7 @@
   RetryBudget,
   SlotEnd,
 } from '@applebend/core';
-import type {EngineStream} from '@applebend/platform';
+import type {EngineStream} from '@applebend/externals';
 import type {Logger, Metrics, RequestTrace} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 import type {Acquired, CellTask, GrantedSlot} from '../cells/cell_task.js';
--- a/apps/daemon/src/lib/entry/target_attempt.ts
+++ b/apps/daemon/src/lib/entry/target_attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt to run a request on the target that a slot was granted on. */
 import {match} from 'ts-pattern';
-import {resumePath} from '@applebend/platform';
+import {resumePath} from '@applebend/externals';
 import {sleep} from '@applebend/utils';
 import {AnswerRelay, endToEndHeaders} from './answer_relay.js';
 import {
@@ -9,7 +9,7 @@
   targetIsThere,
 } from './target_connection.js';
 
-import type {EngineStream} from '@applebend/platform';
+import type {EngineStream} from '@applebend/externals';
 import type {Clock} from '@applebend/utils';
 import type {TargetAddress} from '../membership/target_directory.js';
 import type {AdmittedRequest} from './admission.js';
--- a/apps/daemon/src/lib/losses/loss_task.ts
+++ b/apps/daemon/src/lib/losses/loss_task.ts
@@ -6,7 +6,7 @@
 import {sleep} from '@applebend/utils';
 
 import type {Loss} from '@applebend/core';
-import type {LogService} from '@applebend/platform';
+import type {LogService} from '@applebend/externals';
 
 /** What the task is made from. @public */
 export interface LossTaskParts {
--- a/apps/daemon/src/lib/membership/membership_task.ts
+++ b/apps/daemon/src/lib/membership/membership_task.ts
@@ -6,7 +6,7 @@
 import {TargetDirectory} from './target_directory.js';
 
 import type {PeerState} from '@applebend/core';
-import type {InstanceList, ListedInstance} from '@applebend/platform';
+import type {InstanceList, ListedInstance} from '@applebend/externals';
 import type {PeerIdentity} from '@applebend/protocol';
 import type {Logger, Metrics} from '@applebend/telemetry';
 import type {BusyMeter, Clock} from '@applebend/utils';
--- a/apps/daemon/src/lib/membership/target_directory.ts
+++ b/apps/daemon/src/lib/membership/target_directory.ts
@@ -1,6 +1,6 @@
 /** The targets of each service, with where they are reached. */
 import type {TargetView} from '@applebend/core';
-import type {ListedInstance} from '@applebend/platform';
+import type {ListedInstance} from '@applebend/externals';
 
 /** A target's address. @public */
 export interface TargetAddress {
--- a/apps/rig/src/configuration.process.test.ts
+++ b/apps/rig/src/configuration.process.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {sleep} from '@applebend/utils';
-import {CONFIG_STREAM} from '@applebend/platform';
+import {CONFIG_STREAM} from '@applebend/externals';
 import {callPlain, withFleet} from './lib/sample_calls.js';
 import {customerEntry, SAMPLE_CONFIG} from './lib/sample_config.js';
 
--- a/apps/rig/src/lib/fleet.ts
+++ b/apps/rig/src/lib/fleet.ts
@@ -10,7 +10,7 @@
   fleetConfigSchema,
   INITIAL_CONFIG_STATE,
 } from '@applebend/core';
-import {CONFIG_STREAM, HttpLogClient, readConfig} from '@applebend/platform';
+import {CONFIG_STREAM, HttpLogClient, readConfig} from '@applebend/externals';
 import {InstanceListService, LogService} from '@applebend/standins';
 import {sleep, TaggedError} from '@applebend/utils';
 import {PEER_PORT, Router} from './router.js';
--- a/apps/rig/src/lib/router.ts
+++ b/apps/rig/src/lib/router.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {stringify} from 'smol-toml';
-import {requestJson} from '@applebend/platform';
+import {requestJson} from '@applebend/externals';
 import {Child} from './child.js';
 
 /** Where a router listens, and its settings apart from addresses. */
--- a/apps/rig/src/lib/target.ts
+++ b/apps/rig/src/lib/target.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {EventEmitter} from 'node:events';
 import {fileURLToPath} from 'node:url';
-import {requestJson} from '@applebend/platform';
+import {requestJson} from '@applebend/externals';
 import {Child} from './child.js';
 
 /** What a target is started from. */
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,13 +2,17 @@
 import gtsConfig from 'gts';
 
 export default defineConfig([
-  globalIgnores(['**/dist/', '**/node_modules/', '**/*.mjs']),
+  globalIgnores(['**/dist/', 'target/', '**/node_modules/', '**/*.mjs']),
   ...gtsConfig,
   {
     files: ['**/*.ts'],
     languageOptions: {
       parserOptions: {
-        project: ['./packages/*/tsconfig.json', './apps/*/tsconfig.json'],
+        project: [
+          './packages/*/tsconfig.json',
+          './apps/*/tsconfig.json',
+          './platform/tsconfig.json',
+        ],
       },
     },
     rules: {
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,15 @@
+/** The gateway: forwards requests to targets by the fleet's decisions. */
+export {Gateway} from './lib/gateway.js';
+export type {GatewayPorts} from './lib/gateway.js';
+export type {
+  CallerRequest,
+  GatewaySettings,
+  HeaderCodec,
+  ListenAddress,
+  PeerAddress,
+  RawHeaders,
+  StateEvents,
+  StateSource,
+  TargetAnswer,
+  TargetRequest,
+} from './lib/ports.js';
--- /dev/null
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -0,0 +1,132 @@
+/** The callers' side: accepts requests, checks them and starts exchanges. */
+import http from 'node:http';
+import {EXECUTION} from '../errors.js';
+import {readBody} from './body_reader.js';
+import {checkRequest} from './check_request.js';
+import {Exchange} from './exchange.js';
+import {STATUS, sendOwnAnswer} from './responses.js';
+
+import type {ListenAddress} from '../ports.js';
+import type {ExchangeTools} from './exchange.js';
+import type {OwnAnswer} from './responses.js';
+
+const MAX_HEADER_BYTES = 64 * 1024;
+/** How often Node looks for connections past their header timeout. */
+const CHECK_INTERVAL_MS = 1000;
+const DEFAULT_IDLE_MS = 15_000;
+const DEFAULT_HEADER_MS = 5000;
+/** Connections are closed a little later than their clients are told. */
+const IDLE_MARGIN_MS = 1000;
+/** New work is refused when this time has gone since the stop signal. */
+const STOP_TAKING_MS = 3500;
+
+const STOPPING: OwnAnswer = {
+  status: STATUS.unavailable,
+  kind: 'stopping',
+  execution: EXECUTION.notRun,
+  retryAfterS: 0.1,
+};
+
+/** @public */
+export class FrontServer {
+  private readonly server: http.Server;
+  private stoppingSinceMs = Infinity;
+  private active = 0;
+
+  private constructor(private readonly tools: ExchangeTools) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
+        headersTimeout: DEFAULT_HEADER_MS,
+        requestTimeout: 0,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        noDelay: true,
+      },
+      (req, res) => void this.onRequest(req, res)
+    );
+  }
+
+  /** Listens at once; resolves when the port is open. */
+  static async create(
+    tools: ExchangeTools,
+    {host, port}: ListenAddress
+  ): Promise<FrontServer> {
+    const front = new FrontServer(tools);
+    await new Promise<void>((resolve, reject) => {
+      front.server.once('error', reject);
+      front.server.listen(port, host, resolve);
+    });
+    return front;
+  }
+
+  /** Requests that have no whole answer yet. */
+  get activeCount(): number {
+    return this.active;
+  }
+
+  /** Takes the limits of a new configuration. */
+  onLimits(idleTimeoutMs: number, headerTimeoutMs: number): void {
+    this.server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    this.server.headersTimeout = headerTimeoutMs;
+  }
+
+  /** From now on answers ask the callers to close their connections. */
+  startStopping(): void {
+    this.stoppingSinceMs = this.tools.clock.monotonicMs();
+  }
+
+  /** Stops listening and closes what is idle. */
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async onRequest(
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): Promise<void> {
+    const {tools} = this;
+    const {state, clock, codec} = tools;
+    const arrivedMs = clock.monotonicMs();
+    this.active += 1;
+    res.on('close', () => (this.active -= 1));
+    res.on('error', () => res.destroy());
+    if (arrivedMs - this.stoppingSinceMs > STOP_TAKING_MS) {
+      sendOwnAnswer(res, STOPPING, true);
+      return;
+    }
+    const checked = checkRequest(
+      {
+        host: req.headers.host ?? '',
+        url: req.url ?? '/',
+        caller: codec.readCaller(req.rawHeaders),
+        arrivedMs,
+      },
+      state
+    );
+    if (!checked.ok) {
+      sendOwnAnswer(res, checked.err, state.stopping);
+      return;
+    }
+    const context = checked.value;
+    const body = await readBody(req, context.config.limits.maxBodyBytes);
+    if (body.ok) {
+      Exchange.create(context, {req, res, body: body.value}, tools);
+      return;
+    }
+    if (body.err.kind === 'too_large') {
+      sendOwnAnswer(
+        res,
+        {
+          status: STATUS.tooLarge,
+          kind: 'too_large',
+          execution: EXECUTION.notRun,
+        },
+        true
+      );
+      return;
+    }
+    res.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/front/readiness_server.ts
@@ -0,0 +1,24 @@
+/** Tells the balancer whether new connections may come here. */
+import http from 'node:http';
+
+import type {ListenAddress} from '../ports.js';
+
+const READY = 200;
+const NOT_READY = 503;
+
+/** Starts the server; resolves when its port is open. @public */
+export async function startReadinessServer(
+  {host, port}: ListenAddress,
+  isReady: () => boolean
+): Promise<http.Server> {
+  const server = http.createServer((req, res) => {
+    req.resume();
+    res.writeHead(isReady() ? READY : NOT_READY, {'Content-Length': 0});
+    res.end();
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -0,0 +1,48 @@
+/** Answers of the gateway's own, as JSON. */
+import type http from 'node:http';
+import type {Execution} from '../errors.js';
+
+/** A final answer that no target gave. @public */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly kind: string;
+  readonly execution: Execution;
+  /** Seconds after which asking again makes sense. */
+  readonly retryAfterS?: number;
+}
+
+/** @public */
+export const STATUS = {
+  ok: 200,
+  unauthorized: 401,
+  notFound: 404,
+  tooLarge: 413,
+  tooManyRequests: 429,
+  internalError: 500,
+  badGateway: 502,
+  unavailable: 503,
+  gatewayTimeout: 504,
+} as const;
+
+/** Writes the answer, or cuts the connection where one has begun. @public */
+export function sendOwnAnswer(
+  res: http.ServerResponse,
+  answer: OwnAnswer,
+  closing: boolean
+): void {
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  const {status, kind, execution, retryAfterS} = answer;
+  const body = JSON.stringify({error: {kind, ran: execution}});
+  const headers: Record<string, string | number> = {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(body),
+  };
+  if (retryAfterS !== undefined)
+    headers['Retry-After'] = retryAfterS.toFixed(2);
+  if (closing) headers['Connection'] = 'close';
+  res.writeHead(status, headers);
+  res.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gateway.ts
@@ -0,0 +1,118 @@
+/** One instance of the gateway: connects the decisions to sockets. */
+import {Random, systemClock} from '@applebend/utils';
+import {FrontServer} from './front/front_server.js';
+import {startReadinessServer} from './front/readiness_server.js';
+import {PeerExchange} from './peers/peer_exchange.js';
+import {FleetState} from './state/fleet_state.js';
+import {TargetAgent} from './upstream/target_agent.js';
+
+import type {FleetConfig} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {ExchangeReport} from './front/exchange_report.js';
+import type {ExchangeTools} from './front/exchange.js';
+import type {GatewaySettings, HeaderCodec, StateSource} from './ports.js';
+
+/** The adapters that a gateway runs on. @public */
+export interface GatewayPorts {
+  readonly settings: GatewaySettings;
+  readonly source: StateSource;
+  readonly codec: HeaderCodec;
+  readonly log: Logger;
+}
+
+/** The balancer needs this long to stop sending new connections. */
+const LAME_DUCK_MS = 3000;
+/** What still runs is cut this long before the forced end. */
+const CUT_MARGIN_MS = 400;
+const STOP_POLL_MS = 50;
+
+/** @public */
+export class Gateway {
+  private readonly state: FleetState;
+  private readonly peers: PeerExchange;
+  private readonly tools: ExchangeTools;
+  private front: FrontServer | undefined;
+  private stopped: Promise<void> | undefined;
+
+  private constructor(private readonly ports: GatewayPorts) {
+    const {settings, source, codec, log} = ports;
+    const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
+    this.state = FleetState.create(settings, source, log);
+    this.peers = PeerExchange.create({
+      state: this.state,
+      clock: systemClock,
+      log,
+      incarnation: random.int(1, 0x7fffffff),
+    });
+    this.tools = {
+      state: this.state,
+      codec,
+      agent: TargetAgent.create(),
+      clock: systemClock,
+      random: () => random.unit(),
+      onPlaced: (target, context) =>
+        this.peers.onPlaced(target, context.prompt),
+      onUse: (customer, asked, given) =>
+        this.peers.onUse(customer, asked, given),
+      onEnd: report => this.onEnd(report),
+    };
+  }
+
+  /** Starts an instance; it becomes ready by itself. */
+  static async create(ports: GatewayPorts): Promise<Gateway> {
+    const gateway = new Gateway(ports);
+    await gateway.start();
+    return gateway;
+  }
+
+  /** Shuts down without cutting a request; resolves when all is over. */
+  shutDown(): Promise<void> {
+    this.stopped ??= this.finish();
+    return this.stopped;
+  }
+
+  private async start(): Promise<void> {
+    const {settings, source, log} = this.ports;
+    this.peers.start();
+    source.start({
+      onConfig: config => this.onConfig(config),
+      onTargets: targets => this.state.onTargets(targets),
+      onPeers: peers => this.peers.addPeers(peers),
+    });
+    this.front = await FrontServer.create(this.tools, settings.callers);
+    await startReadinessServer(settings.readiness, () => this.state.isReady);
+    log.info('started');
+  }
+
+  private onConfig(config: FleetConfig): void {
+    this.state.onConfig(config);
+    const limits = this.state.config?.limits;
+    if (limits === undefined) return;
+    this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
+  }
+
+  private onEnd(report: ExchangeReport): void {
+    if (report.outcome === 'answered') return;
+    this.ports.log.info('request ended', {...report});
+  }
+
+  private async finish(): Promise<void> {
+    const {log, settings, source} = this.ports;
+    const startedMs = systemClock.monotonicMs();
+    log.info('stopping', {active: this.front?.activeCount});
+    this.state.stopping = true;
+    this.front?.startStopping();
+    const cutMs = startedMs + settings.gracePeriodMs - CUT_MARGIN_MS;
+    for (;;) {
+      await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
+      const nowMs = systemClock.monotonicMs();
+      const isIdle = this.front?.activeCount === 0;
+      if (isIdle && nowMs - startedMs >= LAME_DUCK_MS) break;
+      if (nowMs >= cutMs) break;
+    }
+    this.front?.close();
+    source.stop();
+    this.peers.stop();
+    log.info('stopped', {cut: this.front?.activeCount});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -0,0 +1,81 @@
+/** The state that all requests of this instance share. */
+import {CustomerShares, FleetRetryBudget} from '@applebend/routing';
+import {TargetDirectory} from './target_directory.js';
+
+import type {FleetConfig, Target} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {GatewaySettings, StateSource} from '../ports.js';
+
+/** @public */
+export class FleetState {
+  readonly targets: TargetDirectory;
+  readonly shares: CustomerShares;
+  private readonly budgets = new Map<string, FleetRetryBudget>();
+  private current: FleetConfig | undefined;
+  /** Instances that take requests, this one included. */
+  instanceCount = 1;
+  stopping = false;
+
+  private constructor(
+    readonly settings: GatewaySettings,
+    private readonly source: StateSource,
+    private readonly log: Logger
+  ) {
+    this.targets = TargetDirectory.create(log);
+    this.shares = CustomerShares.create(settings.shareWindowMs);
+  }
+
+  static create(
+    settings: GatewaySettings,
+    source: StateSource,
+    log: Logger
+  ): FleetState {
+    return new FleetState(settings, source, log);
+  }
+
+  get config(): FleetConfig | undefined {
+    return this.current;
+  }
+
+  get isReady(): boolean {
+    return this.isKnown && !this.stopping;
+  }
+
+  /** Whether a configuration and the targets were read. */
+  get isKnown(): boolean {
+    return this.current !== undefined && this.targets.isKnown;
+  }
+
+  /** Whether the keys that are held are recent enough to run a request. */
+  get mayRunKeyed(): boolean {
+    return this.source.configAgeMs() <= this.settings.keyProofMaxAgeMs;
+  }
+
+  /** Whether the configuration is recent enough to deny a request for good. */
+  get mayDeny(): boolean {
+    return this.source.configAgeMs() <= this.settings.denyProofMaxAgeMs;
+  }
+
+  budgetOf(service: string): FleetRetryBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = FleetRetryBudget.create(this.settings.retryBudget);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  /** Takes a configuration; an older one than the one held is ignored. */
+  onConfig(config: FleetConfig): void {
+    const held = this.current?.version ?? -Infinity;
+    if (config.version <= held) return;
+    this.current = config;
+    this.targets.onConfig(config);
+    const {version, routes} = config;
+    this.log.info('configuration in force', {version, routes: routes.size});
+  }
+
+  onTargets(targets: readonly Target[]): void {
+    this.targets.onTargets(targets);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -0,0 +1,118 @@
+/** The registered targets by service, with what is known of each. */
+import {FirstEventModel, TARGET_STATE} from '@applebend/routing';
+import {TargetEntry} from './target_entry.js';
+
+import type {FleetConfig, LoadFigures, Target} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+
+/** @public */
+export class TargetDirectory {
+  private entries = new Map<string, TargetEntry>();
+  private byService = new Map<string, TargetEntry[]>();
+  private readonly models = new Map<string, FirstEventModel>();
+  private config: FleetConfig | undefined;
+  private known = false;
+
+  private constructor(private readonly log: Logger) {}
+
+  static create(log: Logger): TargetDirectory {
+    return new TargetDirectory(log);
+  }
+
+  /** Whether the registrations were read at least once. */
+  get isKnown(): boolean {
+    return this.known;
+  }
+
+  /** Targets that may get new work. */
+  readyOf(service: string): readonly TargetEntry[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  get(id: string): TargetEntry | undefined {
+    return this.entries.get(id);
+  }
+
+  all(): Iterable<TargetEntry> {
+    return this.entries.values();
+  }
+
+  /** The model of first events that the engines of a service share. */
+  modelOf(service: string): FirstEventModel {
+    let model = this.models.get(service);
+    if (model === undefined) {
+      model = FirstEventModel.create();
+      this.models.set(service, model);
+    }
+    return model;
+  }
+
+  onConfig(config: FleetConfig): void {
+    this.config = config;
+    for (const entry of this.entries.values()) this.updateMemory(entry);
+  }
+
+  onTargets(targets: readonly Target[]): void {
+    const entries = new Map<string, TargetEntry>();
+    for (const target of targets) entries.set(target.id, this.entryOf(target));
+    for (const id of this.entries.keys()) {
+      if (!entries.has(id)) this.log.info('target gone', {target: id});
+    }
+    this.entries = entries;
+    this.known = true;
+    this.indexServices();
+  }
+
+  /** Takes the sum of what all peers run, by target. */
+  setPeersLoads(loads: ReadonlyMap<string, LoadFigures>, none: LoadFigures) {
+    for (const [id, entry] of this.entries) {
+      entry.setPeersLoad(loads.get(id) ?? none);
+    }
+  }
+
+  private entryOf(target: Target): TargetEntry {
+    const known = this.entries.get(target.id);
+    if (known === undefined || isOtherLife(known.target, target)) {
+      this.log.info('target known', {
+        target: target.id,
+        service: target.service,
+        state: target.state,
+      });
+      const model = this.modelOf(target.service);
+      const entry = TargetEntry.create(target, model);
+      this.updateMemory(entry);
+      return entry;
+    }
+    if (known.target.state !== target.state) {
+      const {id, state} = target;
+      this.log.info('target state', {target: id, state});
+    }
+    known.target = target;
+    return known;
+  }
+
+  private updateMemory(entry: TargetEntry): void {
+    const service = this.config?.services.get(entry.target.service);
+    entry.setMemory(service?.engine?.kvTokens ?? 0);
+  }
+
+  private indexServices(): void {
+    this.byService = new Map();
+    for (const entry of this.entries.values()) {
+      const {service, state} = entry.target;
+      if (state !== TARGET_STATE.ready) continue;
+      const list = this.byService.get(service) ?? [];
+      list.push(entry);
+      this.byService.set(service, list);
+    }
+  }
+}
+
+function isOtherLife(a: Target, b: Target): boolean {
+  return (
+    a.startedAtMs !== b.startedAtMs ||
+    a.host !== b.host ||
+    a.port !== b.port ||
+    a.service !== b.service
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -0,0 +1,50 @@
+/** Turns what is held about a service's targets into candidates to choose from. */
+import type {Candidate, Prompt} from '@applebend/routing';
+import type {TargetEntry} from '../state/target_entry.js';
+
+/** Requests that a plain service may have queued, as a part of its slots. */
+const PLAIN_QUEUE_FACTOR = 2;
+
+/** What the request needs of a target. @public */
+export interface CandidateNeeds {
+  readonly prompt: Prompt | undefined;
+  readonly failureDomain: string;
+  /** Targets that this request was sent to already. */
+  readonly used: ReadonlySet<string>;
+  readonly nowMs: number;
+}
+
+/** The targets that may take the request now. @public */
+export function candidatesFor(
+  entries: readonly TargetEntry[],
+  needs: CandidateNeeds
+): Candidate[] {
+  const usable: Candidate[] = [];
+  for (const entry of entries) {
+    if (needs.used.has(entry.target.id)) continue;
+    if (!entry.health.isUsable(needs.nowMs)) continue;
+    usable.push(candidateOf(entry, needs));
+  }
+  return usable;
+}
+
+function candidateOf(entry: TargetEntry, needs: CandidateNeeds): Candidate {
+  const {target, model, load, memoryTokens} = entry;
+  const {prompt, failureDomain} = needs;
+  const cached =
+    prompt === undefined ? 0 : entry.cache.cachedTokens(prompt.parts);
+  const uncachedTokens =
+    prompt === undefined ? 0 : Math.max(0, prompt.inputTokens - cached);
+  const isEngine = memoryTokens > 0;
+  return {
+    id: target.id,
+    load,
+    slots: isEngine ? target.slots : target.slots * PLAIN_QUEUE_FACTOR,
+    memoryTokens,
+    uncachedTokens,
+    waitMs: model.prefillMs(load.prefillTokens),
+    prefillMs: model.prefillMs(uncachedTokens),
+    sameFailureDomain: target.failureDomain === failureDomain,
+    failureRate: entry.health.failureRate,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/event_splitter.ts
@@ -0,0 +1,50 @@
+/** Cuts a byte stream of server-sent events after whole events only. */
+
+/** Whole events, and the id of the last one. @public */
+export interface WholeEvents {
+  readonly bytes: Buffer;
+  readonly lastId: string | undefined;
+}
+
+const EVENT_END = '\n\n';
+const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
+const EMPTY = Buffer.alloc(0);
+
+/** @public */
+export class EventSplitter {
+  private rest: Buffer = EMPTY;
+
+  private constructor() {}
+
+  static create(): EventSplitter {
+    return new EventSplitter();
+  }
+
+  /** Bytes of an event that is not whole yet. */
+  get hasPartialEvent(): boolean {
+    return this.rest.length > 0;
+  }
+
+  /** Adds bytes; returns what is whole by now, if anything. */
+  push(chunk: Buffer): WholeEvents | undefined {
+    const all =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const end = all.lastIndexOf(EVENT_END);
+    if (end < 0) {
+      this.rest = all;
+      return undefined;
+    }
+    const cut = end + EVENT_END.length;
+    this.rest = all.subarray(cut);
+    const bytes = all.subarray(0, cut);
+    return {bytes, lastId: lastIdOf(bytes)};
+  }
+}
+
+function lastIdOf(bytes: Buffer): string | undefined {
+  let last: string | undefined;
+  for (const match of bytes.toString('latin1').matchAll(ID_LINE)) {
+    last = match[1];
+  }
+  return last;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/target_agent.ts
@@ -0,0 +1,67 @@
+/**
+ * Connections to targets, kept open between requests. An idle connection on
+ * which anything arrives is closed, so that stray bytes never become the
+ * answer of a later request.
+ */
+import http from 'node:http';
+
+import type {Socket} from 'node:net';
+
+const MAX_IDLE_PER_TARGET = 16;
+/** Kept idle for less than any target is known to. */
+const MAX_IDLE_MS = 3000;
+const IDLE_MARGIN_MS = 1000;
+const KEEP_ALIVE_HINT = /timeout=(\d+)/;
+
+/** Node's agent with a guard on its idle connections. @public */
+export class TargetAgent extends http.Agent {
+  private readonly guards = new WeakMap<Socket, () => void>();
+
+  private constructor() {
+    super({
+      keepAlive: true,
+      maxFreeSockets: MAX_IDLE_PER_TARGET,
+      scheduling: 'lifo',
+      noDelay: true,
+    });
+  }
+
+  static create(): TargetAgent {
+    return new TargetAgent();
+  }
+
+  /** Called by Node when an answer is complete; false closes the socket. */
+  override keepSocketAlive(socket: Socket): boolean {
+    const idleMs = idleTimeOf(socket);
+    if (idleMs <= 0) return false;
+    const guard = () => socket.destroy();
+    this.guards.set(socket, guard);
+    socket.on('data', guard);
+    socket.on('end', guard);
+    socket.setTimeout(idleMs);
+    socket.unref();
+    return true;
+  }
+
+  /** Called by Node before a kept socket carries the next request. */
+  override reuseSocket(socket: Socket, req: http.ClientRequest): void {
+    const guard = this.guards.get(socket);
+    if (guard !== undefined) {
+      socket.off('data', guard);
+      socket.off('end', guard);
+    }
+    req.reusedSocket = true;
+    socket.setTimeout(0);
+    socket.ref();
+  }
+}
+
+/** How long a connection may idle, by what the target said of it. */
+function idleTimeOf(socket: Socket): number {
+  const message = (socket as {_httpMessage?: http.ClientRequest})._httpMessage;
+  const res = (message as {res?: http.IncomingMessage} | undefined)?.res;
+  const hint = res?.headers['keep-alive'];
+  const seconds = KEEP_ALIVE_HINT.exec(String(hint ?? ''))?.[1];
+  if (seconds === undefined) return MAX_IDLE_MS;
+  return Math.min(MAX_IDLE_MS, Number(seconds) * 1000 - IDLE_MARGIN_MS);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -0,0 +1,169 @@
+/** One request to one target, up to the head of its answer. */
+import http from 'node:http';
+import {EXECUTION, attemptFailure} from '../errors.js';
+
+import type {Socket} from 'node:net';
+import type {Target} from '@applebend/routing';
+import type {AttemptFailure, Execution} from '../errors.js';
+import type {HeaderCodec, TargetAnswer} from '../ports.js';
+
+/** The head of an answer; its body is still to be read. @public */
+export interface TargetResponse {
+  readonly status: number;
+  readonly answer: TargetAnswer;
+  readonly res: http.IncomingMessage;
+}
+
+/** What is sent, and where. @public */
+export interface TargetCallOptions {
+  readonly target: Target;
+  readonly method: string;
+  readonly url: string;
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+  readonly attemptId: string;
+  readonly agent: http.Agent;
+  readonly codec: HeaderCodec;
+  /** Until the head of the answer, in milliseconds. */
+  readonly headTimeoutMs: number;
+}
+
+/** @public */
+export interface TargetCallEvents {
+  onResponse(response: TargetResponse): void;
+  /** Before the head only; the call is over. */
+  onFailure(failure: AttemptFailure): void;
+}
+
+const CONNECT_TIMEOUT_MS = 400;
+const STATUS_MISDIRECTED = 421;
+
+/** A call under way. @public */
+export class TargetCall {
+  private readonly req: http.ClientRequest;
+  private headTimer: NodeJS.Timeout | undefined;
+  private connectTimer: NodeJS.Timeout | undefined;
+  private sent = false;
+  private settled = false;
+
+  private constructor(
+    private readonly options: TargetCallOptions,
+    private readonly events: TargetCallEvents
+  ) {
+    const {target, method, url, headers, agent, body} = options;
+    this.req = http.request({
+      host: target.host,
+      port: target.port,
+      method,
+      path: url,
+      headers,
+      agent,
+    });
+    this.req.on('socket', socket => this.onSocket(socket));
+    this.req.on('response', res => this.onHead(res));
+    this.req.on('error', err => this.onError(err));
+    this.headTimer = setTimeout(
+      () => this.onHeadTimeout(),
+      options.headTimeoutMs
+    );
+    this.req.end(body);
+  }
+
+  static create(
+    options: TargetCallOptions,
+    events: TargetCallEvents
+  ): TargetCall {
+    return new TargetCall(options, events);
+  }
+
+  /** Closes the connection, so that the target drops the request. */
+  abort(): void {
+    this.settle();
+    this.req.destroy();
+  }
+
+  private onSocket(socket: Socket): void {
+    if (!socket.connecting) {
+      this.sent = true;
+      return;
+    }
+    this.connectTimer = setTimeout(() => {
+      this.fail('connect_failed', 'no connection in time');
+      this.req.destroy();
+    }, CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      clearTimeout(this.connectTimer);
+      this.sent = true;
+    });
+  }
+
+  private onHead(res: http.IncomingMessage): void {
+    res.on('error', ignoreAfterClose);
+    if (this.settled) {
+      res.destroy();
+      return;
+    }
+    const status = res.statusCode ?? 0;
+    const answer = this.options.codec.readAnswer(status, res.rawHeaders);
+    const fault = faultOf(status, answer, this.options.attemptId);
+    if (fault !== undefined) {
+      this.fail(fault, `unusable answer with ${status}`);
+      this.req.destroy();
+      return;
+    }
+    if (answer.notExecuted || status === STATUS_MISDIRECTED) {
+      const kind = answer.notExecuted ? 'not_executed' : 'wrong_target';
+      res.resume();
+      this.fail(kind, `refused with ${status}`);
+      return;
+    }
+    this.settle();
+    this.events.onResponse({status, answer, res});
+  }
+
+  private onError(err: Error): void {
+    const kind = this.sent ? 'reset' : 'connect_failed';
+    this.fail(kind, err.message);
+  }
+
+  private onHeadTimeout(): void {
+    this.fail('target_silent', 'no answer in time');
+    this.req.destroy();
+  }
+
+  private fail(kind: AttemptFailure['kind'], message: string): void {
+    if (this.settled) return;
+    this.settle();
+    const failure = attemptFailure(kind, this.executionOf(kind), message);
+    this.events.onFailure(failure);
+  }
+
+  private executionOf(kind: AttemptFailure['kind']): Execution {
+    if (kind === 'not_executed' || kind === 'wrong_target') {
+      return EXECUTION.notRun;
+    }
+    return this.sent ? EXECUTION.unknown : EXECUTION.notRun;
+  }
+
+  private settle(): void {
+    this.settled = true;
+    clearTimeout(this.headTimer);
+    clearTimeout(this.connectTimer);
+  }
+}
+
+/** Why an answer cannot be the target's answer to this attempt. */
+function faultOf(
+  status: number,
+  answer: TargetAnswer,
+  attemptId: string
+): AttemptFailure['kind'] | undefined {
+  const isOwn = answer.attemptId === attemptId;
+  if (!isOwn && answer.attemptId !== undefined) return 'crossed_answer';
+  if (answer.notExecuted || status === STATUS_MISDIRECTED) return undefined;
+  if (!isOwn || !answer.signed || answer.encoded) return 'bad_answer';
+  return undefined;
+}
+
+/** The request's own handlers have seen the failure already. */
+function ignoreAfterClose(): void {}
--- /dev/null
+++ b/packages/routing/src/lib/admission/window_sum.ts
@@ -0,0 +1,40 @@
+/** A sum over a sliding window of time, kept in a few buckets. */
+
+const BUCKETS = 16;
+
+/** @public */
+export class WindowSum {
+  private readonly buckets = new Float64Array(BUCKETS);
+  private readonly bucketMs: number;
+  /** Number of the newest bucket since the clock's origin. */
+  private newest = 0;
+  private sum = 0;
+
+  private constructor(windowMs: number) {
+    this.bucketMs = windowMs / BUCKETS;
+  }
+
+  static create(windowMs: number): WindowSum {
+    return new WindowSum(windowMs);
+  }
+
+  add(value: number, nowMs: number): void {
+    this.advance(nowMs);
+    this.buckets[this.newest % BUCKETS] += value;
+    this.sum += value;
+  }
+
+  total(nowMs: number): number {
+    this.advance(nowMs);
+    return this.sum;
+  }
+
+  private advance(nowMs: number): void {
+    const now = Math.floor(nowMs / this.bucketMs);
+    if (now <= this.newest) return;
+    const first = Math.max(this.newest + 1, now - BUCKETS + 1);
+    for (let n = first; n <= now; n++) this.buckets[n % BUCKETS] = 0;
+    this.newest = now;
+    this.sum = this.buckets.reduce((total, value) => total + value, 0);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/config/route_table.ts
@@ -0,0 +1,42 @@
+/** Finds the route of a request by host and longest path prefix. */
+import type {Route} from './fleet_config.js';
+
+/** An index of routes that looks only at prefixes that end with a slash. @public */
+export class RouteTable {
+  private constructor(
+    private readonly hosts: ReadonlyMap<string, ReadonlyMap<string, Route>>,
+    readonly size: number
+  ) {}
+
+  static create(routes: readonly Route[]): RouteTable {
+    const hosts = new Map<string, Map<string, Route>>();
+    for (const route of routes) {
+      const host = route.host.toLowerCase();
+      const prefixes = hosts.get(host) ?? new Map<string, Route>();
+      prefixes.set(route.pathPrefix, route);
+      hosts.set(host, prefixes);
+    }
+    return new RouteTable(hosts, routes.length);
+  }
+
+  /** The route with the longest prefix of the path; the query is ignored. */
+  find(hostHeader: string, url: string): Route | undefined {
+    const prefixes = this.hosts.get(hostName(hostHeader));
+    if (prefixes === undefined) return undefined;
+    const query = url.indexOf('?');
+    const path = query < 0 ? url : url.slice(0, query);
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return undefined;
+  }
+}
+
+function hostName(hostHeader: string): string {
+  const colon = hostHeader.indexOf(':');
+  const name = colon < 0 ? hostHeader : hostHeader.slice(0, colon);
+  return name.toLowerCase();
+}
--- /dev/null
+++ b/packages/routing/src/lib/freshness/freshness.ts
@@ -0,0 +1,49 @@
+/**
+ * Proof that the newest configuration is held. A proof starts when the read
+ * was sent. While a process is suspended its monotonic clock stands still, so
+ * a proof is dropped when the wall clock has moved against it.
+ */
+import type {Clock} from '@applebend/utils';
+
+const MAX_CLOCK_DRIFT_MS = 250;
+
+/** @public */
+export class Freshness {
+  private provenAtMs = -Infinity;
+  private wallOffsetMs = 0;
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): Freshness {
+    return new Freshness(clock);
+  }
+
+  /** A stamp to take before a read is sent. */
+  startRead(): ReadStamp {
+    const monotonicMs = this.clock.monotonicMs();
+    return {monotonicMs, wallOffsetMs: this.clock.wallMs() - monotonicMs};
+  }
+
+  /** The read that began with this stamp showed the newest state. */
+  onRead(stamp: ReadStamp): void {
+    if (stamp.monotonicMs < this.provenAtMs) return;
+    this.provenAtMs = stamp.monotonicMs;
+    this.wallOffsetMs = stamp.wallOffsetMs;
+  }
+
+  /** Age of the proof in milliseconds; infinite without one. */
+  ageMs(): number {
+    const monotonicMs = this.clock.monotonicMs();
+    const offsetMs = this.clock.wallMs() - monotonicMs;
+    if (Math.abs(offsetMs - this.wallOffsetMs) > MAX_CLOCK_DRIFT_MS) {
+      this.provenAtMs = -Infinity;
+    }
+    return monotonicMs - this.provenAtMs;
+  }
+}
+
+/** When a read was sent, by both clocks. @public */
+export interface ReadStamp {
+  readonly monotonicMs: number;
+  readonly wallOffsetMs: number;
+}
--- /dev/null
+++ b/packages/routing/src/lib/placement/placer.ts
@@ -0,0 +1,76 @@
+/**
+ * Chooses the target of a request. Answers the load of a heavy day: many
+ * sessions whose shared prompt parts fit the engines' memory only together,
+ * and more prefill asked than the engines can do.
+ */
+import type {LoadFigures} from './target_load.js';
+
+/** A target that may take the request, as the chooser sees it. @public */
+export interface Candidate {
+  readonly id: string;
+  readonly load: LoadFigures;
+  readonly slots: number;
+  /** Tokens that its memory holds; 0 where it has none. */
+  readonly memoryTokens: number;
+  /** Prompt tokens that it would have to read. */
+  readonly uncachedTokens: number;
+  /** Time that its waiting prefill takes, in milliseconds. */
+  readonly waitMs: number;
+  /** Time to read the uncached tokens, in milliseconds. */
+  readonly prefillMs: number;
+  readonly sameFailureDomain: boolean;
+  /** Part of its requests that failed of late, 0 to 1. */
+  readonly failureRate: number;
+}
+
+/** The chosen target. @public */
+export interface Placement {
+  readonly candidate: Candidate;
+  /** Whether a slot and memory are free there. */
+  readonly hasRoom: boolean;
+}
+
+/** A cached part saves the work here and keeps memory free elsewhere. */
+const REREAD_WEIGHT = 2;
+/** Cost of a full batch, since each token of all its requests slows down. */
+const FULL_BATCH_MS = 120;
+const NO_ROOM_MS = 2000;
+const OTHER_DOMAIN_MS = 2;
+const FAILING_MS = 1500;
+/** Part of an engine's memory that running requests may take. */
+const RUNNING_MEMORY_PART = 0.8;
+
+/** The cheapest candidate; `tieBreak` gives a number from 0 up to 1. @public */
+export function place(
+  candidates: readonly Candidate[],
+  kvTokens: number,
+  tieBreak: () => number
+): Placement | undefined {
+  let best: Placement | undefined;
+  let bestCost = Infinity;
+  for (const candidate of candidates) {
+    const hasRoom = roomAt(candidate, kvTokens);
+    const cost = costAt(candidate, hasRoom) + tieBreak();
+    if (cost >= bestCost) continue;
+    best = {candidate, hasRoom};
+    bestCost = cost;
+  }
+  return best;
+}
+
+function roomAt({load, slots, memoryTokens}: Candidate, kvTokens: number) {
+  if (load.running >= slots) return false;
+  if (memoryTokens === 0 || load.running === 0) return true;
+  return load.kvTokens + kvTokens <= memoryTokens * RUNNING_MEMORY_PART;
+}
+
+function costAt(candidate: Candidate, hasRoom: boolean): number {
+  const {load, slots, waitMs, prefillMs, failureRate} = candidate;
+  const batchMs = FULL_BATCH_MS * (load.running / Math.max(1, slots));
+  const domainMs = candidate.sameFailureDomain ? 0 : OTHER_DOMAIN_MS;
+  const roomMs = hasRoom ? 0 : NO_ROOM_MS * (load.running / slots);
+  const readMs = REREAD_WEIGHT * prefillMs;
+  return (
+    waitMs + readMs + batchMs + domainMs + roomMs + FAILING_MS * failureRate
+  );
+}
--- /dev/null
+++ b/packages/routing/src/lib/placement/prompt.ts
@@ -0,0 +1,23 @@
+/** What is known of a model call before it runs. */
+
+/** A part of a prompt that several requests share. @public */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** The size of a model call and the parts of its prompt, in order. @public */
+export interface Prompt {
+  readonly parts: readonly PromptPart[];
+  readonly inputTokens: number;
+  /** The client's estimate, or else the most that it allows. */
+  readonly outputTokens: number;
+}
+
+/** Weight of an output token against an input token in a customer's service. */
+const OUTPUT_WEIGHT = 2;
+
+/** The service that a call uses, in weighted tokens. @public */
+export function serviceCost(prompt: Prompt): number {
+  return prompt.inputTokens + OUTPUT_WEIGHT * prompt.outputTokens;
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,16 @@
+/** Bundles the platform's build of the gateway into one file, for fast starts. */
+import {build} from 'esbuild';
+
+await build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/applebend.mjs',
+  bundle: true,
+  minify: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  external: ['@opentelemetry/*'],
+  banner: {
+    js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
+  },
+});
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -24,8 +24,10 @@
 
 async function findTests() {
   const found = [];
-  for (const group of ['packages', 'apps']) {
-    for (const name of await readdir(path.join(ROOT, group))) {
+  for (const group of ['packages', 'apps', '.']) {
+    const names =
+      group === '.' ? ['platform'] : await readdir(path.join(ROOT, group));
+    for (const name of names) {
       const dist = path.join(ROOT, group, name, 'dist');
       if (!existsSync(dist)) continue;
       const files = await readdir(dist, {recursive: true});
