Instances read which prompt parts engines keep when they start

Cause: a restarted instance knew nothing of what engines keep and read shared parts again elsewhere. Over-share limits began only 490,000 tokens a second of the 620,000 that engines can do. Change: a new engine is asked once for its kept parts; a prompt that no engine is known to keep goes by rendezvous hashing; customers over their share may wait 0.2 to 0.05 of the latency target.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,5 +11,6 @@
   StateEvents,
   StateSource,
   TargetAnswer,
+  TargetInspector,
   TargetRequest,
 } from './lib/ports.js';
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -161,9 +161,10 @@
         failureDomain: tools.state.settings.failureDomain,
         used,
         nowMs: this.nowMs,
+        random: tools.random,
       }
     );
-    return place(candidates, kvTokensOf(context), tools.random);
+    return place(candidates, kvTokensOf(context));
   }
 
   private send(placement: Placement): void {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -10,13 +10,19 @@
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeTools} from './front/exchange.js';
-import type {GatewaySettings, HeaderCodec, StateSource} from './ports.js';
+import type {
+  GatewaySettings,
+  HeaderCodec,
+  StateSource,
+  TargetInspector,
+} from './ports.js';
 
 /** The adapters that a gateway runs on. @public */
 export interface GatewayPorts {
   readonly settings: GatewaySettings;
   readonly source: StateSource;
   readonly codec: HeaderCodec;
+  readonly inspector: TargetInspector;
   readonly log: Logger;
 }
 
@@ -35,9 +41,9 @@
   private stopped: Promise<void> | undefined;
 
   private constructor(private readonly ports: GatewayPorts) {
-    const {settings, source, codec, log} = ports;
+    const {settings, source, codec, inspector, log} = ports;
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
-    this.state = FleetState.create(settings, source, log);
+    this.state = FleetState.create(settings, source, inspector, log);
     this.peers = PeerExchange.create({
       state: this.state,
       clock: systemClock,
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -2,7 +2,7 @@
  * What the gateway needs from the place where it runs. An adapter implements
  * these; the gateway knows no names or formats of any outside system.
  */
-import type {FleetConfig, Prompt, Target} from '@applebend/routing';
+import type {FleetConfig, Prompt, PromptPart, Target} from '@applebend/routing';
 
 /** Header names and values in turn, as they came. @public */
 export type RawHeaders = readonly string[];
@@ -55,6 +55,12 @@
   readAnswer(status: number, raw: RawHeaders): TargetAnswer;
 }
 
+/** Asks a target about itself, beside the requests. @public */
+export interface TargetInspector {
+  /** The prompt parts that it keeps; undefined where it does not say. */
+  keptParts(target: Target): Promise<readonly PromptPart[] | undefined>;
+}
+
 /** Called with each change of what the outside systems hold. @public */
 export interface StateEvents {
   /** A newer or first configuration. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -5,7 +5,7 @@
 
 import type {FleetConfig, Target} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {GatewaySettings, StateSource} from '../ports.js';
+import type {GatewaySettings, StateSource, TargetInspector} from '../ports.js';
 
 /** @public */
 export class FleetState {
@@ -21,18 +21,20 @@
   private constructor(
     readonly settings: GatewaySettings,
     private readonly source: StateSource,
+    inspector: TargetInspector,
     private readonly log: Logger
   ) {
-    this.targets = TargetDirectory.create(this.peerLoads, log);
+    this.targets = TargetDirectory.create(this.peerLoads, inspector, log);
     this.shares = CustomerShares.create(settings.shareWindowMs);
   }
 
   static create(
     settings: GatewaySettings,
     source: StateSource,
+    inspector: TargetInspector,
     log: Logger
   ): FleetState {
-    return new FleetState(settings, source, log);
+    return new FleetState(settings, source, inspector, log);
   }
 
   get config(): FleetConfig | undefined {
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -4,6 +4,7 @@
 
 import type {FleetConfig, Target} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
+import type {TargetInspector} from '../ports.js';
 import type {PeerLoads} from './peer_loads.js';
 
 /** @public */
@@ -16,11 +17,16 @@
 
   private constructor(
     private readonly peerLoads: PeerLoads,
+    private readonly inspector: TargetInspector,
     private readonly log: Logger
   ) {}
 
-  static create(peerLoads: PeerLoads, log: Logger): TargetDirectory {
-    return new TargetDirectory(peerLoads, log);
+  static create(
+    peerLoads: PeerLoads,
+    inspector: TargetInspector,
+    log: Logger
+  ): TargetDirectory {
+    return new TargetDirectory(peerLoads, inspector, log);
   }
 
   /** Whether the registrations were read at least once. */
@@ -75,6 +81,7 @@
     }
     this.entries = entries;
     this.known = true;
+    void this.learnKeptParts();
     this.indexServices();
   }
 
@@ -99,6 +106,19 @@
     return known;
   }
 
+  /** Asks new engines, one after the other, which prompt parts they keep. */
+  private async learnKeptParts(): Promise<void> {
+    for (const entry of this.entries.values()) {
+      if (entry.memoryTokens === 0 || entry.askedForParts) continue;
+      entry.askedForParts = true;
+      const parts = await this.inspector.keptParts(entry.target);
+      if (parts === undefined) continue;
+      entry.cache.touch(parts);
+      const {id} = entry.target;
+      this.log.info('kept parts read', {target: id, parts: parts.length});
+    }
+  }
+
   private updateMemory(entry: TargetEntry): void {
     const service = this.config?.services.get(entry.target.service);
     entry.setMemory(service?.engine?.kvTokens ?? 0);
--- a/packages/gateway/src/lib/state/target_entry.ts
+++ b/packages/gateway/src/lib/state/target_entry.ts
@@ -17,6 +17,8 @@
   readonly own = OwnLoad.create();
   readonly health = TargetHealth.create();
   readonly cache = PrefixCache.create(0);
+  /** Whether it was asked which prompt parts it keeps. */
+  askedForParts = false;
   private memory = 0;
 
   private constructor(
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -1,9 +1,13 @@
 /** Turns what is held about a service's targets into candidates to choose from. */
+import {hash32} from '@applebend/utils';
+
 import type {Candidate, Prompt} from '@applebend/routing';
 import type {TargetEntry} from '../state/target_entry.js';
 
 /** Requests that a plain service may have queued, as a part of its slots. */
 const PLAIN_QUEUE_FACTOR = 2;
+const PLAIN_RANK_SCALE = 0.02;
+const HASH_RANGE = 0x100000000;
 
 /** What the request needs of a target. @public */
 export interface CandidateNeeds {
@@ -12,6 +16,8 @@
   /** Targets that this request was sent to already. */
   readonly used: ReadonlySet<string>;
   readonly nowMs: number;
+  /** From 0 up to 1, for requests without a prompt. */
+  readonly random: () => number;
 }
 
 /** The targets that may take the request now. @public */
@@ -46,5 +52,13 @@
     prefillMs: model.prefillMs(uncachedTokens),
     sameFailureDomain: target.failureDomain === failureDomain,
     failureRate: entry.health.failureRate,
+    homeRank: homeRank(target.id, needs),
   };
 }
+
+/** Rendezvous hashing of the last shared part over the targets. */
+function homeRank(target: string, {prompt, random}: CandidateNeeds): number {
+  const key = prompt?.parts.at(-1)?.id;
+  if (key === undefined) return PLAIN_RANK_SCALE * random();
+  return hash32(`${key}@${target}`) / HASH_RANGE;
+}
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -46,7 +46,9 @@
 /** Part of the latency target that may be spent waiting. */
 const WAIT_PART = 0.45;
 /** The same for a customer that is just over its share. */
-const OVER_SHARE_WAIT_PART = 0.15;
+const OVER_SHARE_WAIT_PART = 0.2;
+/** The same for one that is far over its share. */
+const FAR_OVER_WAIT_PART = 0.05;
 /** Slots that customers over their share may use, by how far they are over. */
 const OVER_SHARE_OCCUPANCY = 0.85;
 const FAR_OVER_OCCUPANCY = 0.6;
@@ -76,9 +78,9 @@
   const {hasRoom, waitMs, latencyTargetMs, occupancy} = input;
   const over = input.given / input.level;
   const far = Math.min(1, (over - 1) / (FAR_OVER - 1));
-  const limitMs = OVER_SHARE_WAIT_PART * (1 - far) * latencyTargetMs;
-  const span = OVER_SHARE_OCCUPANCY - FAR_OVER_OCCUPANCY;
-  const mostTaken = OVER_SHARE_OCCUPANCY - far * span;
+  const waitPart = between(OVER_SHARE_WAIT_PART, FAR_OVER_WAIT_PART, far);
+  const limitMs = waitPart * latencyTargetMs;
+  const mostTaken = between(OVER_SHARE_OCCUPANCY, FAR_OVER_OCCUPANCY, far);
   const isFree = hasRoom && waitMs <= limitMs && occupancy <= mostTaken;
   if (isFree) return {kind: 'admit'};
   const aheadMs = (1 - 1 / over) * input.windowMs;
@@ -94,6 +96,10 @@
   return {kind: 'refuse', reason, retryAfterS};
 }
 
+function between(from: number, to: number, part: number): number {
+  return from + (to - from) * part;
+}
+
 function returnTimeMs(aheadMs: number, input: AdmissionInput): number {
   const {leftMs, spread} = input;
   const wishedMs = Math.max(MIN_RETURN_MS, aheadMs);
--- a/packages/routing/src/lib/placement/placer.ts
+++ b/packages/routing/src/lib/placement/placer.ts
@@ -21,6 +21,8 @@
   readonly sameFailureDomain: boolean;
   /** Part of its requests that failed of late, 0 to 1. */
   readonly failureRate: number;
+  /** Its rank for this prompt, from 0 up to 1; the same at all instances. */
+  readonly homeRank: number;
 }
 
 /** The chosen target. @public */
@@ -36,6 +38,11 @@
 const FULL_BATCH_MS = 120;
 const NO_ROOM_MS = 2000;
 const OTHER_DOMAIN_MS = 2;
+/**
+ * A prompt that no target is known to keep goes where its rank is low, so
+ * that instances that know nothing find what others placed before.
+ */
+const HOME_RANK_MS = 150;
 const FAILING_MS = 1500;
 /** Part of an engine's memory that running requests may take. */
 const RUNNING_MEMORY_PART = 0.8;
@@ -43,14 +50,13 @@
 /** The cheapest candidate; `tieBreak` gives a number from 0 up to 1. @public */
 export function place(
   candidates: readonly Candidate[],
-  kvTokens: number,
-  tieBreak: () => number
+  kvTokens: number
 ): Placement | undefined {
   let best: Placement | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
     const hasRoom = roomAt(candidate, kvTokens);
-    const cost = costAt(candidate, hasRoom) + tieBreak();
+    const cost = costAt(candidate, hasRoom);
     if (cost >= bestCost) continue;
     best = {candidate, hasRoom};
     bestCost = cost;
@@ -70,7 +76,7 @@
   const domainMs = candidate.sameFailureDomain ? 0 : OTHER_DOMAIN_MS;
   const roomMs = hasRoom ? 0 : NO_ROOM_MS * (load.running / slots);
   const readMs = REREAD_WEIGHT * prefillMs;
-  return (
-    waitMs + readMs + batchMs + domainMs + roomMs + FAILING_MS * failureRate
-  );
+  const homeMs = HOME_RANK_MS * candidate.homeRank;
+  const failingMs = FAILING_MS * failureRate;
+  return waitMs + readMs + batchMs + domainMs + roomMs + homeMs + failingMs;
 }
