Sessions have a stable home

Change: the part before the last names the session, for the home and for the services of a split route; kept parts weigh five times their reading time.

--- a/packages/gateway/src/lib/front/check_request.ts
+++ b/packages/gateway/src/lib/front/check_request.ts
@@ -1,4 +1,5 @@
 /** The checks before a request is placed: route, key, freshness. */
+import {sessionOf} from '@applebend/routing';
 import {hash32, fail, ok} from '@applebend/utils';
 import {EXECUTION} from '../errors.js';
 import {STATUS} from './responses.js';
@@ -75,7 +76,8 @@
 function pickService(route: Route, caller: CallerRequest): string {
   const {services} = route;
   if (services.length === 1) return services[0].service;
-  const key = caller.prompt?.parts.at(-1)?.id ?? caller.attemptId;
+  const session = caller.prompt && sessionOf(caller.prompt);
+  const key = session ?? caller.attemptId;
   const total = services.reduce((sum, {weight}) => sum + weight, 0);
   let point = (hash32(key) / HASH_RANGE) * total;
   for (const {service, weight} of services) {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -98,7 +98,8 @@
   }
 
   private onEnd(report: ExchangeReport): void {
-    if (process.env['TRIAL'] === undefined && report.outcome === 'answered') return;
+    if (process.env['TRIAL'] === undefined && report.outcome === 'answered')
+      return;
     this.ports.log.info('request ended', {...report});
   }
 
--- a/packages/gateway/src/lib/state/target_entry.ts
+++ b/packages/gateway/src/lib/state/target_entry.ts
@@ -1,10 +1,5 @@
 /** All that this instance holds about one target. */
-import {
-  addLoad,
-  OwnLoad,
-  PrefixCache,
-  TargetHealth,
-} from '@applebend/routing';
+import {addLoad, OwnLoad, PrefixCache, TargetHealth} from '@applebend/routing';
 
 import type {FirstEventModel, LoadFigures, Target} from '@applebend/routing';
 import type {PeerLoads} from './peer_loads.js';
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -1,4 +1,5 @@
 /** Turns what is held about a service's targets into candidates to choose from. */
+import {sessionOf} from '@applebend/routing';
 import {hash32} from '@applebend/utils';
 
 import type {Candidate, Prompt} from '@applebend/routing';
@@ -56,9 +57,9 @@
   };
 }
 
-/** Rendezvous hashing of the last shared part over the targets. */
+/** Rendezvous hashing of the session over the targets. */
 function homeRank(target: string, {prompt, random}: CandidateNeeds): number {
-  const key = prompt?.parts.at(-1)?.id;
+  const key = prompt && sessionOf(prompt);
   if (key === undefined) return PLAIN_RANK_SCALE * random();
   return hash32(`${key}@${target}`) / HASH_RANGE;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -28,7 +28,7 @@
 export {place} from './lib/placement/placer.js';
 export type {Candidate, Placement} from './lib/placement/placer.js';
 export {PrefixCache} from './lib/placement/prefix_cache.js';
-export {serviceCost} from './lib/placement/prompt.js';
+export {serviceCost, sessionOf} from './lib/placement/prompt.js';
 export type {Prompt, PromptPart} from './lib/placement/prompt.js';
 export {addLoad, NO_LOAD, OwnLoad} from './lib/placement/target_load.js';
 export type {LoadFigures, RunningRequest} from './lib/placement/target_load.js';
--- a/packages/routing/src/lib/placement/placer.ts
+++ b/packages/routing/src/lib/placement/placer.ts
@@ -33,7 +33,7 @@
 }
 
 /** A cached part saves the work here and keeps memory free elsewhere. */
-const REREAD_WEIGHT = 4;
+const REREAD_WEIGHT = 5;
 /** Cost of a full batch, since each token of all its requests slows down. */
 const FULL_BATCH_MS = 120;
 const NO_ROOM_MS = 2000;
@@ -42,7 +42,7 @@
  * A prompt that no target is known to keep goes where its rank is low, so
  * that instances that know nothing find what others placed before.
  */
-const HOME_RANK_MS = 150;
+const HOME_RANK_MS = 100;
 const FAILING_MS = 1500;
 /** Part of an engine's memory that running requests may take. */
 const RUNNING_MEMORY_PART = 0.8;
--- a/packages/routing/src/lib/placement/prompt.ts
+++ b/packages/routing/src/lib/placement/prompt.ts
@@ -21,3 +21,13 @@
 export function serviceCost(prompt: Prompt): number {
   return prompt.inputTokens + OUTPUT_WEIGHT * prompt.outputTokens;
 }
+
+/**
+ * The part that names the prompt's session: the last one belongs to the
+ * request itself where others come before it.
+ *
+ * @public
+ */
+export function sessionOf(prompt: Prompt): string | undefined {
+  return (prompt.parts.at(-2) ?? prompt.parts.at(-1))?.id;
+}
