Unframed answers that are reset are not whole; a stopping instance takes less

Tests found that targets which all failed three times were not tried at all, and that a stopped gateway kept its readiness and metrics ports. Change: an answer is whole only if its socket was not reset; new work is refused 2.5 s after the stop signal; where all targets are to be left alone, they are tried; all servers are closed. Ruled out: destroying the answer in the error handler (Node emits its end all the same; the test showed it).

--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -17,8 +17,11 @@
 const DEFAULT_HEADER_MS = 5000;
 /** Connections are closed a little later than their clients are told. */
 const IDLE_MARGIN_MS = 1000;
-/** New work is refused when this time has gone since the stop signal. */
-const STOP_TAKING_MS = 3500;
+/**
+ * New work is refused when this time has gone since the stop signal, so that
+ * what was taken has most of the grace period.
+ */
+const STOP_TAKING_MS = 2500;
 
 const STOPPING: OwnAnswer = {
   status: STATUS.unavailable,
--- a/packages/gateway/src/lib/front/plain_relay.ts
+++ b/packages/gateway/src/lib/front/plain_relay.ts
@@ -63,7 +63,7 @@
   }
 
   private onEnd(): void {
-    if (this.over || !this.response.res.complete) return;
+    if (this.over || !this.response.isWhole()) return;
     this.over = true;
     if (this.passing) {
       this.res.end();
--- /dev/null
+++ b/packages/gateway/src/lib/front/request_log.ts
@@ -0,0 +1,51 @@
+/**
+ * One line for each request that did not go well, and a sample of the others;
+ * what was left out is counted in the next line.
+ */
+import type {Logger} from '@applebend/telemetry';
+import type {Clock} from '@applebend/utils';
+import type {ExchangeReport} from './exchange_report.js';
+
+/** Lines a second for requests that were answered. */
+const ANSWERED_PER_S = 2;
+/** Lines a second for all others. */
+const OTHERS_PER_S = 50;
+const WINDOW_MS = 1000;
+
+/** @public */
+export class RequestLog {
+  private windowStartMs = -Infinity;
+  private answered = 0;
+  private others = 0;
+  private leftOut = 0;
+
+  private constructor(
+    private readonly log: Logger,
+    private readonly clock: Clock
+  ) {}
+
+  static create(log: Logger, clock: Clock): RequestLog {
+    return new RequestLog(log, clock);
+  }
+
+  onEnd(report: ExchangeReport): void {
+    if (!this.hasRoomFor(report.outcome === 'answered')) {
+      this.leftOut += 1;
+      return;
+    }
+    const {leftOut} = this;
+    this.leftOut = 0;
+    this.log.info('request ended', {...report, leftOut});
+  }
+
+  private hasRoomFor(wasAnswered: boolean): boolean {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.windowStartMs >= WINDOW_MS) {
+      this.windowStartMs = nowMs;
+      this.answered = 0;
+      this.others = 0;
+    }
+    if (wasAnswered) return ++this.answered <= ANSWERED_PER_S;
+    return ++this.others <= OTHERS_PER_S;
+  }
+}
--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -54,7 +54,7 @@
       this.res.flushHeaders();
     }
     from.on('data', (chunk: Buffer) => this.onData(from, chunk));
-    from.on('end', () => this.onEnd(from));
+    from.on('end', () => this.onEnd(response));
     from.on('close', () => this.onClose(from));
     this.pauseTimer = setTimeout(
       () => this.options.onPause(),
@@ -81,8 +81,8 @@
     this.res.once('drain', () => from.resume());
   }
 
-  private onEnd(from: http.IncomingMessage): void {
-    if (from !== this.source || !from.complete) return;
+  private onEnd({res: from, isWhole}: TargetResponse): void {
+    if (from !== this.source || !isWhole()) return;
     if (this.splitter.hasPartialEvent) {
       this.fail('the stream ended within an event');
       return;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -2,10 +2,14 @@
 import {Random, systemClock} from '@applebend/utils';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
+import {RequestLog} from './front/request_log.js';
+import {GatewayMetrics} from './metrics/gateway_metrics.js';
+import {startMetricsServer} from './metrics/metrics_server.js';
 import {PeerExchange} from './peers/peer_exchange.js';
 import {FleetState} from './state/fleet_state.js';
 import {TargetAgent} from './upstream/target_agent.js';
 
+import type http from 'node:http';
 import type {FleetConfig} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
@@ -37,11 +41,15 @@
   private readonly state: FleetState;
   private readonly peers: PeerExchange;
   private readonly tools: ExchangeTools;
+  private readonly requestLog: RequestLog;
+  private readonly metrics = GatewayMetrics.create();
+  private readonly servers: http.Server[] = [];
   private front: FrontServer | undefined;
   private stopped: Promise<void> | undefined;
 
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, source, codec, inspector, log} = ports;
+    this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, source, inspector, log);
     this.peers = PeerExchange.create({
@@ -86,7 +94,10 @@
       onPeers: peers => this.peers.addPeers(peers),
     });
     this.front = await FrontServer.create(this.tools, settings.callers);
-    await startReadinessServer(settings.readiness, () => this.state.isReady);
+    this.servers.push(
+      await startReadinessServer(settings.readiness, () => this.state.isReady),
+      await startMetricsServer(settings.metrics, () => this.metricsText())
+    );
     log.info('started');
   }
 
@@ -97,10 +108,20 @@
     this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
   }
 
+  private metricsText(): Promise<string> {
+    const {state, front} = this;
+    return this.metrics.text({
+      configAgeMs: this.ports.source.configAgeMs(),
+      configVersion: state.config?.version ?? 0,
+      instances: state.instanceCount,
+      targets: [...state.targets.all()].length,
+      active: front?.activeCount ?? 0,
+    });
+  }
+
   private onEnd(report: ExchangeReport): void {
-    if (process.env['TRIAL'] === undefined && report.outcome === 'answered')
-      return;
-    this.ports.log.info('request ended', {...report});
+    this.requestLog.onEnd(report);
+    this.metrics.onEnd(report);
   }
 
   private async finish(): Promise<void> {
@@ -118,8 +139,13 @@
       if (nowMs >= cutMs) break;
     }
     this.front?.close();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
     source.stop();
     this.peers.stop();
+    this.tools.agent.destroy();
     log.info('stopped', {cut: this.front?.activeCount});
   }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -0,0 +1,76 @@
+/** Counters and histograms of one gateway, each made once with its help. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+import type {ExchangeReport} from '../front/exchange_report.js';
+
+const SECONDS_BUCKETS = [0.01, 0.03, 0.1, 0.25, 0.5, 0.89, 1.5, 3, 6, 15, 60];
+
+/** Figures that are read when the metrics are asked for. @public */
+export interface GaugeValues {
+  readonly configAgeMs: number;
+  readonly configVersion: number;
+  readonly instances: number;
+  readonly targets: number;
+  readonly active: number;
+}
+
+/** @public */
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'applebend_gateway_requests_total',
+    help: 'Requests that ended, by outcome and status',
+    labelNames: ['service', 'outcome', 'status'],
+    registers: [this.registry],
+  });
+  private readonly sends = new Counter({
+    name: 'applebend_gateway_sends_total',
+    help: 'Requests sent to targets, repeats included',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+  private readonly seconds = new Histogram({
+    name: 'applebend_gateway_request_seconds',
+    help: 'Time from arrival to the end of the answer',
+    labelNames: ['service'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly headSeconds = new Histogram({
+    name: 'applebend_gateway_head_seconds',
+    help: 'Time from the send to the head of the answer',
+    labelNames: ['service'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly gauges = new Gauge({
+    name: 'applebend_gateway_state',
+    help: 'Age of the configuration, its version, instances, targets, work',
+    labelNames: ['figure'],
+    registers: [this.registry],
+  });
+
+  private constructor() {}
+
+  static create(): GatewayMetrics {
+    return new GatewayMetrics();
+  }
+
+  onEnd(report: ExchangeReport): void {
+    const {service, outcome, status, sends, elapsedMs, headMs} = report;
+    this.requests.inc({service, outcome, status: String(status)});
+    if (sends > 0) this.sends.inc({service}, sends);
+    this.seconds.observe({service}, elapsedMs / 1000);
+    if (headMs !== undefined) {
+      this.headSeconds.observe({service}, headMs / 1000);
+    }
+  }
+
+  /** All metrics as text. */
+  async text(values: GaugeValues): Promise<string> {
+    for (const [figure, value] of Object.entries(values)) {
+      this.gauges.set({figure}, Number(value));
+    }
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/metrics/metrics_server.ts
@@ -0,0 +1,23 @@
+/** Serves the metrics as text. */
+import http from 'node:http';
+
+import type {ListenAddress} from '../ports.js';
+
+/** Starts the server; resolves when its port is open. @public */
+export async function startMetricsServer(
+  {host, port}: ListenAddress,
+  text: () => Promise<string>
+): Promise<http.Server> {
+  const server = http.createServer((req, res) => {
+    req.resume();
+    void text().then(body => {
+      res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+      res.end(body);
+    });
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -21,18 +21,20 @@
   readonly random: () => number;
 }
 
-/** The targets that may take the request now. @public */
+/**
+ * The targets that may take the request now. Where all of them are to be left
+ * alone, they are better tried than nothing.
+ *
+ * @public
+ */
 export function candidatesFor(
   entries: readonly TargetEntry[],
   needs: CandidateNeeds
 ): Candidate[] {
-  const usable: Candidate[] = [];
-  for (const entry of entries) {
-    if (needs.used.has(entry.target.id)) continue;
-    if (!entry.health.isUsable(needs.nowMs)) continue;
-    usable.push(candidateOf(entry, needs));
-  }
-  return usable;
+  const unused = entries.filter(({target}) => !needs.used.has(target.id));
+  const usable = unused.filter(({health}) => health.isUsable(needs.nowMs));
+  const chosen = usable.length > 0 ? usable : unused;
+  return chosen.map(entry => candidateOf(entry, needs));
 }
 
 function candidateOf(entry: TargetEntry, needs: CandidateNeeds): Candidate {
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -12,6 +12,8 @@
   readonly status: number;
   readonly answer: TargetAnswer;
   readonly res: http.IncomingMessage;
+  /** Whether all of the body has come; to be asked at its end. */
+  isWhole(): boolean;
 }
 
 /** What is sent, and where. @public */
@@ -45,6 +47,8 @@
   private connectTimer: NodeJS.Timeout | undefined;
   private sent = false;
   private settled = false;
+  private res: http.IncomingMessage | undefined;
+  private wasReset = false;
 
   private constructor(
     private readonly options: TargetCallOptions,
@@ -118,10 +122,14 @@
       return;
     }
     this.settle();
-    this.events.onResponse({status, answer, res});
+    this.res = res;
+    const isWhole = () => res.complete && !this.wasReset;
+    this.events.onResponse({status, answer, res, isWhole});
   }
 
   private onError(err: Error): void {
+    // Node takes a reset for the end of an answer that has no length.
+    if (this.res?.complete === false) this.wasReset = true;
     const kind = this.sent ? 'reset' : 'connect_failed';
     this.fail(kind, err.message);
   }
--- /dev/null
+++ b/packages/routing/src/lib/admission/admission.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {decideAdmission} from './admission.js';
+
+import type {AdmissionInput} from './admission.js';
+
+const CALM: AdmissionInput = {
+  waitMs: 0,
+  latencyTargetMs: 800,
+  leftMs: 15_000,
+  hasRoom: true,
+  occupancy: 0.2,
+  given: 0,
+  level: Infinity,
+  windowMs: 4000,
+  spread: 0.5,
+};
+
+test('nothing is refused while places are free and nothing waits', () => {
+  for (const given of [0, 500, 100_000]) {
+    const decision = decideAdmission({...CALM, level: 1000, given});
+    assert.equal(decision.kind, 'admit');
+  }
+});
+
+test('the further over its share, the earlier a customer is refused', () => {
+  const limits = [0.5, 1.01, 1.4, 2.5].map(over => {
+    let waitMs = 0;
+    const input = {...CALM, level: 1000, given: over * 1000};
+    while (decideAdmission({...input, waitMs}).kind === 'admit') waitMs += 1;
+    return waitMs;
+  });
+  const sorted = [...limits].sort((a, b) => b - a);
+  assert.deepEqual(limits, sorted);
+  assert.ok(limits[0] > 2 * limits[1] && limits[1] > 2 * limits[3]);
+});
+
+test('a refused client can come back within the time that it heeds', () => {
+  const input = fc.record({
+    waitMs: fc.double({min: 0, max: 5000, noNaN: true}),
+    leftMs: fc.double({min: 200, max: 15_000, noNaN: true}),
+    given: fc.double({min: 0, max: 20_000, noNaN: true}),
+    spread: fc.double({min: 0, max: 0.999, noNaN: true}),
+    hasRoom: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(input, change => {
+      const decision = decideAdmission({...CALM, level: 1000, ...change});
+      if (decision.kind === 'admit') return;
+      assert.ok(decision.retryAfterS > 0);
+      const heededS = Math.max(0.05, change.leftMs / 3000);
+      assert.ok(decision.retryAfterS <= heededS + 1e-9);
+    })
+  );
+});
--- /dev/null
+++ b/packages/routing/src/lib/admission/customer_shares.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {CustomerShares, maxMinLevel} from './customer_shares.js';
+
+test('the level shares all of the capacity, and no one could get more', () => {
+  const demands = fc.array(fc.integer({min: 1, max: 1000}), {
+    minLength: 1,
+    maxLength: 20,
+  });
+  fc.assert(
+    fc.property(demands, fc.integer({min: 1, max: 8000}), (asked, capacity) => {
+      const level = maxMinLevel(asked, capacity);
+      const total = asked.reduce((sum, a) => sum + a, 0);
+      if (total <= capacity) {
+        assert.equal(level, Infinity);
+        return;
+      }
+      const given = asked.reduce((sum, a) => sum + Math.min(a, level), 0);
+      assert.ok(Math.abs(given - capacity) < 1e-6 * capacity);
+    })
+  );
+});
+
+test('uses leave the window, and a small customer keeps all of its own', () => {
+  const shares = CustomerShares.create(4000);
+  for (let t = 0; t < 4000; t += 100) {
+    shares.add('large', {asked: 1000, given: 500}, t);
+    shares.add('small', {asked: 10, given: 10}, t);
+  }
+  const level = shares.level(5000, 4000);
+  const small = shares.useOf('small', 4000);
+  assert.ok(small.asked < level);
+  assert.ok(shares.useOf('large', 4000).asked > level);
+  assert.equal(shares.useOf('large', 9000).given, 0);
+  assert.equal(shares.level(5000, 9000), Infinity);
+});
--- /dev/null
+++ b/packages/routing/src/lib/config/route_table.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {RUN_LIMIT} from './fleet_config.js';
+import {RouteTable} from './route_table.js';
+
+import type {Route} from './fleet_config.js';
+
+function route(host: string, pathPrefix: string): Route {
+  return {
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    runLimit: RUN_LIMIT.idempotent,
+    streaming: false,
+    resumable: false,
+    timeoutMs: 1000,
+    latencyTargetMs: 300,
+    pauseTargetMs: 0,
+    services: [{service: 's', weight: 1}],
+    maxAttempts: 1,
+    isPublic: true,
+  };
+}
+
+test('the longest prefix of the path wins, whatever the query says', () => {
+  const table = RouteTable.create([
+    route('a.example', '/x/'),
+    route('a.example', '/x/y/'),
+  ]);
+  assert.equal(table.find('A.example:80', '/x/y/z')?.pathPrefix, '/x/y/');
+  assert.equal(table.find('a.example', '/x/yy/z')?.pathPrefix, '/x/');
+  assert.equal(table.find('a.example', '/x/1?q=/x/y/')?.pathPrefix, '/x/');
+  assert.equal(table.find('a.example', '/x'), undefined);
+  assert.equal(table.find('b.example', '/x/1'), undefined);
+});
+
+test('any path finds what a search through all routes finds', () => {
+  const prefix = fc
+    .array(fc.constantFrom('a', 'b', 'ab'), {maxLength: 4})
+    .map(parts => (parts.length === 0 ? '/' : `/${parts.join('/')}/`));
+  const path = fc
+    .array(fc.constantFrom('a', 'b', 'ab', ''), {maxLength: 6})
+    .map(parts => `/${parts.join('/')}`);
+  fc.assert(
+    fc.property(fc.uniqueArray(prefix), path, (prefixes, url) => {
+      const table = RouteTable.create(prefixes.map(p => route('h', p)));
+      const longest = prefixes
+        .filter(p => url.startsWith(p))
+        .sort((x, y) => y.length - x.length)[0];
+      assert.equal(table.find('h', url)?.pathPrefix, longest);
+    })
+  );
+});
--- /dev/null
+++ b/packages/routing/src/lib/placement/first_event_model.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Random} from '@applebend/utils';
+import {FirstEventModel} from './first_event_model.js';
+
+function learn(fixedMs: number, msPerToken: number, seed: number) {
+  const random = Random.create(seed);
+  const model = FirstEventModel.create();
+  for (let i = 0; i < 400; i++) {
+    const tokens = random.int(0, 15_000);
+    const noiseMs = random.exponential(15);
+    model.observe(tokens, fixedMs + tokens * msPerToken + noiseMs);
+  }
+  return model;
+}
+
+test('it learns the rate of engines that it was not made for', () => {
+  for (const msPerToken of [0.006, 0.018, 0.09]) {
+    const model = learn(40, msPerToken, 7);
+    const seen = model.prefillMs(10_000) / 10_000;
+    assert.ok(Math.abs(seen / msPerToken - 1) < 0.1, `${seen}`);
+  }
+});
+
+test('it follows engines that turn slow', () => {
+  const model = learn(40, 0.018, 3);
+  for (let i = 0; i < 600; i++) model.observe(8000, 40 + 8000 * 0.06);
+  const predictedMs = model.baseMs + model.prefillMs(8000);
+  assert.ok(Math.abs(predictedMs - 520) < 60, `${predictedMs}`);
+});
+
+test('absurd observations leave it within its bounds', () => {
+  const model = FirstEventModel.create();
+  const random = Random.create(11);
+  for (let i = 0; i < 2000; i++) {
+    model.observe(random.int(0, 1) * 100_000, random.unit() * 1e6);
+    const ms = model.prefillMs(1000);
+    assert.ok(Number.isFinite(ms) && ms >= 2 && ms <= 200);
+    assert.ok(model.baseMs >= 5 && model.baseMs <= 400);
+  }
+});
--- /dev/null
+++ b/packages/routing/src/lib/placement/placer.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {place} from './placer.js';
+
+import type {Candidate} from './placer.js';
+
+function candidate(id: string, change: Partial<Candidate> = {}): Candidate {
+  return {
+    id,
+    load: {running: 4, prefillTokens: 0, kvTokens: 20_000},
+    slots: 48,
+    memoryTokens: 600_000,
+    uncachedTokens: 6000,
+    waitMs: 0,
+    prefillMs: 110,
+    sameFailureDomain: true,
+    failureRate: 0,
+    homeRank: 0.5,
+    ...change,
+  };
+}
+
+const idOf = (candidates: Candidate[], kvTokens = 12_000) =>
+  place(candidates, kvTokens)?.candidate.id;
+
+test('a kept prompt outweighs a short wait, not a long one', () => {
+  const cold = candidate('cold');
+  const home = candidate('home', {prefillMs: 20, waitMs: 200});
+  assert.equal(idOf([cold, home]), 'home');
+  const busy = candidate('home', {prefillMs: 20, waitMs: 900});
+  assert.equal(idOf([cold, busy]), 'cold');
+});
+
+test('instances that know nothing agree on a home', () => {
+  const targets = [
+    candidate('a', {homeRank: 0.9}),
+    candidate('b', {homeRank: 0.1}),
+    candidate('c', {homeRank: 0.4}),
+  ];
+  assert.equal(idOf(targets), 'b');
+  assert.equal(idOf(targets.toReversed()), 'b');
+});
+
+test('a full target is chosen only where all are full, and says so', () => {
+  const full = candidate('full', {
+    load: {running: 48, prefillTokens: 0, kvTokens: 0},
+  });
+  assert.equal(idOf([full, candidate('free', {waitMs: 700})]), 'free');
+  const placement = place([full], 1000);
+  assert.equal(placement?.hasRoom, false);
+  assert.equal(place([], 1000), undefined);
+});
+
+test('memory counts beside slots, but an empty engine takes any request', () => {
+  const heavy = candidate('heavy', {
+    load: {running: 10, prefillTokens: 0, kvTokens: 475_000},
+  });
+  assert.equal(place([heavy], 12_000)?.hasRoom, false);
+  const empty = candidate('empty', {
+    load: {running: 0, prefillTokens: 0, kvTokens: 0},
+  });
+  assert.equal(place([empty], 590_000)?.hasRoom, true);
+});
+
+test('a target that fails many requests is passed over', () => {
+  const failing = candidate('failing', {failureRate: 0.4, prefillMs: 0});
+  assert.equal(idOf([failing, candidate('sound')]), 'sound');
+});
--- a/packages/telemetry/src/lib/logger.ts
+++ b/packages/telemetry/src/lib/logger.ts
@@ -17,6 +17,9 @@
 /** Fields of one log line; `requestId` ties lines of a request together. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
+/** Bytes that may wait in a pipe that nobody reads; more lines are dropped. */
+const MAX_WAITING_BYTES = 256 * 1024;
+
 /** A log that adds the same fields to each line. @public */
 export class Logger {
   private constructor(
@@ -24,13 +27,15 @@
     private readonly fields: LogFields
   ) {}
 
-  /** Writes to standard error. */
-  static create(level: LogLevel, fields: LogFields): Logger {
-    const options = {level: LogLevels[level], stdout: process.stderr};
-    if (process.stderr.isTTY) {
-      return new Logger(createConsola(options), fields);
-    }
-    const reporters = [{log: writeJsonLine}];
+  /** Writes to standard error, or to standard output where that is asked. */
+  static create(
+    level: LogLevel,
+    fields: LogFields,
+    out: NodeJS.WriteStream = process.stderr
+  ): Logger {
+    const options = {level: LogLevels[level], stdout: out};
+    if (out.isTTY) return new Logger(createConsola(options), fields);
+    const reporters = [{log: jsonLineWriter(out)}];
     return new Logger(createConsola({...options, reporters}), fields);
   }
 
@@ -56,9 +61,23 @@
   }
 }
 
-function writeJsonLine(entry: LogObject): void {
-  const [event, fields] = entry.args as [string, LogFields | undefined];
-  const time = entry.date.toISOString();
-  const line = JSON.stringify({time, level: entry.type, event, ...fields});
-  process.stderr.write(`${line}\n`);
+/** Never waits for the reader: what it has no room for is counted instead. */
+function jsonLineWriter(out: NodeJS.WriteStream): (entry: LogObject) => void {
+  let dropped = 0;
+  return entry => {
+    if (out.writableLength > MAX_WAITING_BYTES) {
+      dropped += 1;
+      return;
+    }
+    const [event, fields] = entry.args as [string, LogFields | undefined];
+    const line: Record<string, unknown> = {
+      time: entry.date.toISOString(),
+      level: entry.type,
+      event,
+      ...fields,
+    };
+    if (dropped > 0) line['droppedLines'] = dropped;
+    dropped = 0;
+    out.write(`${JSON.stringify(line)}\n`);
+  };
 }
