--- /dev/null
+++ b/packages/routing/src/testing/engine_model.ts
@@ -0,0 +1,104 @@
+/**
+ * A model of a model engine in virtual time: it batches continuously, reads
+ * prompts in chunks between the tokens of other requests, admits in order of
+ * arrival and keeps the least recently used prompt parts. For tests.
+ */
+import {PrefixCache} from '../lib/placement/prefix_cache.js';
+
+import type {Prompt} from '../lib/placement/prompt.js';
+
+/** Rates of an engine. */
+export interface EngineRates {
+  readonly slots: number;
+  readonly memoryTokens: number;
+  readonly stepMs: number;
+  readonly stepMsPerRequest: number;
+  readonly prefillTokensPerMs: number;
+  readonly tokensPerEvent: number;
+}
+
+/** One request at the engine. */
+export interface EngineJob {
+  readonly prompt: Prompt;
+  readonly onFirstEvent: (nowMs: number) => void;
+  readonly onEnd: (nowMs: number) => void;
+}
+
+interface RunningJob extends EngineJob {
+  unread: number;
+  made: number;
+}
+
+const CHUNK_TOKENS = 2048;
+
+export class EngineModel {
+  /** Prompt tokens read. */
+  readTokens = 0;
+  /** Requests that were admitted to the batch. */
+  begun = 0;
+  private nowMs = 0;
+  private readonly waiting: EngineJob[] = [];
+  private running: RunningJob[] = [];
+  private readonly cache: PrefixCache;
+
+  private constructor(private readonly rates: EngineRates) {
+    this.cache = PrefixCache.create(rates.memoryTokens / 2);
+  }
+
+  static create(rates: EngineRates): EngineModel {
+    return new EngineModel(rates);
+  }
+
+  submit(job: EngineJob): void {
+    this.waiting.push(job);
+  }
+
+  /** Works until the given time. */
+  runUntil(untilMs: number): void {
+    while (this.nowMs < untilMs) {
+      this.admit();
+      if (this.running.length === 0) {
+        this.nowMs = untilMs;
+        return;
+      }
+      this.step();
+    }
+  }
+
+  private admit(): void {
+    while (this.running.length < this.rates.slots) {
+      const job = this.waiting.shift();
+      if (job === undefined) return;
+      const {parts, inputTokens} = job.prompt;
+      const unread = inputTokens - this.cache.cachedTokens(parts);
+      this.readTokens += unread;
+      this.begun += 1;
+      this.cache.touch(parts);
+      this.running.push({...job, unread, made: 0});
+    }
+  }
+
+  private step(): void {
+    const {stepMs, stepMsPerRequest, prefillTokensPerMs} = this.rates;
+    const reading = this.running.find(job => job.unread > 0);
+    const chunk = Math.min(CHUNK_TOKENS, reading?.unread ?? 0);
+    const batchMs = stepMs + stepMsPerRequest * this.running.length;
+    this.nowMs += batchMs + chunk / prefillTokensPerMs;
+    for (const job of this.running) this.advance(job);
+    if (reading !== undefined) reading.unread -= chunk;
+    this.running = this.running.filter(
+      job => job.made < job.prompt.outputTokens
+    );
+  }
+
+  private advance(job: RunningJob): void {
+    if (job.unread > 0) return;
+    job.made += 1;
+    const {tokensPerEvent} = this.rates;
+    const {outputTokens} = job.prompt;
+    if (job.made === Math.min(tokensPerEvent, outputTokens)) {
+      job.onFirstEvent(this.nowMs);
+    }
+    if (job.made === outputTokens) job.onEnd(this.nowMs);
+  }
+}
