A reset that comes with the last bytes is seen; one read of targets serves all

A debug trial showed answers without length ending with an ordinary end although the engine had reset them: data and reset arrive together, and the event loop library reports the hang-up after a partial read as the end. Change: at the end of such an answer an empty line is written, which fails on a connection that was reset. Beside it: instances tell how recent their list of targets is, so that a peer's read saves their own (a test plays 69 instances: under half of the reads, a change seen by all in 1.5 s). Ruled out: the length that the signature seems to carry (no page tells of it); distrust of all answers without length (loses whole ones).

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,4 +13,5 @@
   TargetAnswer,
   TargetInspector,
   TargetRequest,
+  TargetsStamp,
 } from './lib/ports.js';
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -56,6 +56,7 @@
       state: this.state,
       clock: systemClock,
       log,
+      source,
       incarnation: random.int(1, 0x7fffffff),
     });
     this.tools = {
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -10,7 +10,7 @@
 import type {Prompt} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
-import type {PeerAddress} from '../ports.js';
+import type {PeerAddress, StateSource} from '../ports.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {LoadRow} from '../state/peer_loads.js';
 import type {PlacedRow, UseRow} from './peer_message.js';
@@ -28,6 +28,7 @@
   readonly log: Logger;
   /** Differs in each life of this instance. */
   readonly incarnation: number;
+  readonly source: StateSource;
 }
 
 /** @public */
@@ -101,7 +102,7 @@
   }
 
   private send(): void {
-    const {state, incarnation} = this.options;
+    const {state, incarnation, source} = this.options;
     clearTimeout(this.soon);
     this.soon = undefined;
     this.sequence += 1;
@@ -110,6 +111,7 @@
       incarnation,
       sequence: this.sequence,
       leaving: state.stopping,
+      targets: source.targetsStamp(),
       loads: this.ownLoads(),
       uses: this.takeChangedUses(),
       placed: this.placed,
@@ -164,6 +166,7 @@
     );
     if (!isNew) return;
     this.addPeer({host, port});
+    this.options.source.onPeerTargets(message.targets);
     for (const {target, parts} of message.placed) {
       state.targets.get(target)?.cache.touch(parts);
     }
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -1,6 +1,7 @@
 /** What instances tell each other, many times a second, as one datagram. */
 import {pack, unpack} from 'msgpackr';
 
+import type {TargetsStamp} from '../ports.js';
 import type {LoadRow} from '../state/peer_loads.js';
 
 /** Service of one customer since the sender's start, in weighted tokens. */
@@ -23,13 +24,14 @@
   readonly incarnation: number;
   readonly sequence: number;
   readonly leaving: boolean;
+  readonly targets: TargetsStamp;
   /** All targets at which the sender has work. */
   readonly loads: readonly LoadRow[];
   readonly uses: readonly UseRow[];
   readonly placed: readonly PlacedRow[];
 }
 
-const PROTOCOL_VERSION = 1;
+const PROTOCOL_VERSION = 2;
 
 /** Rows without field names, to keep datagrams small. */
 type Wire = [
@@ -38,6 +40,8 @@
   incarnation: number,
   sequence: number,
   leaving: boolean,
+  targetsKey: number,
+  targetsAgeMs: number,
   loads: [string, number, number, number][],
   uses: [string, number, number][],
   placed: [string, (string | number)[]][],
@@ -51,6 +55,8 @@
     message.incarnation,
     message.sequence,
     message.leaving,
+    message.targets.key,
+    Math.round(message.targets.ageMs),
     message.loads.map(row => [
       row.target,
       row.running,
@@ -74,11 +80,11 @@
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
   const wire = unpackSafely(bytes);
   if (!Array.isArray(wire) || wire[0] !== PROTOCOL_VERSION) return undefined;
-  const [, instance, incarnation, sequence, leaving] = wire as Wire;
-  const [loads, uses, placed] = (wire as Wire).slice(5) as [
-    Wire[5],
-    Wire[6],
+  const [, instance, incarnation, sequence, leaving, key, ageMs] = wire as Wire;
+  const [loads, uses, placed] = (wire as Wire).slice(7) as [
     Wire[7],
+    Wire[8],
+    Wire[9],
   ];
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
@@ -91,6 +97,7 @@
     incarnation,
     sequence,
     leaving,
+    targets: {key, ageMs},
     loads: loads.map(([target, running, prefillTokens, kvTokens]) => ({
       target,
       running,
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -77,12 +77,23 @@
   readonly port: number;
 }
 
+/** How recent the list of targets is. @public */
+export interface TargetsStamp {
+  /** The same for lists that say the same. */
+  readonly key: number;
+  /** Since the read that showed it was sent, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Follows the outside systems' state until it is stopped. @public */
 export interface StateSource {
   start(events: StateEvents): void;
   stop(): void;
   /** Age in milliseconds of the proof that the configuration is newest. */
   configAgeMs(): number;
+  targetsStamp(): TargetsStamp;
+  /** A peer read the targets, so that they need not be read here as well. */
+  onPeerTargets(stamp: TargetsStamp): void;
 }
 
 /** An address to listen on. @public */
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -123,7 +123,10 @@
     }
     this.settle();
     this.res = res;
-    const isWhole = () => res.complete && !this.wasReset;
+    const {socket} = res;
+    if (isUnframed(res)) revealReset(socket);
+    const isWhole = () =>
+      res.complete && !this.wasReset && socket.errored === null;
     this.events.onResponse({status, answer, res, isWhole});
   }
 
@@ -160,6 +163,21 @@
   }
 }
 
+/** Whether only the end of the connection ends the body. */
+function isUnframed({headers}: http.IncomingMessage): boolean {
+  const {'content-length': length, 'transfer-encoding': coding} = headers;
+  return length === undefined && coding === undefined;
+}
+
+/**
+ * A reset that arrives together with the last bytes is reported as an ordinary
+ * end of the stream. Writing an empty line, which is no request, fails on a
+ * connection that was reset.
+ */
+function revealReset(socket: Socket): void {
+  socket.prependOnceListener('end', () => socket.write('\r\n'));
+}
+
 /** Why an answer cannot be the target's answer to this attempt. */
 function faultOf(
   status: number,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -23,6 +23,8 @@
 export type {Target, TargetState} from './lib/config/target.js';
 export {Freshness} from './lib/freshness/freshness.js';
 export type {ReadStamp} from './lib/freshness/freshness.js';
+export {ListFreshness} from './lib/freshness/list_freshness.js';
+export type {ListFreshnessOptions} from './lib/freshness/list_freshness.js';
 export {TargetHealth} from './lib/health/target_health.js';
 export {FirstEventModel} from './lib/placement/first_event_model.js';
 export {place} from './lib/placement/placer.js';
--- /dev/null
+++ b/packages/routing/src/lib/freshness/list_freshness.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Random} from '@applebend/utils';
+import {ListFreshness} from './list_freshness.js';
+
+/** A leaving target gets no work after 2 s; half a second is for the rest. */
+const MOST_TO_BE_SEEN_MS = 1500;
+
+function create(seed = 1): ListFreshness {
+  const random = Random.create(seed);
+  return ListFreshness.create({
+    minReadAgeMs: 500,
+    maxReadAgeMs: 1100,
+    random: () => random.unit(),
+  });
+}
+
+test('a peer that read the same list saves a read', () => {
+  const list = create();
+  assert.ok(list.isDue(0));
+  list.onRead(7, 1000);
+  assert.equal(list.isDue(1400), false);
+  assert.ok(list.isDue(2100));
+  list.onPeerRead(7, 50, 2000);
+  assert.equal(list.isDue(2100), false);
+  assert.equal(list.ageMs(2100), 150);
+});
+
+test('a peer that read another list later makes a read due at once', () => {
+  const list = create();
+  list.onRead(7, 1000);
+  list.onPeerRead(8, 400, 1200);
+  assert.equal(list.isDue(1200), false);
+  list.onPeerRead(8, 100, 1200);
+  assert.ok(list.isDue(1200));
+});
+
+test('a change reaches all instances in time, with few reads', () => {
+  const instances = Array.from({length: 69}, (_, i) => create(i + 1));
+  const keyAt = (nowMs: number) => (nowMs < 20_000 ? 1 : 2);
+  let reads = 0;
+  let seenByAllMs = Infinity;
+  for (let nowMs = 0; nowMs < 40_000; nowMs += 50) {
+    for (const list of instances) {
+      if (!list.isDue(nowMs)) continue;
+      list.onRead(keyAt(nowMs), nowMs);
+      reads += 1;
+    }
+    if (nowMs % 250 === 0) {
+      for (const teller of instances) {
+        for (const hearer of instances) {
+          const ageMs = teller.ageMs(nowMs);
+          hearer.onPeerRead(teller.currentKey, ageMs, nowMs);
+        }
+      }
+    }
+    const allSaw = instances.every(list => list.currentKey === 2);
+    if (allSaw) seenByAllMs = Math.min(seenByAllMs, nowMs);
+  }
+  assert.ok(seenByAllMs - 20_000 < MOST_TO_BE_SEEN_MS, `${seenByAllMs}`);
+  const readsAlone = (instances.length * 40_000) / 1100;
+  assert.ok(reads < readsAlone / 2, `${reads} of ${readsAlone}`);
+});
--- /dev/null
+++ b/packages/routing/src/lib/freshness/list_freshness.ts
@@ -0,0 +1,64 @@
+/**
+ * When a list that all instances share has to be read again. A peer that read
+ * the same list lately saves the read; one that read another makes it due.
+ */
+
+/** @public */
+export interface ListFreshnessOptions {
+  /** Ages between which an instance reads the list again. */
+  readonly minReadAgeMs: number;
+  readonly maxReadAgeMs: number;
+  /** From 0 up to 1; spreads the reads of instances. */
+  readonly random: () => number;
+}
+
+/** Few instances draw a low age, so that few read before they are told. */
+const SPREAD_POWER = 1 / 3;
+
+/** @public */
+export class ListFreshness {
+  private key = 0;
+  private shownAtMs = -Infinity;
+  private readAtAgeMs: number;
+
+  private constructor(private readonly options: ListFreshnessOptions) {
+    this.readAtAgeMs = this.drawAge();
+  }
+
+  static create(options: ListFreshnessOptions): ListFreshness {
+    return new ListFreshness(options);
+  }
+
+  get currentKey(): number {
+    return this.key;
+  }
+
+  /** Since the newest read that showed this list was sent. */
+  ageMs(nowMs: number): number {
+    return nowMs - this.shownAtMs;
+  }
+
+  /** An own read, sent at the given time, showed a list. */
+  onRead(key: number, sentAtMs: number): void {
+    this.key = key;
+    this.shownAtMs = sentAtMs;
+    this.readAtAgeMs = this.drawAge();
+  }
+
+  onPeerRead(key: number, ageMs: number, nowMs: number): void {
+    const shownAtMs = nowMs - ageMs;
+    if (shownAtMs <= this.shownAtMs) return;
+    if (key === this.key) this.shownAtMs = shownAtMs;
+    else this.readAtAgeMs = 0;
+  }
+
+  isDue(nowMs: number): boolean {
+    return this.ageMs(nowMs) >= this.readAtAgeMs;
+  }
+
+  private drawAge(): number {
+    const {minReadAgeMs, maxReadAgeMs, random} = this.options;
+    const span = maxReadAgeMs - minReadAgeMs;
+    return minReadAgeMs + span * random() ** SPREAD_POWER;
+  }
+}
