The exchange is split; nothing is sent when no time is left

Change: attempt_ledger (what became of the attempts), placing (inputs of the decisions), target_call_options and exchange_tools have files of their own; a request with under 5 ms left is refused as not run; an abandoned call is closed at its deadline. Ruled out: retries as the cause of GONE (the first send was late already).

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -2,76 +2,49 @@
  * One request from the moment that it passed the checks to its end: places
  * it, sends it, passes the answer on, and says truthfully what became of it.
  */
-import {
-  decideAdmission,
-  place,
-  RUN_LIMIT,
-  serviceCost,
-} from '@applebend/routing';
+import {RUN_LIMIT} from '@applebend/routing';
 import {attemptFailure, EXECUTION} from '../errors.js';
-import {candidatesFor} from '../upstream/candidates.js';
 import {TargetCall} from '../upstream/target_call.js';
+import {AttemptLedger} from './attempt_ledger.js';
+import {askAdmission, costOf, findPlacement, kvTokensOf} from './placing.js';
 import {PlainRelay} from './plain_relay.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 import {StreamRelay} from './stream_relay.js';
+import {targetCallOptions} from './target_call_options.js';
 
-import type http from 'node:http';
-import type {Placement, RunningRequest} from '@applebend/routing';
-import type {Clock} from '@applebend/utils';
+import type {Candidate, Placement, RunningRequest} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
-import type {HeaderCodec} from '../ports.js';
-import type {FleetState} from '../state/fleet_state.js';
 import type {TargetEntry} from '../state/target_entry.js';
-import type {TargetResponse} from '../upstream/target_call.js';
+import type {
+  TargetCallOptions,
+  TargetResponse,
+} from '../upstream/target_call.js';
+import type {PlacingInput} from './placing.js';
 import type {OwnAnswer} from './responses.js';
 import type {RequestContext} from './request_context.js';
-import type {ExchangeReport, PlacedFigures} from './exchange_report.js';
-
-/** What an exchange uses; shared by all of them. @public */
-export interface ExchangeTools {
-  readonly state: FleetState;
-  readonly codec: HeaderCodec;
-  readonly agent: http.Agent;
-  readonly clock: Clock;
-  /** From 0 up to 1. */
-  readonly random: () => number;
-  /** Told of every placement, so that peers learn of it. */
-  onPlaced(targetId: string, context: RequestContext): void;
-  onUse(customer: string, asked: number, given: number): void;
-  onEnd(report: ExchangeReport): void;
-}
-
-/** The parts of a request that came from the caller's socket. @public */
-export interface CallerSide {
-  readonly req: http.IncomingMessage;
-  readonly res: http.ServerResponse;
-  readonly body: Buffer | undefined;
-}
+import type {PlacedFigures} from './exchange_report.js';
+import type {CallerSide, ExchangeTools} from './exchange_tools.js';
 
 /** The target's own answer at the deadline is waited for this long. */
 const DEADLINE_GRACE_MS = 60;
-const MAX_CONNECT_FAILURES = 3;
+/** With less time left a request is not sent to any target. */
+const MIN_LEFT_TO_SEND_MS = 5;
 /** An answer is given up for another target after this many latency targets. */
 const SILENCE_FACTOR = 1.6;
 const MIN_SILENCE_MS = 400;
-const MIN_LEFT_FOR_RETRY_MS = 60;
 const RETRY_SOON_S = 0.3;
 const PAUSE_FACTOR = 3;
 const MIN_PAUSE_LIMIT_MS = 1000;
 
 /** @public */
 export class Exchange {
-  private readonly used = new Set<string>();
-  private sends = 0;
-  private connectFailures = 0;
+  private readonly ledger: AttemptLedger;
   private call: TargetCall | undefined;
   private running: RunningRequest | undefined;
   private stream: StreamRelay | undefined;
   private current: TargetEntry | undefined;
   private ended = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private lastFailure: AttemptFailure | undefined;
-  private mayHaveRun = false;
   private placed: PlacedFigures | undefined;
   private headMs: number | undefined;
 
@@ -79,7 +52,9 @@
     private readonly context: RequestContext,
     private readonly side: CallerSide,
     private readonly tools: ExchangeTools
-  ) {}
+  ) {
+    this.ledger = AttemptLedger.create(context.route.maxAttempts);
+  }
 
   /** Starts the exchange; it ends by itself. */
   static create(
@@ -115,129 +90,94 @@
     this.admit();
   }
 
+  private get placing(): PlacingInput {
+    const {context, tools, ledger} = this;
+    const {state, random} = tools;
+    return {context, state, used: ledger.used, nowMs: this.nowMs, random};
+  }
+
   private admit(): void {
-    const {context, tools} = this;
-    const {customer, prompt, config, route} = context;
-    const cost = prompt === undefined ? 0 : serviceCost(prompt);
-    const placement = this.findPlacement();
-    const {shares, settings} = tools.state;
-    const nowMs = this.nowMs;
-    const name = customer ?? '';
-    const level = shares.level(config.limits.tokensPerS, nowMs);
-    const decision = decideAdmission({
-      waitMs: placement?.candidate.waitMs ?? Infinity,
-      latencyTargetMs: route.latencyTargetMs,
-      leftMs: this.leftMs,
-      hasRoom: placement?.hasRoom ?? false,
-      occupancy: tools.state.targets.occupancyOf(context.service),
-      given: shares.useOf(name, nowMs).given,
-      level: prompt === undefined ? Infinity : level,
-      windowMs: settings.shareWindowMs,
-      spread: tools.random(),
-    });
-    const admitted = decision.kind === 'admit' && placement !== undefined;
-    if (cost > 0) tools.onUse(name, cost, admitted ? cost : 0);
-    if (admitted) {
-      tools.state.budgetOf(context.service).onRequest(nowMs);
+    const {context, tools, placing} = this;
+    const placement = findPlacement(placing);
+    const decision = placement && askAdmission(placing, placement);
+    const isAdmitted = decision?.kind === 'admit';
+    const cost = costOf(context);
+    if (cost > 0) {
+      tools.onUse(context.customer ?? '', cost, isAdmitted ? cost : 0);
+    }
+    if (placement === undefined || decision === undefined) {
+      this.refuse('no_target', RETRY_SOON_S);
+    } else if (decision.kind === 'refuse') {
+      this.refuse(decision.reason, decision.retryAfterS);
+    } else {
+      tools.state.budgetOf(context.service).onRequest(placing.nowMs);
       this.send(placement);
-      return;
     }
+  }
+
+  private refuse(kind: string, retryAfterS: number): void {
     this.finishWith({
       status: STATUS.unavailable,
-      kind: decision.kind === 'refuse' ? decision.reason : 'no_target',
+      kind,
       execution: EXECUTION.notRun,
-      retryAfterS:
-        decision.kind === 'refuse' ? decision.retryAfterS : RETRY_SOON_S,
+      retryAfterS,
     });
   }
 
-  private findPlacement(): Placement | undefined {
-    const {context, tools, used} = this;
-    const {prompt} = context;
-    const candidates = candidatesFor(
-      tools.state.targets.readyOf(context.service),
-      {
-        prompt,
-        failureDomain: tools.state.settings.failureDomain,
-        used,
-        nowMs: this.nowMs,
-        random: tools.random,
-      }
-    );
-    return place(candidates, kvTokensOf(context));
-  }
-
-  private send(placement: Placement): void {
-    const {context, tools, side} = this;
-    const {candidate} = placement;
+  private send({candidate}: Placement): void {
+    const {context, tools} = this;
     const entry = tools.state.targets.get(candidate.id);
-    if (entry === undefined) {
-      this.giveUp(attemptFailure('connect_failed', EXECUTION.notRun, 'gone'));
+    if (entry === undefined || this.leftMs < MIN_LEFT_TO_SEND_MS) {
+      const kind = entry === undefined ? 'connect_failed' : 'timeout';
+      this.giveUp(attemptFailure(kind, EXECUTION.notRun, 'not sent'));
       return;
     }
-    const {prompt, route, caller} = context;
-    const sentMs = this.nowMs;
-    const aheadTokens = candidate.load.prefillTokens;
-    const prefillTokens = candidate.uncachedTokens;
     this.current = entry;
-    this.placed = {
-      waitMs: candidate.waitMs,
-      prefillMs: candidate.prefillMs,
-      running: candidate.load.running,
-      uncachedTokens: prefillTokens,
-      kvTokens: candidate.load.kvTokens,
-    };
-    this.used.add(candidate.id);
-    this.sends += 1;
-    this.running = entry.own.start(prefillTokens, kvTokensOf(context));
-    entry.health.onSent();
-    if (prompt !== undefined) entry.cache.touch(prompt.parts);
-    tools.onPlaced(candidate.id, context);
-    const leftMs = Math.max(1, Math.floor(this.leftMs));
-    this.call = TargetCall.create(
-      {
-        target: entry.target,
-        method: side.req.method ?? 'GET',
-        url: side.req.url ?? '/',
-        headers: tools.codec.writeTarget({
-          method: side.req.method ?? 'GET',
-          caller: side.req.rawHeaders,
-          deadlineMs: leftMs,
-          targetId: candidate.id,
-          customer: context.customer,
-          lastEventId: this.stream?.lastId ?? caller.lastEventId,
-          bodyBytes: side.body?.length ?? 0,
-        }),
-        body: side.body,
-        attemptId: caller.attemptId,
-        agent: tools.agent,
-        codec: tools.codec,
-        headTimeoutMs: this.headTimeoutMs(),
+    this.notePlacement(entry, candidate);
+    const sentMs = this.nowMs;
+    const readTokens = candidate.load.prefillTokens + candidate.uncachedTokens;
+    this.call = TargetCall.create(this.callOptions(entry), {
+      onResponse: response => {
+        this.headMs = this.nowMs - sentMs;
+        const isStream = context.route.streaming && response.status < 300;
+        if (isStream && context.prompt !== undefined) {
+          entry.model.observe(readTokens, this.headMs);
+        }
+        this.running?.onFirstEvent();
+        this.onResponse(entry, response);
       },
-      {
-        onResponse: response => {
-          const elapsedMs = this.nowMs - sentMs;
-          this.headMs = elapsedMs;
-          if (
-            prompt !== undefined &&
-            route.streaming &&
-            response.status < 300
-          ) {
-            entry.model.observe(aheadTokens + prefillTokens, elapsedMs);
-          }
-          this.running?.onFirstEvent();
-          this.onResponse(entry, response);
-        },
-        onFailure: failure => this.onFailure(failure),
-      }
-    );
+      onFailure: failure => this.onFailure(failure),
+    });
+  }
+
+  /** Counts the request at its target, here and at all peers. */
+  private notePlacement(entry: TargetEntry, candidate: Candidate): void {
+    const {context, tools, ledger} = this;
+    const {id, load, waitMs, prefillMs, uncachedTokens} = candidate;
+    const {running, kvTokens} = load;
+    this.placed = {waitMs, prefillMs, running, uncachedTokens, kvTokens};
+    ledger.onSend(id);
+    this.running = entry.own.start(uncachedTokens, kvTokensOf(context));
+    entry.health.onSent();
+    if (context.prompt !== undefined) entry.cache.touch(context.prompt.parts);
+    tools.onPlaced(id, context);
+  }
+
+  private callOptions({target}: TargetEntry): TargetCallOptions {
+    const {context, side, tools} = this;
+    return targetCallOptions(context, side, tools, {
+      target,
+      leftMs: this.leftMs,
+      resumeAfter: this.stream?.lastId,
+      headTimeoutMs: this.headTimeoutMs(),
+    });
   }
 
   /** Only a request that another target may run is given up early. */
   private headTimeoutMs(): number {
     const {route} = this.context;
     const leftMs = Math.max(1, this.leftMs + DEADLINE_GRACE_MS);
-    if (!this.isRepeatable || this.sends >= route.maxAttempts) return leftMs;
+    if (!this.isRepeatable || this.ledger.isLast) return leftMs;
     const silenceMs = SILENCE_FACTOR * route.latencyTargetMs;
     return Math.min(leftMs, Math.max(MIN_SILENCE_MS, silenceMs));
   }
@@ -253,7 +193,7 @@
     if (status >= 500 && this.isRepeatable && this.mayRetry(true)) {
       response.res.destroy();
       this.endRunning();
-      this.mayHaveRun = true;
+      this.ledger.onRun();
       this.sendAgain();
       return;
     }
@@ -303,16 +243,11 @@
   private onFailure(failure: AttemptFailure): void {
     if (this.ended) return;
     this.endRunning();
-    this.lastFailure = failure;
+    this.ledger.onFailure(failure);
     if (failure.kind !== 'caller_left') {
       this.current?.health.onFailure(this.nowMs);
     }
     const neverArrived = failure.kind === 'connect_failed';
-    if (neverArrived) {
-      this.sends -= 1;
-      this.connectFailures += 1;
-    }
-    if (failure.execution === EXECUTION.unknown) this.mayHaveRun = true;
     const safe = failure.execution === EXECUTION.notRun || this.isRepeatable;
     if (safe && this.mayRetry(!neverArrived)) {
       this.sendAgain();
@@ -324,29 +259,29 @@
   /** Whether one more target may be tried; takes it from the budget. */
   private mayRetry(costsBudget: boolean): boolean {
     const {context, tools} = this;
-    if (this.ended || this.sends >= context.route.maxAttempts) return false;
-    if (this.connectFailures >= MAX_CONNECT_FAILURES) return false;
-    if (this.leftMs < MIN_LEFT_FOR_RETRY_MS) return false;
+    if (this.ended || !this.ledger.allowsAnother(this.leftMs)) return false;
     if (!costsBudget) return true;
     const budget = tools.state.budgetOf(context.service);
     return budget.tryTake(tools.state.instanceCount, this.nowMs);
   }
 
   private sendAgain(): void {
-    const placement = this.findPlacement();
+    const placement = findPlacement(this.placing);
     if (placement === undefined) {
-      const message = 'no other target';
-      this.giveUp(
-        this.lastFailure ??
-          attemptFailure('connect_failed', EXECUTION.notRun, message)
+      const none = attemptFailure(
+        'connect_failed',
+        EXECUTION.notRun,
+        'no other target'
       );
+      this.giveUp(this.ledger.lastFailure ?? none);
       return;
     }
     this.send(placement);
   }
 
   private giveUp(failure: AttemptFailure): void {
-    const notRun = failure.execution === EXECUTION.notRun && !this.mayHaveRun;
+    const notRun =
+      failure.execution === EXECUTION.notRun && !this.ledger.mayHaveRun;
     this.finishWith({
       status: notRun ? STATUS.unavailable : STATUS.badGateway,
       kind: failure.kind,
@@ -357,7 +292,7 @@
 
   private onDeadline(): void {
     if (this.ended) return;
-    const sent = this.sends > 0;
+    const sent = this.ledger.sends > 0;
     this.call?.abort();
     this.finishWith({
       status: sent ? STATUS.gatewayTimeout : STATUS.unavailable,
@@ -370,8 +305,11 @@
   /** Frees the target; a request that must run once is left to finish. */
   private onCallerLeft(): void {
     if (this.ended) return;
+    const {call} = this;
     const {route} = this.context;
-    if (this.isRepeatable || route.streaming) this.call?.abort();
+    const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
+    if (this.isRepeatable || route.streaming) call?.abort();
+    else setTimeout(() => call?.abort(), leftMs);
     this.end('caller_left', 0);
   }
 
@@ -400,9 +338,9 @@
       customer: context.customer,
       outcome,
       status,
-      sends: this.sends,
+      sends: this.ledger.sends,
       target: this.current?.target.id,
-      failure: this.lastFailure,
+      failure: this.ledger.lastFailure,
       placed: this.placed,
       headMs: this.headMs,
       elapsedMs: this.nowMs - context.arrivedMs,
@@ -410,8 +348,3 @@
     });
   }
 }
-
-function kvTokensOf({prompt}: RequestContext): number {
-  if (prompt === undefined) return 0;
-  return prompt.inputTokens + prompt.outputTokens;
-}
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -7,7 +7,7 @@
 import {STATUS, sendOwnAnswer} from './responses.js';
 
 import type {ListenAddress} from '../ports.js';
-import type {ExchangeTools} from './exchange.js';
+import type {ExchangeTools} from './exchange_tools.js';
 import type {OwnAnswer} from './responses.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
--- /dev/null
+++ b/packages/gateway/src/lib/front/placing.ts
@@ -0,0 +1,65 @@
+/** Feeds what the fleet knows into the decisions about one request. */
+import {decideAdmission, place, serviceCost} from '@applebend/routing';
+import {candidatesFor} from '../upstream/candidates.js';
+
+import type {AdmissionDecision, Placement} from '@applebend/routing';
+import type {FleetState} from '../state/fleet_state.js';
+import type {RequestContext} from './request_context.js';
+
+/** @public */
+export interface PlacingInput {
+  readonly context: RequestContext;
+  readonly state: FleetState;
+  /** Targets that the request was sent to already. */
+  readonly used: ReadonlySet<string>;
+  /** Monotonic milliseconds. */
+  readonly nowMs: number;
+  /** From 0 up to 1. */
+  readonly random: () => number;
+}
+
+/** Memory that the request takes at a model engine, in tokens. @public */
+export function kvTokensOf({prompt}: RequestContext): number {
+  if (prompt === undefined) return 0;
+  return prompt.inputTokens + prompt.outputTokens;
+}
+
+/** Service that the request uses, in weighted tokens. @public */
+export function costOf({prompt}: RequestContext): number {
+  return prompt === undefined ? 0 : serviceCost(prompt);
+}
+
+/** The best target for the request, if any may take it. @public */
+export function findPlacement(input: PlacingInput): Placement | undefined {
+  const {context, state, used, nowMs, random} = input;
+  const candidates = candidatesFor(state.targets.readyOf(context.service), {
+    prompt: context.prompt,
+    failureDomain: state.settings.failureDomain,
+    used,
+    nowMs,
+    random,
+  });
+  return place(candidates, kvTokensOf(context));
+}
+
+/** Whether the request is taken at that target. @public */
+export function askAdmission(
+  input: PlacingInput,
+  {candidate, hasRoom}: Placement
+): AdmissionDecision {
+  const {context, state, nowMs, random} = input;
+  const {shares, settings, targets} = state;
+  const {tokensPerS} = context.config.limits;
+  const isModelCall = context.prompt !== undefined;
+  return decideAdmission({
+    waitMs: candidate.waitMs,
+    latencyTargetMs: context.route.latencyTargetMs,
+    leftMs: context.endsMs - nowMs,
+    hasRoom,
+    occupancy: targets.occupancyOf(context.service),
+    given: shares.useOf(context.customer ?? '', nowMs).given,
+    level: isModelCall ? shares.level(tokensPerS, nowMs) : Infinity,
+    windowMs: settings.shareWindowMs,
+    spread: random(),
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/lib/front/request_log.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {RequestLog} from './request_log.js';
+
+import type {Logger} from '@applebend/telemetry';
+import type {ExchangeReport} from './exchange_report.js';
+
+function report(outcome: string): ExchangeReport {
+  return {
+    attemptId: 'x',
+    route: 'r',
+    service: 's',
+    customer: undefined,
+    outcome,
+    status: 200,
+    sends: 1,
+    target: 't',
+    failure: undefined,
+    placed: undefined,
+    headMs: 1,
+    elapsedMs: 2,
+    configVersion: 1,
+  };
+}
+
+test('a flood writes a bounded number of lines and counts the others', () => {
+  const lines: {leftOut: number}[] = [];
+  const log = {
+    info: (_event: string, fields: {leftOut: number}) => lines.push(fields),
+  };
+  let nowMs = 0;
+  const clock = {monotonicMs: () => nowMs, wallMs: () => nowMs};
+  const requests = RequestLog.create(log as unknown as Logger, clock);
+  for (let i = 0; i < 10_000; i++) {
+    nowMs = i;
+    requests.onEnd(report(i % 2 === 0 ? 'answered' : 'reset'));
+  }
+  assert.ok(lines.length <= 10 * 52, `${lines.length}`);
+  const leftOut = lines.reduce((sum, line) => sum + line.leftOut, 0);
+  assert.ok(lines.length + leftOut > 9000);
+});
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -13,7 +13,7 @@
 import type {FleetConfig} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
-import type {ExchangeTools} from './front/exchange.js';
+import type {ExchangeTools} from './front/exchange_tools.js';
 import type {
   GatewaySettings,
   HeaderCodec,
--- /dev/null
+++ b/packages/gateway/src/lib/upstream/event_splitter.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {EventSplitter} from './event_splitter.js';
+
+const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+
+test('however the bytes are cut, only whole events leave, each once', () => {
+  const cuts = fc.array(fc.integer({min: 0, max: 200}), {maxLength: 12});
+  const counts = fc.record({
+    events: fc.integer({min: 0, max: 8}),
+    tail: fc.constantFrom('', 'id: 9', 'id: 9\ndata: hal', 'id: 9\nd\n'),
+  });
+  fc.assert(
+    fc.property(counts, cuts, ({events, tail}, at) => {
+      const ids = Array.from({length: events}, (_, i) => i + 1);
+      const whole = ids.map(event).join('');
+      const bytes = Buffer.from(whole + tail);
+      const ends = [...at.filter(n => n < bytes.length), bytes.length];
+      const splitter = EventSplitter.create();
+      let out = '';
+      let lastId: string | undefined;
+      let from = 0;
+      for (const end of ends.sort((a, b) => a - b)) {
+        const pushed = splitter.push(bytes.subarray(from, end));
+        from = end;
+        if (pushed === undefined) continue;
+        out += pushed.bytes.toString();
+        assert.ok(out.endsWith('\n\n'));
+        lastId = pushed.lastId ?? lastId;
+      }
+      assert.equal(out, whole);
+      assert.equal(lastId, events === 0 ? undefined : String(events));
+      assert.equal(splitter.hasPartialEvent, tail.length > 0);
+    })
+  );
+});
