The retention test leaves a process time to start on a busy machine

Change: retention 10 s and a wait of 12 s in place of 3 s and 5 s; what is checked (records gone, revision held, all instances at it after a restart) is as before. Ruled out: the gateway's changes (the test starts none of them). Conclusion: a fault of the test's times, not of the product.

--- a/apps/rig/src/configuration.process.test.ts
+++ b/apps/rig/src/configuration.process.test.ts
@@ -101,11 +101,11 @@
 
 test('the state outlives the retention of the log', () =>
   withFleet(
-    {services: [], retentionMs: 3000, timing: {snapshot_every_ms: 700}},
+    {services: [], retentionMs: 10_000, timing: {snapshot_every_ms: 700}},
     async fleet => {
       const revision = await fleet.publish(configWith(1));
       await fleet.until('in force', () => allAt(fleet, revision));
-      await sleep(5000);
+      await sleep(12_000);
       const read = await fleet.logClient().read(CONFIG_STREAM, 0, 0);
       assert.ok(read.ok && read.value.earliest > revision, 'records are gone');
       assert.equal((await fleet.configState()).revision, revision);
