--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -21,8 +21,7 @@
     | 'bad_answer'
     | 'crossed_answer'
     | 'target_silent'
-    | 'timeout'
-    | 'caller_left';
+    | 'timeout';
   readonly execution: Execution;
   readonly message: string;
 }
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -244,9 +244,7 @@
     if (this.ended) return;
     this.endRunning();
     this.ledger.onFailure(failure);
-    if (failure.kind !== 'caller_left') {
-      this.current?.health.onFailure(this.nowMs);
-    }
+    this.current?.health.onFailure(this.nowMs);
     const neverArrived = failure.kind === 'connect_failed';
     const safe = failure.execution === EXECUTION.notRun || this.isRepeatable;
     if (safe && this.mayRetry(!neverArrived)) {
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -1,6 +1,7 @@
 /** The callers' side: accepts requests, checks them and starts exchanges. */
 import http from 'node:http';
 import {EXECUTION} from '../errors.js';
+import {listenOn} from '../listen.js';
 import {readBody} from './body_reader.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
@@ -53,13 +54,10 @@
   /** Listens at once; resolves when the port is open. */
   static async create(
     tools: ExchangeTools,
-    {host, port}: ListenAddress
+    address: ListenAddress
   ): Promise<FrontServer> {
     const front = new FrontServer(tools);
-    await new Promise<void>((resolve, reject) => {
-      front.server.once('error', reject);
-      front.server.listen(port, host, resolve);
-    });
+    await listenOn(front.server, address);
     return front;
   }
 
--- a/packages/gateway/src/lib/front/readiness_server.ts
+++ b/packages/gateway/src/lib/front/readiness_server.ts
@@ -1,5 +1,6 @@
 /** Tells the balancer whether new connections may come here. */
 import http from 'node:http';
+import {listenOn} from '../listen.js';
 
 import type {ListenAddress} from '../ports.js';
 
@@ -8,7 +9,7 @@
 
 /** Starts the server; resolves when its port is open. @public */
 export async function startReadinessServer(
-  {host, port}: ListenAddress,
+  address: ListenAddress,
   isReady: () => boolean
 ): Promise<http.Server> {
   const server = http.createServer((req, res) => {
@@ -16,9 +17,6 @@
     res.writeHead(isReady() ? READY : NOT_READY, {'Content-Length': 0});
     res.end();
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+  await listenOn(server, address);
   return server;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,5 +1,5 @@
 /** One instance of the gateway: connects the decisions to sockets. */
-import {Random, systemClock} from '@applebend/utils';
+import {Random, sleep, systemClock} from '@applebend/utils';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
@@ -133,7 +133,7 @@
     this.front?.startStopping();
     const cutMs = startedMs + settings.gracePeriodMs - CUT_MARGIN_MS;
     for (;;) {
-      await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
+      await sleep(STOP_POLL_MS);
       const nowMs = systemClock.monotonicMs();
       const isIdle = this.front?.activeCount === 0;
       if (isIdle && nowMs - startedMs >= LAME_DUCK_MS) break;
--- a/packages/gateway/src/lib/metrics/metrics_server.ts
+++ b/packages/gateway/src/lib/metrics/metrics_server.ts
@@ -1,11 +1,12 @@
 /** Serves the metrics as text. */
 import http from 'node:http';
+import {listenOn} from '../listen.js';
 
 import type {ListenAddress} from '../ports.js';
 
 /** Starts the server; resolves when its port is open. @public */
 export async function startMetricsServer(
-  {host, port}: ListenAddress,
+  address: ListenAddress,
   text: () => Promise<string>
 ): Promise<http.Server> {
   const server = http.createServer((req, res) => {
@@ -15,9 +16,6 @@
       res.end(body);
     });
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
+  await listenOn(server, address);
   return server;
 }
