A peer that is heard late does not count all that it ever used

Cause: uses are told as sums since the sender's start. An instance that starts beside peers that live took the first row of each customer, other than those in the very first message, as new use: the customers seemed to have asked for a whole life's tokens within one window, were over their share and refused for 4 s after each restart. Change: the first row of a customer counts only where the peer's life was heard from its first messages on. Ruled out: sending every customer's row in each heartbeat (bytes), windowed sums (two windows never match). Before: the new test fails (7000 tokens counted, 0 expected); after: passes.

--- a/packages/gateway/src/lib/peers/peer_board.test.ts
+++ b/packages/gateway/src/lib/peers/peer_board.test.ts
@@ -72,3 +72,17 @@
   assert.equal(board.sweep(100), 1);
   assert.equal(board.sweep(5000), 0);
 });
+
+test('what a peer had used before it was first heard is not new', () => {
+  const board = PeerBoard.create(PeerLoads.create());
+  let given = 0;
+  const add = (row: {given: number}) => (given += row.given);
+  const use = (customer: string, tokens: number) => [
+    {customer, asked: tokens, given: tokens},
+  ];
+  board.onMessage(message({sequence: 900, uses: use('c', 5000)}), 0, add);
+  board.onMessage(message({sequence: 901, uses: use('d', 7000)}), 0, add);
+  assert.equal(given, 0);
+  board.onMessage(message({sequence: 902, uses: use('d', 7100)}), 0, add);
+  assert.equal(given, 100);
+});
--- a/packages/gateway/src/lib/peers/peer_board.ts
+++ b/packages/gateway/src/lib/peers/peer_board.ts
@@ -4,12 +4,16 @@
 
 /** Work of a peer that has been silent for longer counts no more. */
 const FORGET_MS = 1500;
+/** A peer whose first message has a higher number was missed before. */
+const FIRST_SEQUENCES = 4;
 
 interface PeerRecord {
   readonly message: PeerMessage;
   readonly heardAtMs: number;
   /** Last uses by customer. */
   readonly uses: Map<string, UseRow>;
+  /** Whether all of its life was heard, so that each use in it is new. */
+  readonly isWhole: boolean;
 }
 
 /** @public */
@@ -24,7 +28,8 @@
 
   /**
    * Takes a message; false when it is older than one that came before. The
-   * uses that are new in it are added by `onUse`.
+   * uses that are new in it are added by `onUse`. A customer's first row of a
+   * peer that was heard late holds the past, so later rows count against it.
    */
   onMessage(
     message: PeerMessage,
@@ -35,11 +40,13 @@
     const isSameLife = known?.message.incarnation === message.incarnation;
     if (isSameLife && message.sequence <= known.message.sequence) return false;
     const uses = isSameLife ? known.uses : new Map<string, UseRow>();
-    const isFirst = known === undefined;
+    const isWhole = isSameLife
+      ? known.isWhole
+      : message.sequence <= FIRST_SEQUENCES;
     for (const row of message.uses) {
       const before = uses.get(row.customer);
       uses.set(row.customer, row);
-      if (isFirst) continue;
+      if (before === undefined && !isWhole) continue;
       onUse({
         customer: row.customer,
         asked: row.asked - (before?.asked ?? 0),
@@ -47,7 +54,7 @@
       });
     }
     this.loads.replace(known?.message.loads ?? [], message.loads);
-    this.peers.set(message.instance, {message, heardAtMs: nowMs, uses});
+    this.peers.set(message.instance, {message, heardAtMs: nowMs, uses, isWhole});
     return true;
   }
 
