The test command fails where a file fails outside of its tests

Cause: the runner left out the failures that node reports for a whole file, since a failing test makes its file fail too. A file that failed by an error outside of its tests, as one that nothing handles after the last test, was passed over. Change: a file's failure counts where none of its tests failed. A test that KNOWN-RED.txt names is still passed over with its file. Ruled out: counting every file failure (each failing test twice, and known red files as failures). Before: a test file with an error thrown by a timer gave '5 passed, 0 failed', exit 0; after: '5 passed, 1 failed', exit 1.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -47,6 +47,15 @@
 const wanted = process.argv.slice(2);
 const counts = {passed: 0, failed: 0, knownRed: 0};
 
+const filesWithFailure = new Set();
+
+/** A file may fail beside its tests, as by an error that nothing handles. */
+function onFileFailure(file) {
+  if (filesWithFailure.has(path.basename(file))) return;
+  console.log(`FAILED outside of its tests: ${file}`);
+  counts.failed += 1;
+}
+
 async function runAll(files, concurrency) {
   if (files.length === 0) return;
   const stream = run({files, concurrency, timeout: TEST_TIMEOUT_MS});
@@ -55,7 +64,11 @@
   });
   stream.on('test:fail', data => {
     if (data.details?.type === 'suite') return;
-    if (data.name.endsWith('.test.js')) return;
+    if (data.name.endsWith('.test.js')) {
+      onFileFailure(data.name);
+      return;
+    }
+    filesWithFailure.add(path.basename(data.file ?? ''));
     if (red.has(data.name)) {
       counts.knownRed += 1;
       console.log(`KNOWN RED: ${data.name}`);
