A large fleet is split into groups that tell each other sums

Cause: at 69 instances all told all of each placement: about 1,100 datagrams a second each way at each instance, which overloaded the small ones, and each instance read the store for itself. Change: up to 12 instances are one group, as before. A larger fleet has groups of up to 8 within each failure domain. Members tell their group; the most capable one that is alive, the relay, tells the other relays the group's sums every 40 ms or less often, changed rows only and all rows each 500 ms, and its group the sums of all others. Proofs that configuration and targets are newest are asked for: member, relay, relay of the domain's first group, of the fleet's first group, which reads the store. A read begins after the question came, so the proof counts from the asking instance's own send time. Without an answer in 600 ms an instance reads for itself. Other lists of targets come with the answer. Peers are read with pauses. Tests: layout, sums under loss (fuzz), 27 exchanges over loopback with a relay that stops and a reader that is cut.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,8 @@
   HeaderCodec,
   ListenAddress,
   PeerAddress,
+  PeerInfo,
+  ProvenState,
   RawHeaders,
   StateEvents,
   StateSource,
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -159,8 +159,10 @@
     ledger.onSend(id);
     this.running = entry.own.start(uncachedTokens, kvTokensOf(context));
     entry.health.onSent();
-    if (context.prompt !== undefined) entry.cache.touch(context.prompt.parts);
-    tools.onPlaced(id, context);
+    const parts = context.prompt?.parts ?? [];
+    const isNew = !entry.cache.keepsShared(parts);
+    entry.cache.touch(parts);
+    tools.onPlaced(id, context, isNew);
   }
 
   private callOptions({target}: TargetEntry): TargetCallOptions {
--- a/packages/gateway/src/lib/front/exchange_tools.ts
+++ b/packages/gateway/src/lib/front/exchange_tools.ts
@@ -14,8 +14,11 @@
   readonly clock: Clock;
   /** From 0 up to 1. */
   readonly random: () => number;
-  /** Told of every placement, so that peers learn of it. */
-  onPlaced(targetId: string, context: RequestContext): void;
+  /**
+   * Told of every placement, so that peers learn of it; `isNew` where the
+   * target did not keep the prompt's shared parts before.
+   */
+  onPlaced(targetId: string, context: RequestContext, isNew: boolean): void;
   onUse(customer: string, asked: number, given: number): void;
   onEnd(report: ExchangeReport): void;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -65,8 +65,8 @@
       agent: TargetAgent.create(),
       clock: systemClock,
       random: () => random.unit(),
-      onPlaced: (target, context) =>
-        this.peers.onPlaced(target, context.prompt),
+      onPlaced: (target, context, isNew) =>
+        this.peers.onPlaced(target, context.prompt, isNew),
       onUse: (customer, asked, given) =>
         this.peers.onUse(customer, asked, given),
       onEnd: report => this.onEnd(report),
@@ -92,7 +92,9 @@
     source.start({
       onConfig: config => this.onConfig(config),
       onTargets: targets => this.state.onTargets(targets),
-      onPeers: peers => this.peers.addPeers(peers),
+      onPeers: peers => this.peers.onListed(peers),
+      sharesReads: () => this.peers.sharesReads,
+      askPeer: targetsKey => this.peers.askPeer(targetsKey),
     });
     this.front = await FrontServer.create(this.tools, settings.callers);
     this.servers.push(
--- a/packages/gateway/src/lib/peers/peer_board.ts
+++ b/packages/gateway/src/lib/peers/peer_board.ts
@@ -1,19 +1,20 @@
-/** The latest message of each peer. */
+/** The latest message of each peer of the own group. */
+import {UseReceiver} from './use_ledger.js';
+
 import type {PeerLoads} from '../state/peer_loads.js';
 import type {PeerMessage, UseRow} from './peer_message.js';
 
 /** Work of a peer that has been silent for longer counts no more. */
 const FORGET_MS = 1500;
+/** A peer that has been silent for longer is taken to be down. */
+const ALIVE_MS = 800;
 /** A peer whose first message has a higher number was missed before. */
 const FIRST_SEQUENCES = 4;
 
 interface PeerRecord {
   readonly message: PeerMessage;
   readonly heardAtMs: number;
-  /** Last uses by customer. */
-  readonly uses: Map<string, UseRow>;
-  /** Whether all of its life was heard, so that each use in it is new. */
-  readonly isWhole: boolean;
+  readonly uses: UseReceiver;
 }
 
 /** @public */
@@ -28,8 +29,7 @@
 
   /**
    * Takes a message; false when it is older than one that came before. The
-   * uses that are new in it are added by `onUse`. A customer's first row of a
-   * peer that was heard late holds the past, so later rows count against it.
+   * uses that are new in it are added by `onUse`.
    */
   onMessage(
     message: PeerMessage,
@@ -39,25 +39,22 @@
     const known = this.peers.get(message.instance);
     const isSameLife = known?.message.incarnation === message.incarnation;
     if (isSameLife && message.sequence <= known.message.sequence) return false;
-    const uses = isSameLife ? known.uses : new Map<string, UseRow>();
-    const isWhole = isSameLife
-      ? known.isWhole
-      : message.sequence <= FIRST_SEQUENCES;
-    for (const row of message.uses) {
-      const before = uses.get(row.customer);
-      uses.set(row.customer, row);
-      if (before === undefined && !isWhole) continue;
-      onUse({
-        customer: row.customer,
-        asked: row.asked - (before?.asked ?? 0),
-        given: row.given - (before?.given ?? 0),
-      });
-    }
+    const uses = isSameLife
+      ? known.uses
+      : UseReceiver.create(message.sequence <= FIRST_SEQUENCES);
+    for (const row of uses.take(message.uses)) onUse(row);
     this.loads.replace(known?.message.loads ?? [], message.loads);
-    this.peers.set(message.instance, {message, heardAtMs: nowMs, uses, isWhole});
+    this.peers.set(message.instance, {message, heardAtMs: nowMs, uses});
     return true;
   }
 
+  /** Whether a peer was heard of late and is not leaving. */
+  isAlive(instance: string, nowMs: number): boolean {
+    const record = this.peers.get(instance);
+    if (record === undefined || record.message.leaving) return false;
+    return nowMs - record.heardAtMs <= ALIVE_MS;
+  }
+
   /** Forgets peers that have been silent; returns how many live and serve. */
   sweep(nowMs: number): number {
     let serving = 0;
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -1,19 +1,28 @@
 /**
- * Tells all peers, by datagram, what runs here, and hears it of them. Every
+ * Tells peers, by datagram, what runs here, and hears it of them. Every
  * message stands for itself, so a lost one is mended by the next.
  */
-import dgram from 'node:dgram';
-import {messageOf} from '@applebend/utils';
 import {PeerBoard} from './peer_board.js';
+import {PeerDirectory} from './peer_directory.js';
 import {decodePeerMessage, encodePeerMessage} from './peer_message.js';
+import {PeerSocket} from './peer_socket.js';
+import {ProofExchange} from './proof_exchange.js';
+import {SummaryExchange} from './summary_exchange.js';
+import {UseLedger} from './use_ledger.js';
+import {MESSAGE_KIND} from './wire_rows.js';
 
 import type {Prompt} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
-import type {PeerAddress, StateSource} from '../ports.js';
+import type {
+  PeerAddress,
+  PeerInfo,
+  ProvenState,
+  StateSource,
+} from '../ports.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {LoadRow} from '../state/peer_loads.js';
-import type {PlacedRow, UseRow} from './peer_message.js';
+import type {PeerMessage, PlacedRow, UseRow} from './peer_message.js';
 
 /** A message goes out at least this often. */
 const HEARTBEAT_MS = 250;
@@ -33,71 +42,103 @@
 
 /** @public */
 export class PeerExchange {
-  private readonly socket = dgram.createSocket('udp4');
+  private readonly socket: PeerSocket;
+  private readonly directory: PeerDirectory;
   private readonly board: PeerBoard;
-  private readonly uses = new Map<string, UseRow>();
-  private readonly changedUses = new Set<string>();
+  private readonly summaries: SummaryExchange;
+  private readonly proofs: ProofExchange;
+  private readonly uses = UseLedger.create();
   private placed: PlacedRow[] = [];
-  /** Addresses by `host:port`, so that no peer is told twice. */
-  private readonly peers = new Map<string, PeerAddress>();
   private sequence = 0;
   private heartbeat: NodeJS.Timeout | undefined;
   private soon: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: PeerExchangeOptions) {
-    const {log, state} = options;
-    this.board = PeerBoard.create(state.peerLoads);
-    this.socket.on('message', (bytes, from) =>
-      this.onDatagram(bytes, from.address, from.port)
-    );
-    this.socket.on('error', err =>
-      log.warn('peer socket failed', {cause: messageOf(err)})
+    const {log, state, clock, incarnation, source} = options;
+    const {instance, failureDomain, capacity, peers} = state.settings;
+    const self = {instance, failureDomain, capacity, ...peers};
+    this.socket = PeerSocket.create(log);
+    this.directory = PeerDirectory.create(self);
+    this.board = PeerBoard.create(state.peerLoads.group);
+    this.socket.handle(MESSAGE_KIND.peer, (wire, from) =>
+      this.onPeerMessage(wire, from)
     );
+    const {socket, directory, board} = this;
+    this.summaries = SummaryExchange.create({
+      state,
+      clock,
+      log,
+      incarnation,
+      socket,
+      directory,
+      board,
+    });
+    this.proofs = ProofExchange.create({
+      socket,
+      clock,
+      log,
+      source,
+      superior: () => this.superior(),
+    });
   }
 
   static create(options: PeerExchangeOptions): PeerExchange {
     return new PeerExchange(options);
   }
 
+  /** Whether peers are asked for proofs before the outside systems are read. */
+  get sharesReads(): boolean {
+    return this.directory.isSplit;
+  }
+
   start(): void {
-    const {host, port} = this.options.state.settings.peers;
-    this.socket.bind(port, host);
+    const {peers, seeds} = this.options.state.settings;
+    for (const seed of seeds) this.directory.onAddress(seed);
+    this.socket.open(peers);
     this.heartbeat = setInterval(() => this.onHeartbeat(), HEARTBEAT_MS);
+    this.summaries.start();
   }
 
   stop(): void {
     clearInterval(this.heartbeat);
     clearTimeout(this.soon);
+    this.summaries.stop();
+    this.proofs.stop();
     this.send();
     this.socket.close();
   }
 
-  /** Adds peers that the outside systems know of. */
-  addPeers(peers: readonly PeerAddress[]): void {
-    for (const peer of peers) this.addPeer(peer);
+  /** Adds peers that the outside systems list. */
+  onListed(peers: readonly PeerInfo[]): void {
+    this.directory.onListed(peers);
+  }
+
+  /** What a peer that reads for this instance says is newest. */
+  askPeer(targetsKey: number): Promise<ProvenState | undefined> {
+    return this.proofs.ask(targetsKey);
   }
 
-  onPlaced(target: string, prompt: Prompt | undefined): void {
+  onPlaced(target: string, prompt: Prompt | undefined, isNew: boolean): void {
     this.soon ??= setTimeout(() => this.send(), PLACED_DELAY_MS);
-    if (prompt === undefined || this.placed.length >= MAX_PLACED) return;
-    this.placed.push({target, parts: prompt.parts});
+    if (prompt === undefined) return;
+    const row = {target, parts: prompt.parts, isNew};
+    this.summaries.onGroupPlaced(row);
+    if (this.placed.length < MAX_PLACED) this.placed.push(row);
   }
 
   onUse(customer: string, asked: number, given: number): void {
-    const sum = this.uses.get(customer) ?? {customer, asked: 0, given: 0};
-    this.uses.set(customer, {
-      customer,
-      asked: sum.asked + asked,
-      given: sum.given + given,
-    });
-    this.changedUses.add(customer);
     const {state, clock} = this.options;
-    state.shares.add(customer, {asked, given}, clock.monotonicMs());
+    const row = {customer, asked, given};
+    this.uses.add(row);
+    this.summaries.onGroupUse(row);
+    state.shares.add(customer, row, clock.monotonicMs());
   }
 
   private onHeartbeat(): void {
     const {state, clock} = this.options;
-    state.instanceCount = 1 + this.board.sweep(clock.monotonicMs());
+    const nowMs = clock.monotonicMs();
+    state.groupServing = 1 + this.board.sweep(nowMs);
+    state.instanceCount = state.groupServing + this.summaries.sweep(nowMs);
     this.send();
   }
 
@@ -113,20 +154,15 @@
       leaving: state.stopping,
       targets: source.targetsStamp(),
       loads: this.ownLoads(),
-      uses: this.takeChangedUses(),
+      uses: this.uses.takeChanged(),
       placed: this.placed,
     });
     this.placed = [];
-    for (const {host, port} of this.peers.values()) {
-      this.socket.send(bytes, port, host, this.onSent);
+    for (const address of this.directory.neighbours()) {
+      this.socket.send(bytes, address);
     }
   }
 
-  private readonly onSent = (err: Error | null): void => {
-    if (err === null) return;
-    this.options.log.warn('peer message not sent', {cause: err.message});
-  };
-
   private ownLoads(): LoadRow[] {
     const rows: LoadRow[] = [];
     for (const entry of this.options.state.targets.all()) {
@@ -137,38 +173,39 @@
     return rows;
   }
 
-  private takeChangedUses(): UseRow[] {
-    const rows: UseRow[] = [];
-    for (const customer of this.changedUses) {
-      const row = this.uses.get(customer);
-      if (row !== undefined) rows.push(row);
-    }
-    this.changedUses.clear();
-    return rows;
+  private onPeerMessage(wire: readonly unknown[], from: PeerAddress): boolean {
+    const message = decodePeerMessage(wire);
+    if (message === undefined) return false;
+    if (this.directory.isNeighbour(message.instance)) this.take(message, from);
+    return true;
   }
 
-  private addPeer(peer: PeerAddress): void {
-    const {host, port} = this.options.state.settings.peers;
-    if (peer.host === host && peer.port === port) return;
-    this.peers.set(`${peer.host}:${peer.port}`, peer);
+  private take(message: PeerMessage, from: PeerAddress): void {
+    const {state, clock, source} = this.options;
+    const nowMs = clock.monotonicMs();
+    const onUse = (row: UseRow) => {
+      state.shares.add(row.customer, row, nowMs);
+      this.summaries.onGroupUse(row);
+    };
+    if (!this.board.onMessage(message, nowMs, onUse)) return;
+    this.directory.onAddress(from);
+    source.onPeerTargets(message.targets);
+    for (const row of message.placed) {
+      state.targets.get(row.target)?.cache.touch(row.parts);
+      this.summaries.onGroupPlaced(row);
+    }
   }
 
-  private onDatagram(bytes: Buffer, host: string, port: number): void {
-    const {state, clock, log} = this.options;
-    const message = decodePeerMessage(bytes);
-    if (message === undefined) {
-      log.warn('unreadable peer message', {host, port});
-      return;
-    }
-    const nowMs = clock.monotonicMs();
-    const isNew = this.board.onMessage(message, nowMs, row =>
-      state.shares.add(row.customer, row, nowMs)
-    );
-    if (!isNew) return;
-    this.addPeer({host, port});
-    this.options.source.onPeerTargets(message.targets);
-    for (const {target, parts} of message.placed) {
-      state.targets.get(target)?.cache.touch(parts);
+  /** Members ask their relay; relays that of the group above theirs. */
+  private superior(): PeerAddress | undefined {
+    const {directory, options, board} = this;
+    if (!directory.isSplit) return undefined;
+    const nowMs = options.clock.monotonicMs();
+    if (!this.summaries.isOwnRelay(nowMs)) {
+      return directory.ownRelay(id => board.isAlive(id, nowMs));
     }
+    const {superiorGroup} = directory;
+    if (superiorGroup === undefined) return undefined;
+    return directory.relayAt(superiorGroup, nowMs);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -0,0 +1,160 @@
+/** Many exchanges in one process, over loopback. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {LOG_LEVEL, Logger} from '@applebend/telemetry';
+import {systemClock} from '@applebend/utils';
+import {FleetState} from '../state/fleet_state.js';
+import {PeerExchange} from './peer_exchange.js';
+
+import type {RunningRequest, Target} from '@applebend/routing';
+import type {
+  GatewaySettings,
+  PeerInfo,
+  ProvenState,
+  StateSource,
+} from '../ports.js';
+
+const FIRST_PORT = 47_310;
+const log = Logger.create(LOG_LEVEL.error, {});
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+const TARGET: Target = {
+  id: 't-1',
+  service: 'llm',
+  host: '127.0.0.1',
+  port: 9,
+  failureDomain: 'hall-a',
+  slots: 32,
+  state: 'ready',
+  startedAtMs: 1,
+};
+
+/** Counts the reads that it makes for others. */
+class CountingSource implements StateSource {
+  reads = 0;
+  /** A source that cannot read has no proof. */
+  isCut = false;
+  ask = (): Promise<ProvenState | undefined> => Promise.resolve(undefined);
+
+  start(): void {}
+  stop(): void {}
+  configAgeMs(): number {
+    return 0;
+  }
+  targetsStamp() {
+    return {key: 0, ageMs: 0};
+  }
+  onPeerTargets(): void {}
+  async prove(): Promise<ProvenState | undefined> {
+    const newest = await this.ask();
+    if (newest !== undefined) return newest;
+    if (this.isCut) return undefined;
+    this.reads += 1;
+    return {configVersion: 7, targetsKey: 8, targets: [TARGET]};
+  }
+}
+
+class Instance {
+  private constructor(
+    readonly info: PeerInfo,
+    readonly state: FleetState,
+    readonly source: CountingSource,
+    readonly exchange: PeerExchange
+  ) {}
+
+  static create(index: number): Instance {
+    const info = {
+      instance: `entry-${String(index).padStart(2, '0')}`,
+      failureDomain: `hall-${'abc'[index % 3]}`,
+      capacity: index < 6 ? 2 : 1,
+      host: '127.0.0.1',
+      port: FIRST_PORT + index,
+    };
+    const {instance, failureDomain, capacity, host, port} = info;
+    const settings = {
+      instance,
+      failureDomain,
+      capacity,
+      seeds: [],
+      peers: {host, port},
+      shareWindowMs: 4000,
+      retryBudget: {windowMs: 10_000, ratio: 0.2, minRetries: 58},
+    } as unknown as GatewaySettings;
+    const source = new CountingSource();
+    const inspector = {keptParts: () => Promise.resolve(undefined)};
+    const state = FleetState.create(settings, source, inspector, log);
+    state.onTargets([TARGET]);
+    const clock = systemClock;
+    const incarnation = index + 1;
+    const exchange = PeerExchange.create({
+      state,
+      clock,
+      log,
+      incarnation,
+      source,
+    });
+    source.ask = () => exchange.askPeer(0);
+    exchange.start();
+    return new Instance(info, state, source, exchange);
+  }
+
+  /** Places a request that stays. */
+  place(): RunningRequest | undefined {
+    const running = this.state.targets.get(TARGET.id)?.own.start(100, 200);
+    this.exchange.onPlaced(TARGET.id, undefined, false);
+    return running;
+  }
+
+  get seenRunning(): number {
+    return this.state.targets.get(TARGET.id)?.load.running ?? -1;
+  }
+}
+
+async function withFleet(
+  count: number,
+  play: (fleet: Instance[]) => Promise<void>
+): Promise<void> {
+  const fleet = Array.from({length: count}, (_, i) => Instance.create(i));
+  try {
+    for (const {exchange} of fleet) {
+      exchange.onListed(fleet.map(({info}) => info));
+    }
+    await sleep(1300);
+    await play(fleet);
+  } finally {
+    for (const {exchange} of fleet) exchange.stop();
+  }
+}
+
+test('a fleet of groups knows all its work, also when a relay is gone', async () => {
+  await withFleet(27, async fleet => {
+    for (const instance of fleet) instance.place();
+    await sleep(700);
+    for (const {seenRunning} of fleet) assert.equal(seenRunning, 27);
+    for (const {state} of fleet) assert.equal(state.instanceCount, 27);
+    const [relay, ...others] = fleet;
+    relay.exchange.stop();
+    await sleep(3500);
+    for (const {seenRunning} of others) assert.equal(seenRunning, 26);
+    others[0].place();
+    await sleep(400);
+    for (const {seenRunning} of others) assert.equal(seenRunning, 27);
+    relay.exchange.stop = () => undefined;
+  });
+});
+
+test('one instance reads for a fleet of groups; without it others do', async () => {
+  await withFleet(27, async fleet => {
+    const proofs = await Promise.all(fleet.map(({source}) => source.prove()));
+    for (const proof of proofs) {
+      assert.equal(proof?.configVersion, 7);
+      assert.deepEqual(proof?.targets, [TARGET]);
+    }
+    const reads = () => fleet.reduce((n, {source}) => n + source.reads, 0);
+    assert.ok(reads() <= 6, `${reads()} reads`);
+    for (const {source} of fleet) source.isCut = source.reads > 0;
+    const again = await Promise.all(fleet.map(({source}) => source.prove()));
+    const proven = again.filter(proof => proof !== undefined).length;
+    assert.ok(proven >= 24, `${proven} of 27 have a proof`);
+  });
+});
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -1,8 +1,19 @@
-/** What instances tell each other, many times a second, as one datagram. */
-import {pack, unpack} from 'msgpackr';
+/** What an instance tells its group, many times a second, as one datagram. */
+import {pack} from 'msgpackr';
+import {
+  isRowList,
+  loadRowOf,
+  MESSAGE_KIND,
+  placedRowOf,
+  useRowOf,
+  wireOfLoad,
+  wireOfPlaced,
+  wireOfUse,
+} from './wire_rows.js';
 
 import type {TargetsStamp} from '../ports.js';
 import type {LoadRow} from '../state/peer_loads.js';
+import type {WireLoad, WirePlaced, WireUse} from './wire_rows.js';
 
 /** Service of one customer since the sender's start, in weighted tokens. */
 export interface UseRow {
@@ -15,6 +26,8 @@
 export interface PlacedRow {
   readonly target: string;
   readonly parts: readonly {readonly id: string; readonly tokens: number}[];
+  /** Whether the target did not keep its shared parts before. */
+  readonly isNew: boolean;
 }
 
 /** @public */
@@ -31,65 +44,47 @@
   readonly placed: readonly PlacedRow[];
 }
 
-const PROTOCOL_VERSION = 2;
-
-/** Rows without field names, to keep datagrams small. */
 type Wire = [
-  version: number,
+  kind: number,
   instance: string,
   incarnation: number,
   sequence: number,
   leaving: boolean,
   targetsKey: number,
   targetsAgeMs: number,
-  loads: [string, number, number, number][],
-  uses: [string, number, number][],
-  placed: [string, (string | number)[]][],
+  loads: WireLoad[],
+  uses: WireUse[],
+  placed: WirePlaced[],
 ];
 
 /** @public */
 export function encodePeerMessage(message: PeerMessage): Buffer {
   const wire: Wire = [
-    PROTOCOL_VERSION,
+    MESSAGE_KIND.peer,
     message.instance,
     message.incarnation,
     message.sequence,
     message.leaving,
     message.targets.key,
     Math.round(message.targets.ageMs),
-    message.loads.map(row => [
-      row.target,
-      row.running,
-      Math.round(row.prefillTokens),
-      Math.round(row.kvTokens),
-    ]),
-    message.uses.map(row => [
-      row.customer,
-      Math.round(row.asked),
-      Math.round(row.given),
-    ]),
-    message.placed.map(row => [
-      row.target,
-      row.parts.flatMap(part => [part.id, part.tokens]),
-    ]),
+    message.loads.map(wireOfLoad),
+    message.uses.map(wireOfUse),
+    message.placed.map(wireOfPlaced),
   ];
   return pack(wire);
 }
 
-/** The message; undefined for bytes that are none of this version. @public */
-export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  const wire = unpackSafely(bytes);
-  if (!Array.isArray(wire) || wire[0] !== PROTOCOL_VERSION) return undefined;
-  const [, instance, incarnation, sequence, leaving, key, ageMs] = wire as Wire;
-  const [loads, uses, placed] = (wire as Wire).slice(7) as [
-    Wire[7],
-    Wire[8],
-    Wire[9],
-  ];
+/** The message of such elements; undefined where they are broken. @public */
+export function decodePeerMessage(
+  wire: readonly unknown[]
+): PeerMessage | undefined {
+  const [, instance, incarnation, sequence, leaving, key, ageMs] =
+    wire as unknown as Wire;
+  const [loads, uses, placed] = wire.slice(7);
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
   }
-  if (![loads, uses, placed].every(rows => Array.isArray(rows))) {
+  if (!isRowList(loads) || !isRowList(uses) || !isRowList(placed)) {
     return undefined;
   }
   return {
@@ -98,30 +93,8 @@
     sequence,
     leaving,
     targets: {key, ageMs},
-    loads: loads.map(([target, running, prefillTokens, kvTokens]) => ({
-      target,
-      running,
-      prefillTokens,
-      kvTokens,
-    })),
-    uses: uses.map(([customer, asked, given]) => ({customer, asked, given})),
-    placed: placed.map(([target, flat]) => ({target, parts: partsOf(flat)})),
+    loads: (loads as WireLoad[]).map(loadRowOf),
+    uses: (uses as WireUse[]).map(useRowOf),
+    placed: (placed as WirePlaced[]).map(placedRowOf),
   };
 }
-
-function unpackSafely(bytes: Buffer): unknown {
-  try {
-    return unpack(bytes) as unknown;
-  } catch {
-    // Foreign bytes; the caller counts the message as unreadable.
-    return undefined;
-  }
-}
-
-function partsOf(flat: (string | number)[]) {
-  const parts: {id: string; tokens: number}[] = [];
-  for (let i = 0; i + 1 < flat.length; i += 2) {
-    parts.push({id: String(flat[i]), tokens: Number(flat[i + 1])});
-  }
-  return parts;
-}
--- /dev/null
+++ b/packages/gateway/src/lib/peers/peer_socket.ts
@@ -0,0 +1,65 @@
+/** The datagram socket between instances. */
+import dgram from 'node:dgram';
+import {messageOf} from '@applebend/utils';
+import {unpackMessage} from './wire_rows.js';
+
+import type {Logger} from '@applebend/telemetry';
+import type {PeerAddress} from '../ports.js';
+
+/** Takes the elements of a message; false where they are broken. @public */
+export type PeerHandler = (
+  wire: readonly unknown[],
+  from: PeerAddress
+) => boolean;
+
+/** @public */
+export class PeerSocket {
+  private readonly socket = dgram.createSocket('udp4');
+  private isClosed = false;
+  private readonly handlers = new Map<unknown, PeerHandler>();
+
+  private constructor(private readonly log: Logger) {
+    this.socket.on('message', (bytes, from) =>
+      this.onDatagram(bytes, {host: from.address, port: from.port})
+    );
+    this.socket.on('error', err =>
+      log.warn('peer socket failed', {cause: messageOf(err)})
+    );
+  }
+
+  static create(log: Logger): PeerSocket {
+    return new PeerSocket(log);
+  }
+
+  open({host, port}: PeerAddress): void {
+    this.socket.bind(port, host);
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.socket.close();
+  }
+
+  /** Sets the handler of one kind of messages. */
+  handle(kind: number, handler: PeerHandler): void {
+    this.handlers.set(kind, handler);
+  }
+
+  /** Sends nothing once closed, so that an answer under way may come late. */
+  send(bytes: Buffer, {host, port}: PeerAddress): void {
+    if (this.isClosed) return;
+    this.socket.send(bytes, port, host, this.onSent);
+  }
+
+  private readonly onSent = (err: Error | null): void => {
+    if (err === null) return;
+    this.log.warn('peer message not sent', {cause: err.message});
+  };
+
+  private onDatagram(bytes: Buffer, from: PeerAddress): void {
+    const wire = unpackMessage(bytes);
+    const handler = this.handlers.get(wire?.[0]);
+    if (wire !== undefined && handler?.(wire, from) === true) return;
+    this.log.warn('unreadable peer message', {...from});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peers/summary_message.ts
@@ -0,0 +1,104 @@
+/** What relays tell: the sums of a group, or of all groups but one. */
+import {pack} from 'msgpackr';
+import {
+  isRowList,
+  loadRowOf,
+  MESSAGE_KIND,
+  placedRowOf,
+  useRowOf,
+  wireOfLoad,
+  wireOfPlaced,
+  wireOfUse,
+} from './wire_rows.js';
+
+import type {LoadRow} from '../state/peer_loads.js';
+import type {PlacedRow, UseRow} from './peer_message.js';
+import type {WireLoad, WirePlaced, WireUse} from './wire_rows.js';
+
+/** @public */
+export const SUMMARY_SCOPE = {
+  /** The sender's group, told to other relays. */
+  group: 'group',
+  /** All groups but the sender's, told to its members. */
+  rest: 'rest',
+} as const;
+
+/** @public */
+export type SummaryScope = (typeof SUMMARY_SCOPE)[keyof typeof SUMMARY_SCOPE];
+
+/** @public */
+export interface SummaryMessage {
+  readonly scope: SummaryScope;
+  readonly instance: string;
+  /** Differs in each life of the sender. */
+  readonly incarnation: number;
+  readonly sequence: number;
+  /** Index of the sender's group. */
+  readonly group: number;
+  /** Instances that the sums cover and that take requests. */
+  readonly serving: number;
+  /** Whether targets that are not named have no work. */
+  readonly isFull: boolean;
+  readonly loads: readonly LoadRow[];
+  readonly uses: readonly UseRow[];
+  readonly placed: readonly PlacedRow[];
+}
+
+type Wire = [
+  kind: number,
+  scope: SummaryScope,
+  instance: string,
+  incarnation: number,
+  sequence: number,
+  group: number,
+  serving: number,
+  isFull: boolean,
+  loads: WireLoad[],
+  uses: WireUse[],
+  placed: WirePlaced[],
+];
+
+/** @public */
+export function encodeSummary(message: SummaryMessage): Buffer {
+  const wire: Wire = [
+    MESSAGE_KIND.summary,
+    message.scope,
+    message.instance,
+    message.incarnation,
+    message.sequence,
+    message.group,
+    message.serving,
+    message.isFull,
+    message.loads.map(wireOfLoad),
+    message.uses.map(wireOfUse),
+    message.placed.map(wireOfPlaced),
+  ];
+  return pack(wire);
+}
+
+/** The message of such elements; undefined where they are broken. @public */
+export function decodeSummary(
+  wire: readonly unknown[]
+): SummaryMessage | undefined {
+  const [, scope, instance, incarnation, sequence] = wire as unknown as Wire;
+  const [, , , , , group, serving, isFull] = wire as unknown as Wire;
+  const [loads, uses, placed] = wire.slice(8);
+  if (typeof instance !== 'string' || typeof sequence !== 'number') {
+    return undefined;
+  }
+  if (!isRowList(loads) || !isRowList(uses) || !isRowList(placed)) {
+    return undefined;
+  }
+  return {
+    scope,
+    instance,
+    incarnation,
+    sequence,
+    group,
+    serving,
+    isFull,
+    loads: (loads as WireLoad[]).map(loadRowOf),
+    uses: (uses as WireUse[]).map(useRowOf),
+    placed: (placed as WirePlaced[]).map(placedRowOf),
+  };
+}
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -67,8 +67,16 @@
   onConfig(config: FleetConfig): void;
   /** All registered targets; what is missing is gone. */
   onTargets(targets: readonly Target[]): void;
-  /** Addresses of peers, the own one perhaps included; it only adds. */
-  onPeers(addresses: readonly PeerAddress[]): void;
+  /** Listed peers, the own one perhaps included; it only adds. */
+  onPeers(peers: readonly PeerInfo[]): void;
+  /** Whether a peer is asked for proofs before the outside systems are read. */
+  sharesReads(): boolean;
+  /**
+   * What such a peer says is newest; undefined where none answers.
+   *
+   * @param targetsKey - names the list that is held
+   */
+  askPeer(targetsKey: number): Promise<ProvenState | undefined>;
 }
 
 /** Where a peer receives messages. @public */
@@ -77,6 +85,23 @@
   readonly port: number;
 }
 
+/** A peer as the outside systems list it. @public */
+export interface PeerInfo extends PeerAddress {
+  readonly instance: string;
+  readonly failureDomain: string;
+  /** Processor share in cores. */
+  readonly capacity: number;
+}
+
+/** The newest state. @public */
+export interface ProvenState {
+  readonly configVersion: number;
+  /** The same for lists of targets that say the same. */
+  readonly targetsKey: number;
+  /** The list itself; undefined where whoever asked holds the same. */
+  readonly targets: readonly Target[] | undefined;
+}
+
 /** How recent the list of targets is. @public */
 export interface TargetsStamp {
   /** The same for lists that say the same. */
@@ -94,6 +119,11 @@
   targetsStamp(): TargetsStamp;
   /** A peer read the targets, so that they need not be read here as well. */
   onPeerTargets(stamp: TargetsStamp): void;
+  /**
+   * Learns which state is newest, by a read or a peer's that begins after the
+   * call; undefined where it cannot.
+   */
+  prove(): Promise<ProvenState | undefined>;
 }
 
 /** An address to listen on. @public */
@@ -106,6 +136,10 @@
 export interface GatewaySettings {
   readonly instance: string;
   readonly failureDomain: string;
+  /** Processor share in cores. */
+  readonly capacity: number;
+  /** Peers to begin with; they may be gone. */
+  readonly seeds: readonly PeerAddress[];
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -1,6 +1,6 @@
 /** The state that all requests of this instance share. */
 import {CustomerShares, FleetRetryBudget} from '@applebend/routing';
-import {PeerLoads} from './peer_loads.js';
+import {FleetLoads} from './peer_loads.js';
 import {TargetDirectory} from './target_directory.js';
 
 import type {FleetConfig, Target} from '@applebend/routing';
@@ -9,13 +9,15 @@
 
 /** @public */
 export class FleetState {
-  readonly peerLoads = PeerLoads.create();
+  readonly peerLoads = FleetLoads.create();
   readonly targets: TargetDirectory;
   readonly shares: CustomerShares;
   private readonly budgets = new Map<string, FleetRetryBudget>();
   private current: FleetConfig | undefined;
   /** Instances that take requests, this one included. */
   instanceCount = 1;
+  /** Those of them in this instance's group. */
+  groupServing = 1;
   stopping = false;
 
   private constructor(
--- a/packages/gateway/src/lib/state/peer_loads.ts
+++ b/packages/gateway/src/lib/state/peer_loads.ts
@@ -22,6 +22,11 @@
     return this.sums.get(target) ?? NO_LOAD;
   }
 
+  /** Targets with any work. */
+  targets(): Iterable<string> {
+    return this.sums.keys();
+  }
+
   /** Takes new rows of a peer in place of its former ones. */
   replace(before: readonly LoadRow[], after: readonly LoadRow[]): void {
     for (const row of before) this.add(row, -1);
@@ -38,3 +43,21 @@
     else this.sums.set(row.target, sum);
   }
 }
+
+/** What others run at each target, near and far. @public */
+export class FleetLoads {
+  /** Members of the own group. */
+  readonly group = PeerLoads.create();
+  /** All other groups. */
+  readonly remote = PeerLoads.create();
+
+  private constructor() {}
+
+  static create(): FleetLoads {
+    return new FleetLoads();
+  }
+
+  of(target: string): LoadFigures {
+    return addLoad(this.group.of(target), this.remote.of(target));
+  }
+}
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -5,7 +5,7 @@
 import type {FleetConfig, Target} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {TargetInspector} from '../ports.js';
-import type {PeerLoads} from './peer_loads.js';
+import type {FleetLoads} from './peer_loads.js';
 
 /** @public */
 export class TargetDirectory {
@@ -16,13 +16,13 @@
   private known = false;
 
   private constructor(
-    private readonly peerLoads: PeerLoads,
+    private readonly peerLoads: FleetLoads,
     private readonly inspector: TargetInspector,
     private readonly log: Logger
   ) {}
 
   static create(
-    peerLoads: PeerLoads,
+    peerLoads: FleetLoads,
     inspector: TargetInspector,
     log: Logger
   ): TargetDirectory {
--- a/packages/gateway/src/lib/state/target_entry.ts
+++ b/packages/gateway/src/lib/state/target_entry.ts
@@ -2,7 +2,7 @@
 import {addLoad, OwnLoad, PrefixCache, TargetHealth} from '@applebend/routing';
 
 import type {FirstEventModel, LoadFigures, Target} from '@applebend/routing';
-import type {PeerLoads} from './peer_loads.js';
+import type {FleetLoads} from './peer_loads.js';
 
 /** Memory that cached prompt parts can have beside what runs. */
 const CACHE_PART = 0.85;
@@ -19,13 +19,13 @@
   private constructor(
     public target: Target,
     readonly model: FirstEventModel,
-    private readonly peerLoads: PeerLoads
+    private readonly peerLoads: FleetLoads
   ) {}
 
   static create(
     target: Target,
     model: FirstEventModel,
-    peerLoads: PeerLoads
+    peerLoads: FleetLoads
   ): TargetEntry {
     return new TargetEntry(target, model, peerLoads);
   }
@@ -41,6 +41,12 @@
     this.cache.setCapacity(tokens * CACHE_PART);
   }
 
+  /** Own work and that of the own group's peers. */
+  get groupLoad(): LoadFigures {
+    const {id} = this.target;
+    return addLoad(this.own.figures, this.peerLoads.group.of(id));
+  }
+
   /** Own work and that of all peers. */
   get load(): LoadFigures {
     return addLoad(this.own.figures, this.peerLoads.of(this.target.id));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -26,6 +26,8 @@
 export {ListFreshness} from './lib/freshness/list_freshness.js';
 export type {ListFreshnessOptions} from './lib/freshness/list_freshness.js';
 export {TargetHealth} from './lib/health/target_health.js';
+export {FleetLayout, relayOf} from './lib/membership/fleet_layout.js';
+export type {Member} from './lib/membership/fleet_layout.js';
 export {FirstEventModel} from './lib/placement/first_event_model.js';
 export {place} from './lib/placement/placer.js';
 export type {Candidate, Placement} from './lib/placement/placer.js';
--- a/packages/routing/src/lib/placement/prefix_cache.ts
+++ b/packages/routing/src/lib/placement/prefix_cache.ts
@@ -31,6 +31,11 @@
     return cached;
   }
 
+  /** Whether it keeps all parts but the last, which no other prompt shares. */
+  keepsShared(parts: readonly PromptPart[]): boolean {
+    return parts.slice(0, -1).every(({id}) => this.parts.has(id));
+  }
+
   /** Notes a prompt that was sent to the target. */
   touch(parts: readonly PromptPart[]): void {
     for (const part of parts) {
