An overloaded instance refuses at once; long prompts are not given up while read

Node accepts one connection in each turn of its loop, so the queue of 511 waited for seconds while no timer was late. A prompt of 46,000 tokens was given up at 1.6 latency targets while it was read, and read again elsewhere. Every instance asked every engine for its kept parts at the first start, when there are none. Kept connections to targets gathered an error listener with each use.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -10,7 +10,7 @@
 import {PlainRelay} from './plain_relay.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 import {StreamRelay} from './stream_relay.js';
-import {targetCallOptions} from './target_call_options.js';
+import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 
 import type {Candidate, Placement, RunningRequest} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
@@ -25,13 +25,8 @@
 import type {PlacedFigures} from './exchange_report.js';
 import type {CallerSide, ExchangeTools} from './exchange_tools.js';
 
-/** The target's own answer at the deadline is waited for this long. */
-const DEADLINE_GRACE_MS = 60;
 /** With less time left a request is not sent to any target. */
 const MIN_LEFT_TO_SEND_MS = 5;
-/** An answer is given up for another target after this many latency targets. */
-const SILENCE_FACTOR = 1.6;
-const MIN_SILENCE_MS = 400;
 const RETRY_SOON_S = 0.3;
 const PAUSE_FACTOR = 3;
 const MIN_PAUSE_LIMIT_MS = 1000;
@@ -136,7 +131,8 @@
     this.notePlacement(entry, candidate);
     const sentMs = this.nowMs;
     const readTokens = candidate.load.prefillTokens + candidate.uncachedTokens;
-    this.call = TargetCall.create(this.callOptions(entry), {
+    const predictedMs = candidate.waitMs + candidate.prefillMs;
+    this.call = TargetCall.create(this.callOptions(entry, predictedMs), {
       onResponse: response => {
         this.headMs = this.nowMs - sentMs;
         const isStream = context.route.streaming && response.status < 300;
@@ -165,25 +161,20 @@
     tools.onPlaced(id, context, isNew);
   }
 
-  private callOptions({target}: TargetEntry): TargetCallOptions {
+  private callOptions(
+    {target}: TargetEntry,
+    predictedMs: number
+  ): TargetCallOptions {
     const {context, side, tools} = this;
     return targetCallOptions(context, side, tools, {
       target,
       leftMs: this.leftMs,
       resumeAfter: this.stream?.lastId,
-      headTimeoutMs: this.headTimeoutMs(),
+      predictedMs,
+      mayRunElsewhere: this.isRepeatable && !this.ledger.isLast,
     });
   }
 
-  /** Only a request that another target may run is given up early. */
-  private headTimeoutMs(): number {
-    const {route} = this.context;
-    const leftMs = Math.max(1, this.leftMs + DEADLINE_GRACE_MS);
-    if (!this.isRepeatable || this.ledger.isLast) return leftMs;
-    const silenceMs = SILENCE_FACTOR * route.latencyTargetMs;
-    return Math.min(leftMs, Math.max(MIN_SILENCE_MS, silenceMs));
-  }
-
   private onResponse(entry: TargetEntry, response: TargetResponse): void {
     const {route} = this.context;
     const {status} = response;
--- a/packages/gateway/src/lib/front/exchange_tools.ts
+++ b/packages/gateway/src/lib/front/exchange_tools.ts
@@ -20,6 +20,8 @@
    */
   onPlaced(targetId: string, context: RequestContext, isNew: boolean): void;
   onUse(customer: string, asked: number, given: number): void;
+  /** A request was refused unread, since the event loop is behind. */
+  onOverloaded(): void;
   onEnd(report: ExchangeReport): void;
 }
 
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -14,6 +14,11 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 /** How often Node looks for connections past their header timeout. */
 const CHECK_INTERVAL_MS = 1000;
+/**
+ * Connections that may wait to be accepted. A longer queue makes callers wait
+ * where another instance would serve them.
+ */
+const BACKLOG = 128;
 const DEFAULT_IDLE_MS = 15_000;
 const DEFAULT_HEADER_MS = 5000;
 /** Connections are closed a little later than their clients are told. */
@@ -57,7 +62,7 @@
     address: ListenAddress
   ): Promise<FrontServer> {
     const front = new FrontServer(tools);
-    await listenOn(front.server, address);
+    await listenOn(front.server, address, BACKLOG);
     return front;
   }
 
@@ -83,6 +88,18 @@
     this.server.closeIdleConnections();
   }
 
+  private refuseOverloaded(res: http.ServerResponse): void {
+    const {state, random, onOverloaded} = this.tools;
+    onOverloaded();
+    const answer = {
+      status: STATUS.unavailable,
+      kind: 'overloaded',
+      execution: EXECUTION.notRun,
+      retryAfterS: state.overload.retryAfterS(random()),
+    };
+    sendOwnAnswer(res, answer, state.stopping);
+  }
+
   private async onRequest(
     req: http.IncomingMessage,
     res: http.ServerResponse
@@ -97,6 +114,10 @@
       sendOwnAnswer(res, STOPPING, true);
       return;
     }
+    if (state.overload.refuses(tools.random())) {
+      this.refuseOverloaded(res);
+      return;
+    }
     const checked = checkRequest(
       {
         host: req.headers.host ?? '',
--- a/packages/gateway/src/lib/front/placing.ts
+++ b/packages/gateway/src/lib/front/placing.ts
@@ -1,5 +1,10 @@
 /** Feeds what the fleet knows into the decisions about one request. */
-import {decideAdmission, place, serviceCost} from '@applebend/routing';
+import {
+  decideAdmission,
+  maxWaitMs,
+  place,
+  serviceCost,
+} from '@applebend/routing';
 import {candidatesFor} from '../upstream/candidates.js';
 
 import type {AdmissionDecision, Placement} from '@applebend/routing';
@@ -39,7 +44,17 @@
     nowMs,
     random,
   });
-  return place(candidates, kvTokensOf(context));
+  // A customer over its share waits for the targets that keep its prompts.
+  const longestMs = isOverShare(input)
+    ? Infinity
+    : maxWaitMs(context.route.latencyTargetMs);
+  return place(candidates, kvTokensOf(context), longestMs);
+}
+
+function isOverShare({context, state, nowMs}: PlacingInput): boolean {
+  if (context.prompt === undefined) return false;
+  const {given} = state.shares.useOf(context.customer ?? '', nowMs);
+  return given > state.shares.level(context.config.limits.tokensPerS, nowMs);
 }
 
 /** Whether the request is taken at that target. @public */
--- a/packages/gateway/src/lib/front/target_call_options.ts
+++ b/packages/gateway/src/lib/front/target_call_options.ts
@@ -1,5 +1,7 @@
 /** Makes the call to a target out of a caller's request. */
-import type {Target} from '@applebend/routing';
+import {silenceLimitMs} from '@applebend/routing';
+
+import type {Route, Target} from '@applebend/routing';
 import type {TargetCallOptions} from '../upstream/target_call.js';
 import type {CallerSide, ExchangeTools} from './exchange_tools.js';
 import type {RequestContext} from './request_context.js';
@@ -10,17 +12,23 @@
   readonly leftMs: number;
   /** The last event that was passed on, where a stream goes on. */
   readonly resumeAfter: string | undefined;
-  readonly headTimeoutMs: number;
+  /** Until the first event, as predicted. */
+  readonly predictedMs: number;
+  /** Whether another target may run it, so that silence ends this attempt. */
+  readonly mayRunElsewhere: boolean;
 }
 
+/** The target's own answer at the deadline is waited for this long. @public */
+export const DEADLINE_GRACE_MS = 60;
+
 /** @public */
 export function targetCallOptions(
-  {caller, customer}: RequestContext,
+  {caller, customer, route}: RequestContext,
   {req, body}: CallerSide,
   {agent, codec}: ExchangeTools,
   attempt: AttemptOptions
 ): TargetCallOptions {
-  const {target, leftMs, resumeAfter, headTimeoutMs} = attempt;
+  const {target, leftMs, resumeAfter} = attempt;
   const method = req.method ?? 'GET';
   const headers = codec.writeTarget({
     method,
@@ -40,6 +48,15 @@
     attemptId: caller.attemptId,
     agent,
     codec,
-    headTimeoutMs,
+    headTimeoutMs: headTimeoutMs(route, attempt),
   };
 }
+
+function headTimeoutMs(
+  {latencyTargetMs}: Route,
+  {leftMs, predictedMs, mayRunElsewhere}: AttemptOptions
+): number {
+  const longestMs = Math.max(1, leftMs + DEADLINE_GRACE_MS);
+  if (!mayRunElsewhere) return longestMs;
+  return Math.min(longestMs, silenceLimitMs(latencyTargetMs, predictedMs));
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,6 +3,7 @@
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
+import {LoopMonitor} from './loop_monitor.js';
 import {GatewayMetrics} from './metrics/gateway_metrics.js';
 import {startMetricsServer} from './metrics/metrics_server.js';
 import {PeerExchange} from './peers/peer_exchange.js';
@@ -40,6 +41,7 @@
 export class Gateway {
   private readonly state: FleetState;
   private readonly peers: PeerExchange;
+  private readonly loop: LoopMonitor;
   private readonly tools: ExchangeTools;
   private readonly requestLog: RequestLog;
   private readonly metrics = GatewayMetrics.create();
@@ -59,6 +61,7 @@
       source,
       incarnation: random.int(1, 0x7fffffff),
     });
+    this.loop = LoopMonitor.create(this.state.overload, systemClock, log);
     this.tools = {
       state: this.state,
       codec,
@@ -69,6 +72,7 @@
         this.peers.onPlaced(target, context.prompt, isNew),
       onUse: (customer, asked, given) =>
         this.peers.onUse(customer, asked, given),
+      onOverloaded: () => this.metrics.onOverloaded(),
       onEnd: report => this.onEnd(report),
     };
   }
@@ -88,6 +92,7 @@
 
   private async start(): Promise<void> {
     const {settings, source, log} = this.ports;
+    this.loop.start();
     this.peers.start();
     source.start({
       onConfig: config => this.onConfig(config),
@@ -119,6 +124,8 @@
       instances: state.instanceCount,
       targets: [...state.targets.all()].length,
       active: front?.activeCount ?? 0,
+      loopLagMs: state.overload.lagMs,
+      loopBusyPart: state.overload.busyPart,
     });
   }
 
@@ -146,6 +153,7 @@
       server.close();
       server.closeAllConnections();
     }
+    this.loop.stop();
     source.stop();
     this.peers.stop();
     this.tools.agent.destroy();
--- /dev/null
+++ b/packages/gateway/src/lib/loop_monitor.ts
@@ -0,0 +1,56 @@
+/** Measures by how much the event loop is behind, and how busy it is. */
+import {performance} from 'node:perf_hooks';
+
+import type {OverloadGuard} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {Clock} from '@applebend/utils';
+
+const SAMPLE_MS = 50;
+/** Changes are logged at most this often. */
+const LOG_PAUSE_MS = 1000;
+
+/** @public */
+export class LoopMonitor {
+  private used = performance.eventLoopUtilization();
+  private timer: NodeJS.Timeout | undefined;
+  private wasOverloaded = false;
+  private loggedAtMs = -Infinity;
+
+  private constructor(
+    private readonly guard: OverloadGuard,
+    private readonly clock: Clock,
+    private readonly log: Logger
+  ) {}
+
+  static create(guard: OverloadGuard, clock: Clock, log: Logger): LoopMonitor {
+    return new LoopMonitor(guard, clock, log);
+  }
+
+  start(): void {
+    const dueMs = this.clock.monotonicMs() + SAMPLE_MS;
+    this.timer = setTimeout(() => {
+      this.onSample(this.clock.monotonicMs() - dueMs);
+      this.start();
+    }, SAMPLE_MS);
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  private onSample(lagMs: number): void {
+    const {guard, clock, log} = this;
+    const before = this.used;
+    this.used = performance.eventLoopUtilization();
+    const {utilization} = performance.eventLoopUtilization(this.used, before);
+    guard.onSample({lagMs, busyPart: utilization});
+    const {isOverloaded} = guard;
+    const nowMs = clock.monotonicMs();
+    const isDue = nowMs - this.loggedAtMs >= LOG_PAUSE_MS;
+    if (isOverloaded === this.wasOverloaded || !isDue) return;
+    this.wasOverloaded = isOverloaded;
+    this.loggedAtMs = nowMs;
+    const {busyPart} = guard;
+    log.warn('event loop behind', {isOverloaded, lagMs, busyPart});
+  }
+}
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -12,6 +12,8 @@
   readonly instances: number;
   readonly targets: number;
   readonly active: number;
+  readonly loopLagMs: number;
+  readonly loopBusyPart: number;
 }
 
 /** @public */
@@ -29,6 +31,11 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly overloaded = new Counter({
+    name: 'applebend_gateway_overloaded_total',
+    help: 'Requests refused unread, since the event loop was behind',
+    registers: [this.registry],
+  });
   private readonly seconds = new Histogram({
     name: 'applebend_gateway_request_seconds',
     help: 'Time from arrival to the end of the answer',
@@ -66,6 +73,10 @@
     }
   }
 
+  onOverloaded(): void {
+    this.overloaded.inc();
+  }
+
   /** All metrics as text. */
   async text(values: GaugeValues): Promise<string> {
     for (const [figure, value] of Object.entries(values)) {
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -144,6 +144,8 @@
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
   readonly metrics: ListenAddress;
+  /** Whether no instance ran before, so that targets keep nothing yet. */
+  readonly isFirstStart: boolean;
   /** From the stop signal to the forced end. */
   readonly gracePeriodMs: number;
   /** Age of the configuration's proof up to which keyed requests run. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -1,5 +1,9 @@
 /** The state that all requests of this instance share. */
-import {CustomerShares, FleetRetryBudget} from '@applebend/routing';
+import {
+  CustomerShares,
+  FleetRetryBudget,
+  OverloadGuard,
+} from '@applebend/routing';
 import {FleetLoads} from './peer_loads.js';
 import {TargetDirectory} from './target_directory.js';
 
@@ -11,6 +15,7 @@
 export class FleetState {
   readonly peerLoads = FleetLoads.create();
   readonly targets: TargetDirectory;
+  readonly overload = OverloadGuard.create();
   readonly shares: CustomerShares;
   private readonly budgets = new Map<string, FleetRetryBudget>();
   private current: FleetConfig | undefined;
@@ -26,8 +31,14 @@
     inspector: TargetInspector,
     private readonly log: Logger
   ) {
-    this.targets = TargetDirectory.create(this.peerLoads, inspector, log);
-    this.shares = CustomerShares.create(settings.shareWindowMs);
+    const {isFirstStart, shareWindowMs} = settings;
+    this.targets = TargetDirectory.create(
+      this.peerLoads,
+      inspector,
+      log,
+      isFirstStart
+    );
+    this.shares = CustomerShares.create(shareWindowMs);
   }
 
   static create(
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -18,15 +18,17 @@
   private constructor(
     private readonly peerLoads: FleetLoads,
     private readonly inspector: TargetInspector,
-    private readonly log: Logger
+    private readonly log: Logger,
+    private readonly isFirstStart: boolean
   ) {}
 
   static create(
     peerLoads: FleetLoads,
     inspector: TargetInspector,
-    log: Logger
+    log: Logger,
+    isFirstStart: boolean
   ): TargetDirectory {
-    return new TargetDirectory(peerLoads, inspector, log);
+    return new TargetDirectory(peerLoads, inspector, log, isFirstStart);
   }
 
   /** Whether the registrations were read at least once. */
@@ -108,6 +110,7 @@
 
   /** Asks new engines, one after the other, which prompt parts they keep. */
   private async learnKeptParts(): Promise<void> {
+    if (this.isFirstStart) return;
     for (const entry of this.entries.values()) {
       if (entry.memoryTokens === 0 || entry.askedForParts) continue;
       entry.askedForParts = true;
--- a/packages/gateway/src/lib/upstream/target_agent.ts
+++ b/packages/gateway/src/lib/upstream/target_agent.ts
@@ -50,9 +50,8 @@
       socket.off('data', guard);
       socket.off('end', guard);
     }
-    req.reusedSocket = true;
     socket.setTimeout(0);
-    socket.ref();
+    super.reuseSocket(socket, req);
   }
 }
 
--- a/packages/routing/src/heavy_day.test.ts
+++ b/packages/routing/src/heavy_day.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {hash32, Random} from '@applebend/utils';
-import {decideAdmission} from './lib/admission/admission.js';
+import {decideAdmission, maxWaitMs} from './lib/admission/admission.js';
 import {CustomerShares} from './lib/admission/customer_shares.js';
 import {FirstEventModel} from './lib/placement/first_event_model.js';
 import {place} from './lib/placement/placer.js';
@@ -175,7 +175,10 @@
     candidateOf(day, target, prompt)
   );
   const kvTokens = prompt.inputTokens + prompt.outputTokens;
-  const placement = place(candidates, kvTokens);
+  const {given} = day.shares.useOf(customer, day.nowMs);
+  const level = day.shares.level(TOKENS_PER_S, day.nowMs);
+  const longestMs = given > level ? Infinity : maxWaitMs(LATENCY_TARGET_MS);
+  const placement = place(candidates, kvTokens, longestMs);
   if (placement === undefined) return undefined;
   const running = candidates.reduce((sum, c) => sum + c.load.running, 0);
   const decision = decideAdmission({
@@ -184,8 +187,8 @@
     leftMs: 15_000,
     hasRoom: placement.hasRoom,
     occupancy: running / (ENGINES * RATES.slots),
-    given: day.shares.useOf(customer, day.nowMs).given,
-    level: day.shares.level(TOKENS_PER_S, day.nowMs),
+    given,
+    level,
     windowMs: WINDOW_MS,
     spread: 0.5,
   });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,10 +1,16 @@
 /** The gateway's decisions, pure: no network, no sockets, time passed in. */
-export {decideAdmission, REFUSAL_REASON} from './lib/admission/admission.js';
+export {
+  decideAdmission,
+  maxWaitMs,
+  REFUSAL_REASON,
+} from './lib/admission/admission.js';
 export type {
   AdmissionDecision,
   AdmissionInput,
   RefusalReason,
 } from './lib/admission/admission.js';
+export {OverloadGuard} from './lib/admission/overload_guard.js';
+export type {LoopSample} from './lib/admission/overload_guard.js';
 export {CustomerShares, maxMinLevel} from './lib/admission/customer_shares.js';
 export type {CustomerUse} from './lib/admission/customer_shares.js';
 export {WindowSum} from './lib/admission/window_sum.js';
@@ -38,3 +44,4 @@
 export type {LoadFigures, RunningRequest} from './lib/placement/target_load.js';
 export {FleetRetryBudget} from './lib/retry/fleet_retry_budget.js';
 export type {RetryBudgetOptions} from './lib/retry/fleet_retry_budget.js';
+export {silenceLimitMs} from './lib/retry/silence_limit.js';
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -65,9 +65,14 @@
   return given > level ? decideOverShare(input) : decideWithinShare(input);
 }
 
+/** The longest wait for which a customer within its share is taken. @public */
+export function maxWaitMs(latencyTargetMs: number): number {
+  return WAIT_PART * latencyTargetMs;
+}
+
 function decideWithinShare(input: AdmissionInput): AdmissionDecision {
   const {hasRoom, waitMs, latencyTargetMs} = input;
-  const limitMs = WAIT_PART * latencyTargetMs;
+  const limitMs = maxWaitMs(latencyTargetMs);
   if (hasRoom && waitMs <= limitMs) return {kind: 'admit'};
   const aheadMs = waitMs - limitMs;
   return refuse(REFUSAL_REASON.noCapacity, aheadMs, input);
--- /dev/null
+++ b/packages/routing/src/lib/admission/overload_guard.ts
@@ -0,0 +1,81 @@
+/**
+ * Tells when an instance itself is the bottleneck. Answers the load of one
+ * customer whose callers all reach the same instance: connections wait to be
+ * accepted for seconds, and every request on it is late. Refused callers reach
+ * other instances with their next try.
+ */
+
+/** What a sample of the event loop shows. @public */
+export interface LoopSample {
+  /** By how much a timer was late, in milliseconds. */
+  readonly lagMs: number;
+  /** Part of the time since the last sample that was not idle, 0 to 1. */
+  readonly busyPart: number;
+}
+
+/** Lag of the event loop from which new requests are refused. */
+const LAG_LIMIT_MS = 120;
+/**
+ * The same for its busy part: connections that wait to be accepted do not
+ * make timers late, since one is accepted in each turn of the loop.
+ */
+const BUSY_LIMIT = 0.95;
+/** Weight of a new sample; one alone, as after a pause, changes nothing. */
+const SAMPLE_WEIGHT = 0.25;
+const MAX_SAMPLE_MS = 400;
+/** Part of the requests that is served all the same, so that work goes on. */
+const SERVED_PART = 0.25;
+const MIN_RETRY_S = 0.05;
+const RETRY_SPREAD_S = 0.25;
+
+/** @public */
+export class OverloadGuard {
+  private smoothedMs = 0;
+  private smoothedBusy = 0;
+
+  private constructor() {}
+
+  static create(): OverloadGuard {
+    return new OverloadGuard();
+  }
+
+  /** Lag of the event loop, smoothed, in milliseconds. */
+  get lagMs(): number {
+    return this.smoothedMs;
+  }
+
+  /** Part of the time that the event loop is busy, smoothed, 0 to 1. */
+  get busyPart(): number {
+    return this.smoothedBusy;
+  }
+
+  /** Whether new requests are refused, but for a part of them. */
+  get isOverloaded(): boolean {
+    return this.smoothedMs > LAG_LIMIT_MS || this.smoothedBusy > BUSY_LIMIT;
+  }
+
+  onSample({lagMs, busyPart}: LoopSample): void {
+    const sampleMs = Math.min(lagMs, MAX_SAMPLE_MS);
+    this.smoothedMs += SAMPLE_WEIGHT * (sampleMs - this.smoothedMs);
+    this.smoothedBusy += SAMPLE_WEIGHT * (busyPart - this.smoothedBusy);
+  }
+
+  /**
+   * Whether a new request is refused.
+   *
+   * @param chance - from 0 up to 1
+   */
+  refuses(chance: number): boolean {
+    return this.isOverloaded && chance >= SERVED_PART;
+  }
+
+  /**
+   * Seconds after which a refused caller may come back; it is short, since
+   * other instances have room.
+   *
+   * @param spread - from 0 up to 1
+   */
+  retryAfterS(spread: number): number {
+    return MIN_RETRY_S + RETRY_SPREAD_S * spread;
+  }
+}
--- a/packages/routing/src/lib/placement/placer.test.ts
+++ b/packages/routing/src/lib/placement/placer.test.ts
@@ -66,3 +66,11 @@
   const failing = candidate('failing', {failureRate: 0.4, prefillMs: 0});
   assert.equal(idOf([failing, candidate('sound')]), 'sound');
 });
+
+test('a target that is too late yields to one that is on time, if any is', () => {
+  const home = candidate('home', {prefillMs: 20, waitMs: 400});
+  const cold = candidate('cold', {waitMs: 100});
+  assert.equal(place([home, cold], 1000)?.candidate.id, 'home');
+  assert.equal(place([home, cold], 1000, 360)?.candidate.id, 'cold');
+  assert.equal(place([home], 1000, 360)?.candidate.id, 'home');
+});
--- a/packages/routing/src/lib/placement/placer.ts
+++ b/packages/routing/src/lib/placement/placer.ts
@@ -47,18 +47,33 @@
 /** Part of an engine's memory that running requests may take. */
 const RUNNING_MEMORY_PART = 0.8;
 
-/** The cheapest candidate; `tieBreak` gives a number from 0 up to 1. @public */
+/**
+ * The cheapest candidate among those with room and a wait up to a limit, or
+ * among all where there is none.
+ *
+ * @public
+ */
 export function place(
   candidates: readonly Candidate[],
-  kvTokens: number
+  kvTokens: number,
+  maxWaitMs = Infinity
 ): Placement | undefined {
+  const all = candidates.map(candidate => ({
+    candidate,
+    hasRoom: roomAt(candidate, kvTokens),
+  }));
+  const isOnTime = ({candidate, hasRoom}: Placement) =>
+    hasRoom && candidate.waitMs <= maxWaitMs;
+  return cheapest(all.filter(isOnTime)) ?? cheapest(all);
+}
+
+function cheapest(placements: readonly Placement[]): Placement | undefined {
   let best: Placement | undefined;
   let bestCost = Infinity;
-  for (const candidate of candidates) {
-    const hasRoom = roomAt(candidate, kvTokens);
-    const cost = costAt(candidate, hasRoom);
+  for (const placement of placements) {
+    const cost = costAt(placement.candidate, placement.hasRoom);
     if (cost >= bestCost) continue;
-    best = {candidate, hasRoom};
+    best = placement;
     bestCost = cost;
   }
   return best;
