applebend explain: one request's story out of the instances' logs

The lines that name the request, and what its instance came to believe in the five seconds before it (configuration, targets that it used, store, peers, event loop), in order of time; lines may bear a collector's own words in front.

--- a/apps/cli/src/lib/commands/command.ts
+++ b/apps/cli/src/lib/commands/command.ts
@@ -16,6 +16,8 @@
   readonly summary: string;
   /** Names of the arguments that it needs. */
   readonly needs: readonly string[];
+  /** Whether the last argument may be given more than once. */
+  readonly takesMore?: boolean;
   readonly run: (
     args: readonly string[],
     options: CommandOptions
--- /dev/null
+++ b/apps/cli/src/lib/log_story.ts
@@ -0,0 +1,106 @@
+/**
+ * One request's story out of the logs of several instances: the lines that
+ * name it, and what its instances came to believe shortly before.
+ */
+
+/** A line of a log. @public */
+export interface LogEntry {
+  readonly timeMs: number;
+  readonly level: string;
+  readonly event: string;
+  readonly instance: string;
+  /** All other fields. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Changes of belief are shown from this long before the request. */
+const BEFORE_MS = 5000;
+/** Line that tells of requests; it is no change of belief. */
+const REQUEST_EVENTS: ReadonlySet<string> = new Set([
+  'request ended',
+  'refused',
+  'request_failed',
+]);
+/** Fields that may name a request. */
+const ID_FIELDS = ['attemptId', 'requestId'] as const;
+
+/** The entry of a line; undefined where the line holds none. @public */
+export function parseLogLine(line: string): LogEntry | undefined {
+  // Whoever collects the lines may put their own words before each.
+  const start = line.indexOf('{');
+  if (start < 0) return undefined;
+  const value = parseJson(line.slice(start));
+  if (typeof value !== 'object' || value === null) return undefined;
+  const {time, level, event, instance, ...fields} = value as Record<
+    string,
+    unknown
+  >;
+  const timeMs = Date.parse(String(time));
+  if (Number.isNaN(timeMs) || typeof event !== 'string') return undefined;
+  return {
+    timeMs,
+    level: String(level),
+    event,
+    instance: String(instance),
+    fields,
+  };
+}
+
+/** The entries that tell of a request, in order of time. @public */
+export function storyOf(
+  requestId: string,
+  entries: readonly LogEntry[]
+): LogEntry[] {
+  const own = entries.filter(entry => namesRequest(entry, requestId));
+  if (own.length === 0) return [];
+  const targets = new Set(own.map(({fields}) => fields['target']));
+  const instances = new Set(own.map(({instance}) => instance));
+  const fromMs = Math.min(...own.map(startOf)) - BEFORE_MS;
+  const toMs = Math.max(...own.map(({timeMs}) => timeMs));
+  const beliefs = entries.filter(entry => {
+    const {timeMs, event, instance, fields} = entry;
+    if (REQUEST_EVENTS.has(event)) return false;
+    if (timeMs < fromMs || timeMs > toMs) return false;
+    if (!instances.has(instance)) return false;
+    const {target} = fields;
+    return target === undefined || targets.has(target);
+  });
+  return [...beliefs, ...own].sort((a, b) => a.timeMs - b.timeMs);
+}
+
+/** An entry as one line for people. @public */
+export function describeEntry(entry: LogEntry): string {
+  const {timeMs, instance, event, fields} = entry;
+  const time = new Date(timeMs).toISOString().slice('2026-01-01T'.length, -1);
+  const shown = Object.entries(fields).map(
+    ([name, value]) => `${name}=${textOf(value)}`
+  );
+  return [time, instance, event, ...shown].join('  ');
+}
+
+function namesRequest({fields}: LogEntry, requestId: string): boolean {
+  return ID_FIELDS.some(name => fields[name] === requestId);
+}
+
+/** When the request arrived, by its last line. */
+function startOf({timeMs, fields}: LogEntry): number {
+  const {elapsedMs} = fields;
+  return typeof elapsedMs === 'number' ? timeMs - elapsedMs : timeMs;
+}
+
+function textOf(value: unknown): string {
+  if (typeof value === 'number') return String(Math.round(value * 100) / 100);
+  if (typeof value === 'string') return value;
+  if (typeof value !== 'object' || value === null) return String(value);
+  const parts = Object.entries(value).map(([k, v]) => `${k}:${textOf(v)}`);
+  return `{${parts.join(' ')}}`;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // A line cut short, or none of ours; what it held is not shown.
+    return undefined;
+  }
+}
--- a/apps/cli/src/lib/outcome.ts
+++ b/apps/cli/src/lib/outcome.ts
@@ -22,7 +22,8 @@
   | {readonly kind: 'instance_unreachable'; readonly message: string}
   | {readonly kind: 'change_rejected'; readonly message: string}
   | {readonly kind: 'change_unknown'; readonly message: string}
-  | {readonly kind: 'not_in_force'; readonly message: string};
+  | {readonly kind: 'not_in_force'; readonly message: string}
+  | {readonly kind: 'request_unknown'; readonly message: string};
 
 /** The exit code of each failure. @public */
 export const EXIT_OF: Readonly<Record<ToolError['kind'], ExitCode>> = {
@@ -34,6 +35,7 @@
   change_rejected: EXIT.rejected,
   change_unknown: EXIT.unknown,
   not_in_force: EXIT.notInForce,
+  request_unknown: EXIT.failed,
 };
 
 /** What a command found out: lines for people, data for programs. @public */
--- a/apps/cli/src/main.ts
+++ b/apps/cli/src/main.ts
@@ -8,6 +8,7 @@
   historyCommand,
   publishCommand,
 } from './lib/commands/config_commands.js';
+import {explainCommand} from './lib/commands/log_commands.js';
 import {drainCommand, statusCommand} from './lib/commands/instance_commands.js';
 import {EXIT, EXIT_OF} from './lib/outcome.js';
 
@@ -22,6 +23,7 @@
   status: statusCommand,
   drain: drainCommand,
   'hash-key': hashKeyCommand,
+  explain: explainCommand,
 };
 
 const OPTIONS = {
@@ -60,7 +62,7 @@
     const message = `no command is named "${name}"`;
     return printError({kind: 'usage', message}, values.json);
   }
-  if (args.length !== command.needs.length) {
+  if (!hasArguments(command, args.length)) {
     const message = `usage: applebend ${command.usage}`;
     return printError({kind: 'usage', message}, values.json);
   }
@@ -72,6 +74,10 @@
   return EXIT.ok;
 }
 
+function hasArguments({needs, takesMore}: Command, count: number): boolean {
+  return takesMore ? count >= needs.length : count === needs.length;
+}
+
 function overview(): string {
   const lines = Object.values(COMMANDS).map(
     command => `  ${command.usage.padEnd(52)} ${command.summary}`
