--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -190,16 +190,21 @@
       this.sendAgain();
       return;
     }
-    PlainRelay.create(response, this.side.res, this.tools.state.stopping, {
-      onDone: () => {
-        if (status < 500) entry.health.onSuccess();
-        this.end('answered', status);
-      },
-      onBroken: () =>
-        this.onFailure(
-          attemptFailure('reset', EXECUTION.unknown, 'answer broke off')
-        ),
-    });
+    PlainRelay.create(
+      response,
+      this.side.res,
+      this.tools.state.closesConnections,
+      {
+        onDone: () => {
+          if (status < 500) entry.health.onSuccess();
+          this.end('answered', status);
+        },
+        onBroken: () =>
+          this.onFailure(
+            attemptFailure('reset', EXECUTION.unknown, 'answer broke off')
+          ),
+      }
+    );
   }
 
   private relayStream(response: TargetResponse): void {
@@ -218,7 +223,7 @@
         this.onFailure(attemptFailure('reset', EXECUTION.unknown, message)),
       onPause: () => this.onPause(),
     });
-    this.stream.attach(response, state.stopping);
+    this.stream.attach(response, state.closesConnections);
   }
 
   /** A stream that stands still goes on elsewhere where it may. */
@@ -306,7 +311,7 @@
 
   private finishWith(answer: OwnAnswer): void {
     if (this.ended) return;
-    sendOwnAnswer(this.side.res, answer, this.tools.state.stopping);
+    sendOwnAnswer(this.side.res, answer, this.tools.state.closesConnections);
     this.end(answer.kind, answer.status);
   }
 
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -54,6 +54,10 @@
       },
       (req, res) => void this.onRequest(req, res)
     );
+    this.server.on('connection', socket => {
+      tools.state.callerConnections += 1;
+      socket.on('close', () => (tools.state.callerConnections -= 1));
+    });
   }
 
   /** Listens at once; resolves when the port is open. */
@@ -97,7 +101,7 @@
       execution: EXECUTION.notRun,
       retryAfterS: state.overload.retryAfterS(random()),
     };
-    sendOwnAnswer(res, answer, state.stopping);
+    sendOwnAnswer(res, answer, state.closesConnections);
   }
 
   private async onRequest(
@@ -128,7 +132,7 @@
       state
     );
     if (!checked.ok) {
-      sendOwnAnswer(res, checked.err, state.stopping);
+      sendOwnAnswer(res, checked.err, state.closesConnections);
       return;
     }
     const context = checked.value;
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -146,6 +146,8 @@
   readonly metrics: ListenAddress;
   /** Whether no instance ran before, so that targets keep nothing yet. */
   readonly isFirstStart: boolean;
+  /** Open connections of callers above which answers close theirs. */
+  readonly maxCallerConnections: number;
   /** From the stop signal to the forced end. */
   readonly gracePeriodMs: number;
   /** Age of the configuration's proof up to which keyed requests run. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -24,6 +24,8 @@
   /** Those of them in this instance's group. */
   groupServing = 1;
   stopping = false;
+  /** Open connections of callers. */
+  callerConnections = 0;
 
   private constructor(
     readonly settings: GatewaySettings,
@@ -58,6 +60,15 @@
     return this.isKnown && !this.stopping;
   }
 
+  /**
+   * Whether answers ask callers to close their connections: in a shutdown, and
+   * where so many are open that new ones would soon find no room.
+   */
+  get closesConnections(): boolean {
+    const {maxCallerConnections} = this.settings;
+    return this.stopping || this.callerConnections > maxCallerConnections;
+  }
+
   /** Whether a configuration and the targets were read. */
   get isKnown(): boolean {
     return this.current !== undefined && this.targets.isKnown;
