A request whose caller has gone reaches no target

Change: two turns of the loop between reading a request and placing it; one whose caller's side has ended is dropped and counted. Ruled out: a shorter queue alone (128 at the slowest instance is over half a second), waiting in overload only (a paused instance wakes to the same).

--- a/packages/gateway/src/lib/front/exchange_tools.ts
+++ b/packages/gateway/src/lib/front/exchange_tools.ts
@@ -22,6 +22,8 @@
   onUse(customer: string, asked: number, given: number): void;
   /** A request was refused unread, since the event loop is behind. */
   onOverloaded(): void;
+  /** A caller had gone before its request was placed. */
+  onLeftUnread(): void;
   onEnd(report: ExchangeReport): void;
 }
 
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -1,5 +1,6 @@
 /** The callers' side: accepts requests, checks them and starts exchanges. */
 import http from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 import {EXECUTION} from '../errors.js';
 import {listenOn} from '../listen.js';
 import {readBody} from './body_reader.js';
@@ -7,6 +8,7 @@
 import {Exchange} from './exchange.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 
+import type {Socket} from 'node:net';
 import type {ListenAddress} from '../ports.js';
 import type {ExchangeTools} from './exchange_tools.js';
 import type {OwnAnswer} from './responses.js';
@@ -14,6 +16,8 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 /** How often Node looks for connections past their header timeout. */
 const CHECK_INTERVAL_MS = 1000;
+/** Turns of the event loop after which a close that came along is known. */
+const CLOSE_TURNS = 2;
 /**
  * Connections that may wait to be accepted. A longer queue makes callers wait
  * where another instance would serve them.
@@ -137,6 +141,10 @@
     }
     const context = checked.value;
     const body = await readBody(req, context.config.limits.maxBodyBytes);
+    if (await hasLeft(req.socket)) {
+      tools.onLeftUnread();
+      return;
+    }
     if (body.ok) {
       Exchange.create(context, {req, res, body: body.value}, tools);
       return;
@@ -156,3 +164,13 @@
     res.destroy();
   }
 }
+
+/**
+ * Whether the caller has gone. A request that waited long in the queue of
+ * connections is read together with its caller's close, which the event loop
+ * reports a turn later.
+ */
+async function hasLeft(socket: Socket): Promise<boolean> {
+  for (let turn = 0; turn < CLOSE_TURNS; turn++) await setImmediate();
+  return socket.destroyed || socket.readableEnded;
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -73,6 +73,7 @@
       onUse: (customer, asked, given) =>
         this.peers.onUse(customer, asked, given),
       onOverloaded: () => this.metrics.onOverloaded(),
+      onLeftUnread: () => this.metrics.onLeftUnread(),
       onEnd: report => this.onEnd(report),
     };
   }
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -36,6 +36,11 @@
     help: 'Requests refused unread, since the event loop was behind',
     registers: [this.registry],
   });
+  private readonly leftUnread = new Counter({
+    name: 'applebend_gateway_left_unread_total',
+    help: 'Requests whose caller had gone before they were placed',
+    registers: [this.registry],
+  });
   private readonly seconds = new Histogram({
     name: 'applebend_gateway_request_seconds',
     help: 'Time from arrival to the end of the answer',
@@ -77,6 +82,10 @@
     this.overloaded.inc();
   }
 
+  onLeftUnread(): void {
+    this.leftUnread.inc();
+  }
+
   /** All metrics as text. */
   async text(values: GaugeValues): Promise<string> {
     for (const [figure, value] of Object.entries(values)) {
