--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -1,5 +1,6 @@
 /** Many exchanges in one process, over loopback. */
 import assert from 'node:assert/strict';
+import dgram from 'node:dgram';
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {systemClock} from '@applebend/utils';
@@ -14,7 +15,6 @@
   StateSource,
 } from '../ports.js';
 
-const FIRST_PORT = 47_310;
 const log = Logger.create(LOG_LEVEL.error, {});
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -76,15 +76,15 @@
     readonly exchange: PeerExchange
   ) {}
 
-  static create(index: number): Instance {
+  static create(index: number, port: number): Instance {
     const info = {
       instance: `entry-${String(index).padStart(2, '0')}`,
       failureDomain: `hall-${'abc'[index % 3]}`,
       capacity: index < 6 ? 2 : 1,
       host: '127.0.0.1',
-      port: FIRST_PORT + index,
+      port,
     };
-    const {instance, failureDomain, capacity, host, port} = info;
+    const {instance, failureDomain, capacity, host} = info;
     const settings = {
       instance,
       failureDomain,
@@ -124,11 +124,24 @@
   }
 }
 
+/** Ports that were free a moment ago. */
+async function freePorts(count: number): Promise<number[]> {
+  const sockets = Array.from({length: count}, () => dgram.createSocket('udp4'));
+  const bind = (socket: dgram.Socket) =>
+    new Promise<number>(resolve =>
+      socket.bind(0, '127.0.0.1', () => resolve(socket.address().port))
+    );
+  const ports = await Promise.all(sockets.map(bind));
+  for (const socket of sockets) socket.close();
+  return ports;
+}
+
 async function withFleet(
   count: number,
   play: (fleet: Instance[]) => Promise<void>
 ): Promise<void> {
-  const fleet = Array.from({length: count}, (_, i) => Instance.create(i));
+  const ports = await freePorts(count);
+  const fleet = ports.map((port, index) => Instance.create(index, port));
   try {
     for (const {exchange} of fleet) {
       exchange.onListed(fleet.map(({info}) => info));
