Logs tell each second what each customer asked for and was given

What the incident lacked: requests that are answered are sampled, and refusals are cut at 50 lines a second, so that nobody could say from logs how far two customers are apart. Each instance now writes one line a second with asked, given and refused by customer (32 rows at most, 4 KB at most by its test) and the share level; `applebend fairness FILE...` adds the instances up and lists the windows of six seconds in which a customer waited all through, those nearest to half of the best served one first. No decision changes.

--- a/apps/cli/src/main.ts
+++ b/apps/cli/src/main.ts
@@ -8,7 +8,7 @@
   historyCommand,
   publishCommand,
 } from './lib/commands/config_commands.js';
-import {explainCommand} from './lib/commands/log_commands.js';
+import {explainCommand, fairnessCommand} from './lib/commands/log_commands.js';
 import {drainCommand, statusCommand} from './lib/commands/instance_commands.js';
 import {EXIT, EXIT_OF} from './lib/outcome.js';
 
@@ -24,6 +24,7 @@
   drain: drainCommand,
   'hash-key': hashKeyCommand,
   explain: explainCommand,
+  fairness: fairnessCommand,
 };
 
 const OPTIONS = {
--- /dev/null
+++ b/packages/gateway/src/lib/front/customer_use_log.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CustomerUseLog} from './customer_use_log.js';
+
+import type {Logger} from '@applebend/telemetry';
+import type {CustomerUseRow} from './customer_use_log.js';
+
+interface Line {
+  readonly second: number;
+  readonly uses: readonly CustomerUseRow[];
+  readonly customersLeftOut: number;
+}
+
+function play(customers: number, seconds: number): Line[] {
+  const lines: Line[] = [];
+  const log = {info: (_event: string, fields: Line) => lines.push(fields)};
+  let nowMs = 0;
+  const clock = {monotonicMs: () => nowMs, wallMs: () => nowMs};
+  const uses = CustomerUseLog.create(log as unknown as Logger, clock, () => ({
+    level: 1000,
+  }));
+  for (; nowMs < seconds * 1000; nowMs += 10) {
+    for (let i = 0; i < customers; i++) {
+      const asked = 10 + i;
+      uses.onUse(`customer-${i}`, asked, nowMs % 20 === 0 ? asked : 0);
+    }
+  }
+  uses.flush();
+  return lines;
+}
+
+test('a line a second holds what was asked, given and refused', () => {
+  const lines = play(2, 3);
+  assert.deepEqual(
+    lines.map(({second}) => second),
+    [0, 1, 2]
+  );
+  const {uses, customersLeftOut} = lines[1];
+  assert.equal(customersLeftOut, 0);
+  assert.deepEqual(uses, [
+    {customer: 'customer-1', asked: 1100, given: 550, refusals: 50},
+    {customer: 'customer-0', asked: 1000, given: 500, refusals: 50},
+  ]);
+});
+
+test('a line of many customers stays bounded and counts the others', () => {
+  const [line] = play(900, 1);
+  assert.equal(line.uses.length + line.customersLeftOut, 900);
+  assert.ok(JSON.stringify(line).length < 4096);
+  assert.equal(line.uses[0].customer, 'customer-899');
+});
--- a/packages/gateway/src/lib/front/placing.ts
+++ b/packages/gateway/src/lib/front/placing.ts
@@ -49,7 +49,7 @@
 function isOverShare({context, state, nowMs}: PlacingInput): boolean {
   if (context.prompt === undefined) return false;
   const {given} = state.shares.useOf(context.customer ?? '', nowMs);
-  return given > state.shares.level(context.config.limits.tokensPerS, nowMs);
+  return given > state.shareLevel(nowMs, context.config);
 }
 
 /** What decides whether the request is taken at that target. @public */
@@ -59,7 +59,6 @@
 ): AdmissionInput {
   const {context, state, nowMs, random} = input;
   const {shares, settings, targets} = state;
-  const {tokensPerS} = context.config.limits;
   const isModelCall = context.prompt !== undefined;
   return {
     waitMs: candidate.waitMs,
@@ -68,7 +67,7 @@
     hasRoom,
     occupancy: targets.occupancyOf(context.service),
     given: shares.useOf(context.customer ?? '', nowMs).given,
-    level: isModelCall ? shares.level(tokensPerS, nowMs) : Infinity,
+    level: isModelCall ? state.shareLevel(nowMs, context.config) : Infinity,
     windowMs: settings.shareWindowMs,
     spread: random(),
   };
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,5 +1,6 @@
 /** One instance of the gateway: connects the decisions to sockets. */
 import {Random, sleep, systemClock} from '@applebend/utils';
+import {CustomerUseLog} from './front/customer_use_log.js';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
@@ -44,6 +45,7 @@
   private readonly loop: LoopMonitor;
   private readonly tools: ExchangeTools;
   private readonly requestLog: RequestLog;
+  private readonly useLog: CustomerUseLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly servers: http.Server[] = [];
   private front: FrontServer | undefined;
@@ -54,6 +56,9 @@
     this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, source, inspector, log);
+    this.useLog = CustomerUseLog.create(log, systemClock, () => ({
+      level: this.state.shareLevel(systemClock.monotonicMs()),
+    }));
     this.peers = PeerExchange.create({
       state: this.state,
       clock: systemClock,
@@ -70,8 +75,10 @@
       random: () => random.unit(),
       onPlaced: (target, context, isNew) =>
         this.peers.onPlaced(target, context.prompt, isNew),
-      onUse: (customer, asked, given) =>
-        this.peers.onUse(customer, asked, given),
+      onUse: (customer, asked, given) => {
+        this.peers.onUse(customer, asked, given);
+        this.useLog.onUse(customer, asked, given);
+      },
       onOverloaded: () => this.metrics.onOverloaded(),
       onLeftUnread: () => this.metrics.onLeftUnread(),
       onEnd: report => this.onEnd(report),
@@ -158,6 +165,7 @@
     source.stop();
     this.peers.stop();
     this.tools.agent.destroy();
+    this.useLog.flush();
     log.info('stopped', {cut: this.front?.activeCount});
   }
 }
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -84,6 +84,12 @@
     return this.source.configAgeMs() <= this.settings.denyProofMaxAgeMs;
   }
 
+  /** The share level of a configuration's rate; infinite without one. */
+  shareLevel(nowMs: number, config = this.current): number {
+    if (config === undefined) return Infinity;
+    return this.shares.level(config.limits.tokensPerS, nowMs);
+  }
+
   budgetOf(service: string): FleetRetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -27,6 +27,12 @@
 export {RouteTable} from './lib/config/route_table.js';
 export {TARGET_STATE} from './lib/config/target.js';
 export type {Target, TargetState} from './lib/config/target.js';
+export {fairnessWindows} from './lib/fairness/fairness_windows.js';
+export type {
+  FairnessWindow,
+  SecondUse,
+  UseTimeline,
+} from './lib/fairness/fairness_windows.js';
 export {Freshness} from './lib/freshness/freshness.js';
 export type {ReadStamp} from './lib/freshness/freshness.js';
 export {ListFreshness} from './lib/freshness/list_freshness.js';
