--- /dev/null
+++ b/packages/routing/src/testing/heavy_day.ts
@@ -0,0 +1,247 @@
+/**
+ * The load of a heavy day, played through the decisions against the engine
+ * model in virtual time: more is asked than the engines can do, and sessions
+ * share long prompt parts. For tests.
+ */
+import {hash32, Random} from '@applebend/utils';
+import {decideAdmission, maxWaitMs} from '../lib/admission/admission.js';
+import {CustomerShares} from '../lib/admission/customer_shares.js';
+import {FirstEventModel} from '../lib/placement/first_event_model.js';
+import {place} from '../lib/placement/placer.js';
+import {PrefixCache} from '../lib/placement/prefix_cache.js';
+import {serviceCost, sessionOf} from '../lib/placement/prompt.js';
+import {OwnLoad} from '../lib/placement/target_load.js';
+import {EngineModel} from './engine_model.js';
+
+import type {SecondUse} from '../lib/fairness/fairness_windows.js';
+import type {Candidate} from '../lib/placement/placer.js';
+import type {Prompt} from '../lib/placement/prompt.js';
+
+const RATES = {
+  slots: 48,
+  memoryTokens: 600_000,
+  stepMs: 3.8,
+  stepMsPerRequest: 0.09,
+  prefillTokensPerMs: 56,
+  tokensPerEvent: 5,
+};
+const ENGINES = 6;
+const TOKENS_PER_S = 200_000;
+const LATENCY_TARGET_MS = 800;
+const WINDOW_MS = 4000;
+const LENGTH_MS = 30_000;
+const TICK_MS = 5;
+const SESSIONS = 110;
+const HASH_RANGE = 0x100000000;
+
+/** What one customer got in the whole day; `given` in weighted tokens. */
+export interface CustomerFigures {
+  asked: number;
+  refused: number;
+  onTime: number;
+  given: number;
+}
+
+/** Requests a second of each customer at a moment of the day. */
+export type Demand = (nowMs: number) => readonly number[];
+
+const NO_USE: SecondUse = {asked: 0, given: 0, waited: false};
+
+export interface Target {
+  readonly id: string;
+  readonly engine: EngineModel;
+  readonly own: OwnLoad;
+  readonly cache: PrefixCache;
+}
+
+/** One policy: the target of a prompt, or nothing where it is refused. */
+export type Policy = (
+  day: HeavyDay,
+  customer: string,
+  prompt: Prompt
+) => Target | undefined;
+
+export class HeavyDay {
+  readonly targets: Target[] = [];
+  readonly shares = CustomerShares.create(WINDOW_MS);
+  readonly model = FirstEventModel.create();
+  readonly figures: CustomerFigures[];
+  /** Uses by second; service counts where its first event comes. */
+  readonly timeline = new Map<string, SecondUse[]>();
+  nowMs = 0;
+  private readonly random: Random;
+
+  private constructor(
+    seed: number,
+    private readonly demand: Demand,
+    private readonly policy: Policy
+  ) {
+    this.random = Random.create(seed);
+    this.figures = demand(0).map(() => ({
+      asked: 0,
+      refused: 0,
+      onTime: 0,
+      given: 0,
+    }));
+    for (let i = 0; i < ENGINES; i++) {
+      this.targets.push({
+        id: `engine-${i}`,
+        engine: EngineModel.create(RATES),
+        own: OwnLoad.create(),
+        cache: PrefixCache.create(RATES.memoryTokens / 2),
+      });
+    }
+  }
+
+  static create(seed: number, demand: Demand, policy: Policy): HeavyDay {
+    const day = new HeavyDay(seed, demand, policy);
+    while (day.nowMs < LENGTH_MS) day.tick();
+    return day;
+  }
+
+  /** Prompt tokens that were read for each request that began. */
+  get readPerRequest(): number {
+    let read = 0;
+    let begun = 0;
+    for (const {engine} of this.targets) {
+      read += engine.readTokens;
+      begun += engine.begun;
+    }
+    return read / begun;
+  }
+
+  private tick(): void {
+    this.nowMs += TICK_MS;
+    for (const {engine} of this.targets) engine.runUntil(this.nowMs);
+    for (const [index, perS] of this.demand(this.nowMs).entries()) {
+      if (this.random.chance((perS * TICK_MS) / 1000)) this.arrive(index);
+    }
+  }
+
+  private arrive(index: number): void {
+    const prompt = this.drawPrompt();
+    const customer = `customer-${index}`;
+    const figures = this.figures[index];
+    const cost = serviceCost(prompt);
+    figures.asked += 1;
+    const target = this.policy(this, customer, prompt);
+    const given = target === undefined ? 0 : cost;
+    this.shares.add(customer, {asked: cost, given}, this.nowMs);
+    const waited = target === undefined;
+    this.note(customer, {asked: cost, given: 0, waited});
+    if (target === undefined) {
+      figures.refused += 1;
+      return;
+    }
+    figures.given += cost;
+    this.run(target, prompt, elapsedMs => {
+      this.note(customer, {asked: 0, given: cost, waited: false});
+      if (elapsedMs <= LATENCY_TARGET_MS) figures.onTime += 1;
+    });
+  }
+
+  private note(customer: string, use: SecondUse): void {
+    let uses = this.timeline.get(customer);
+    if (uses === undefined) {
+      const length = Math.ceil(LENGTH_MS / 1000) + 1;
+      uses = Array.from({length}, () => NO_USE);
+      this.timeline.set(customer, uses);
+    }
+    const second = Math.floor(this.nowMs / 1000);
+    const sum = uses[second];
+    uses[second] = {
+      asked: sum.asked + use.asked,
+      given: sum.given + use.given,
+      waited: sum.waited || use.waited,
+    };
+  }
+
+  private run(
+    target: Target,
+    prompt: Prompt,
+    onBegun: (elapsedMs: number) => void
+  ): void {
+    const sentMs = this.nowMs;
+    const ahead = target.own.figures.prefillTokens;
+    const unread = prompt.inputTokens - target.cache.cachedTokens(prompt.parts);
+    target.cache.touch(prompt.parts);
+    const kvTokens = prompt.inputTokens + prompt.outputTokens;
+    const running = target.own.start(unread, kvTokens);
+    target.engine.submit({
+      prompt,
+      onFirstEvent: nowMs => {
+        running.onFirstEvent();
+        this.model.observe(ahead + unread, nowMs - sentMs);
+        onBegun(nowMs - sentMs);
+      },
+      onEnd: () => running.onEnd(),
+    });
+  }
+
+  private drawPrompt(): Prompt {
+    const session = this.random.int(0, SESSIONS - 1);
+    const own = Math.round(this.random.exponential(4000)) + 50;
+    return {
+      parts: [
+        {id: 'system', tokens: 500},
+        {id: `session-${session}`, tokens: 4800},
+        {id: `own-${this.random.int(0, 1e9)}`, tokens: own},
+      ],
+      inputTokens: 5300 + own,
+      outputTokens: 20 + Math.round(this.random.exponential(250)),
+    };
+  }
+}
+
+/** The target with the fewest requests, with no regard to anything else. */
+export const leastBusy: Policy = day => {
+  const byLoad = day.targets.toSorted(
+    (a, b) => a.own.figures.running - b.own.figures.running
+  );
+  return byLoad[0];
+};
+
+/** The policy of the gateway. */
+export const shared: Policy = (day, customer, prompt) => {
+  const candidates = day.targets.map(target =>
+    candidateOf(day, target, prompt)
+  );
+  const kvTokens = prompt.inputTokens + prompt.outputTokens;
+  const {given} = day.shares.useOf(customer, day.nowMs);
+  const level = day.shares.level(TOKENS_PER_S, day.nowMs);
+  const longestMs = given > level ? Infinity : maxWaitMs(LATENCY_TARGET_MS);
+  const placement = place(candidates, kvTokens, longestMs);
+  if (placement === undefined) return undefined;
+  const running = candidates.reduce((sum, c) => sum + c.load.running, 0);
+  const decision = decideAdmission({
+    waitMs: placement.candidate.waitMs,
+    latencyTargetMs: LATENCY_TARGET_MS,
+    leftMs: 15_000,
+    hasRoom: placement.hasRoom,
+    occupancy: running / (ENGINES * RATES.slots),
+    given,
+    level,
+    windowMs: WINDOW_MS,
+    spread: 0.5,
+  });
+  if (decision.kind === 'refuse') return undefined;
+  return day.targets.find(({id}) => id === placement.candidate.id);
+};
+
+function candidateOf(day: HeavyDay, target: Target, prompt: Prompt): Candidate {
+  const load = target.own.figures;
+  const cached = target.cache.cachedTokens(prompt.parts);
+  const uncachedTokens = prompt.inputTokens - cached;
+  return {
+    id: target.id,
+    load,
+    slots: RATES.slots,
+    memoryTokens: RATES.memoryTokens,
+    uncachedTokens,
+    waitMs: day.model.prefillMs(load.prefillTokens),
+    prefillMs: day.model.prefillMs(uncachedTokens),
+    sameFailureDomain: true,
+    failureRate: 0,
+    homeRank: hash32(`${sessionOf(prompt)}@${target.id}`) / HASH_RANGE,
+  };
+}
