--- /dev/null
+++ b/packages/routing/src/hot_customer_day.test.ts
@@ -0,0 +1,43 @@
+/** What waiting customers get beside a hot one, while a burst is on. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {fairnessWindows} from './lib/fairness/fairness_windows.js';
+import {HeavyDay, shared} from './testing/heavy_day.js';
+
+import type {FairnessWindow} from './lib/fairness/fairness_windows.js';
+
+/** Requests a second on usual seconds. */
+const USUAL = [18, 12, 8, 6, 5, 4, 3, 2, 2, 1, 1, 1, 1, 1, 1, 1];
+const HOT_FACTOR = 12;
+const BURST_FACTOR = 2;
+const HOT_FROM_MS = 10_000;
+const BURST_FROM_MS = 12_000;
+const BURST_TO_MS = 22_000;
+const WINDOW_S = 6;
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+
+function demandOf(hotRank: number) {
+  return (nowMs: number): number[] => {
+    const isHot = nowMs >= HOT_FROM_MS && nowMs < BURST_TO_MS;
+    const isBurst = nowMs >= BURST_FROM_MS && nowMs < BURST_TO_MS;
+    return USUAL.map((perS, rank) => {
+      const hot = isHot && rank === hotRank ? HOT_FACTOR : 1;
+      return perS * hot * (isBurst ? BURST_FACTOR : 1);
+    });
+  };
+}
+
+function leastWindow(seed: number, hotRank: number): FairnessWindow {
+  const day = HeavyDay.create(seed, demandOf(hotRank), shared);
+  const windows = fairnessWindows(day.timeline, WINDOW_S);
+  return windows.reduce((a, b) => (a.ratio <= b.ratio ? a : b));
+}
+
+for (const hotRank of [0, 2, 5, 11]) {
+  test(`a waiting customer has half of what a hot one of rank ${hotRank} gets in a burst`, () => {
+    for (const seed of SEEDS) {
+      const least = leastWindow(seed, hotRank);
+      assert.ok(least.ratio >= 1, `seed ${seed}: ${JSON.stringify(least)}`);
+    }
+  });
+}
