Customers past twice their share are still told apart

A free slot went to whoever asked next: to customers by how often they ask.

Evidence: in the broken windows the customers that wait stood at a median of 2.5 times the level, the best served at 5.4 and 6.0, while the occupancy stood at the last limit (0.56 to 0.63).

Change: what was given beyond the configured rate is divided by a second level, the max-min share of all that was given in the window. The limits of a customer over its share fall with its part of that level, from half of it to 1.6 times it, and reach far enough down that a customer that asks hundreds of times a second does not take each slot as it falls free.

Ruled out: old views (two instances' figures of a customer differ by 0.3 to 0.5 %); overload of an instance (no such line).

The log's `level` is now one of two `levels`.

--- a/apps/cli/src/lib/log_story.ts
+++ b/apps/cli/src/lib/log_story.ts
@@ -15,9 +15,10 @@
 
 /** Changes of belief are shown from this long before the request. */
 const BEFORE_MS = 5000;
-/** Line that tells of requests; it is no change of belief. */
+/** Lines that tell of requests; they are no change of belief. */
 const REQUEST_EVENTS: ReadonlySet<string> = new Set([
   'request ended',
+  'customer use',
   'refused',
   'request_failed',
 ]);
--- a/packages/gateway/src/lib/front/customer_use_log.test.ts
+++ b/packages/gateway/src/lib/front/customer_use_log.test.ts
@@ -17,7 +17,8 @@
   let nowMs = 0;
   const clock = {monotonicMs: () => nowMs, wallMs: () => nowMs};
   const uses = CustomerUseLog.create(log as unknown as Logger, clock, () => ({
-    level: 1000,
+    owed: 1000,
+    even: 2000,
   }));
   for (; nowMs < seconds * 1000; nowMs += 10) {
     for (let i = 0; i < customers; i++) {
--- a/packages/gateway/src/lib/front/customer_use_log.ts
+++ b/packages/gateway/src/lib/front/customer_use_log.ts
@@ -3,6 +3,7 @@
  * instance, so that the logs of all instances show who waited for whom. Rows
  * beyond a limit are counted, those that asked for least first.
  */
+import type {ShareLevels} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
@@ -17,12 +18,6 @@
   readonly refusals: number;
 }
 
-/** The share levels by which this instance decides. @public */
-export interface ShareLevels {
-  /** Weighted tokens in the window of shares; infinite while all is served. */
-  readonly level: number;
-}
-
 /** @public */
 export class CustomerUseLog {
   private readonly rows = new Map<string, CustomerUseRow>();
@@ -62,7 +57,7 @@
     this.rows.clear();
     this.log.info('customer use', {
       second: this.second,
-      ...this.levels(),
+      levels: this.levels(),
       uses: uses.slice(0, MAX_ROWS),
       customersLeftOut: Math.max(0, uses.length - MAX_ROWS),
     });
--- a/packages/gateway/src/lib/front/placing.ts
+++ b/packages/gateway/src/lib/front/placing.ts
@@ -49,7 +49,7 @@
 function isOverShare({context, state, nowMs}: PlacingInput): boolean {
   if (context.prompt === undefined) return false;
   const {given} = state.shares.useOf(context.customer ?? '', nowMs);
-  return given > state.shareLevel(nowMs, context.config);
+  return given > state.shareLevels(nowMs, context.config).owed;
 }
 
 /** What decides whether the request is taken at that target. @public */
@@ -60,6 +60,7 @@
   const {context, state, nowMs, random} = input;
   const {shares, settings, targets} = state;
   const isModelCall = context.prompt !== undefined;
+  const levels = state.shareLevels(nowMs, context.config);
   return {
     waitMs: candidate.waitMs,
     latencyTargetMs: context.route.latencyTargetMs,
@@ -67,7 +68,8 @@
     hasRoom,
     occupancy: targets.occupancyOf(context.service),
     given: shares.useOf(context.customer ?? '', nowMs).given,
-    level: isModelCall ? state.shareLevel(nowMs, context.config) : Infinity,
+    level: isModelCall ? levels.owed : Infinity,
+    evenLevel: isModelCall ? levels.even : Infinity,
     windowMs: settings.shareWindowMs,
     spread: random(),
   };
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -56,9 +56,9 @@
     this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, source, inspector, log);
-    this.useLog = CustomerUseLog.create(log, systemClock, () => ({
-      level: this.state.shareLevel(systemClock.monotonicMs()),
-    }));
+    this.useLog = CustomerUseLog.create(log, systemClock, () =>
+      this.state.shareLevels(systemClock.monotonicMs())
+    );
     this.peers = PeerExchange.create({
       state: this.state,
       clock: systemClock,
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -7,7 +7,7 @@
 import {FleetLoads} from './peer_loads.js';
 import {TargetDirectory} from './target_directory.js';
 
-import type {FleetConfig, Target} from '@applebend/routing';
+import type {FleetConfig, ShareLevels, Target} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {GatewaySettings, StateSource, TargetInspector} from '../ports.js';
 
@@ -84,10 +84,10 @@
     return this.source.configAgeMs() <= this.settings.denyProofMaxAgeMs;
   }
 
-  /** The share level of a configuration's rate; infinite without one. */
-  shareLevel(nowMs: number, config = this.current): number {
-    if (config === undefined) return Infinity;
-    return this.shares.level(config.limits.tokensPerS, nowMs);
+  /** The share levels now; the configured rate is that of `config`. */
+  shareLevels(nowMs: number, config = this.current): ShareLevels {
+    const tokensPerS = config?.limits.tokensPerS ?? Infinity;
+    return this.shares.levels(tokensPerS, nowMs);
   }
 
   budgetOf(service: string): FleetRetryBudget {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -12,7 +12,10 @@
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {LoopSample} from './lib/admission/overload_guard.js';
 export {CustomerShares, maxMinLevel} from './lib/admission/customer_shares.js';
-export type {CustomerUse} from './lib/admission/customer_shares.js';
+export type {
+  CustomerUse,
+  ShareLevels,
+} from './lib/admission/customer_shares.js';
 export {WindowSum} from './lib/admission/window_sum.js';
 export {RUN_LIMIT} from './lib/config/fleet_config.js';
 export type {
--- a/packages/routing/src/lib/admission/admission.test.ts
+++ b/packages/routing/src/lib/admission/admission.test.ts
@@ -13,6 +13,7 @@
   occupancy: 0.2,
   given: 0,
   level: Infinity,
+  evenLevel: 1000,
   windowMs: 4000,
   spread: 0.5,
 };
@@ -36,6 +37,16 @@
   assert.ok(limits[0] > 2 * limits[1] && limits[1] > 2 * limits[3]);
 });
 
+test('of two customers over their share, the one given less goes first', () => {
+  const waitsFor = (given: number): boolean => {
+    const input = {...CALM, level: 100, evenLevel: 1000, given};
+    const decision = decideAdmission({...input, waitMs: 60, occupancy: 0.55});
+    return decision.kind === 'refuse';
+  };
+  assert.equal(waitsFor(600), false, 'six times its share, under the even');
+  assert.equal(waitsFor(1500), true, 'fifteen times its share, past the even');
+});
+
 test('a refused client can come back within the time that it heeds', () => {
   const input = fc.record({
     waitMs: fc.double({min: 0, max: 5000, noNaN: true}),
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -17,8 +17,10 @@
   readonly occupancy: number;
   /** Service that the customer was given in the window. */
   readonly given: number;
-  /** The max-min level of the window. */
+  /** The max-min level of the configured rate in the window. */
   readonly level: number;
+  /** The max-min level of what all customers were given in the window. */
+  readonly evenLevel: number;
   readonly windowMs: number;
   /** From 0 up to 1, spreads the return of refused clients. */
   readonly spread: number;
@@ -45,15 +47,20 @@
 
 /** Part of the latency target that may be spent waiting. */
 const WAIT_PART = 0.45;
-/** The same for a customer that is just over its share. */
-const OVER_SHARE_WAIT_PART = 0.2;
-/** The same for one that is far over its share. */
-const FAR_OVER_WAIT_PART = 0.05;
-/** Slots that customers over their share may use, by how far they are over. */
-const OVER_SHARE_OCCUPANCY = 0.85;
-const FAR_OVER_OCCUPANCY = 0.6;
-/** Times its share at which a customer counts as far over it. */
-const FAR_OVER = 2;
+/**
+ * Limits of a customer over its share. They fall all the way from half of the
+ * even level on, so that no two customers apart have the same.
+ */
+const OVER_SHARE_LIMITS = {
+  /** Part of the even level up to which the first limits hold. */
+  fromEven: 0.5,
+  /** Times the even level from which the last limits hold. */
+  toEven: 1.6,
+  /** Part of the latency target that may be spent waiting. */
+  waitPart: {first: 0.3, last: 0},
+  /** Part of the service's slots that may be taken. */
+  occupancy: {first: 0.95, last: 0.3},
+} as const;
 const MIN_RETURN_MS = 250;
 const RETURN_SPREAD_MS = 1200;
 /** Clients heed at most this part of the time that they have left. */
@@ -78,17 +85,17 @@
   return refuse(REFUSAL_REASON.noCapacity, aheadMs, input);
 }
 
-/** The further a customer is over its share, the more has to be free. */
+/** The more a customer was given beside others, the more has to be free. */
 function decideOverShare(input: AdmissionInput): AdmissionDecision {
   const {hasRoom, waitMs, latencyTargetMs, occupancy} = input;
-  const over = input.given / input.level;
-  const far = Math.min(1, (over - 1) / (FAR_OVER - 1));
-  const waitPart = between(OVER_SHARE_WAIT_PART, FAR_OVER_WAIT_PART, far);
-  const limitMs = waitPart * latencyTargetMs;
-  const mostTaken = between(OVER_SHARE_OCCUPANCY, FAR_OVER_OCCUPANCY, far);
+  const {fromEven, toEven, waitPart, occupancy: taken} = OVER_SHARE_LIMITS;
+  const ofEven = input.given / input.evenLevel;
+  const far = clampPart((ofEven - fromEven) / (toEven - fromEven));
+  const limitMs = between(waitPart.first, waitPart.last, far) * latencyTargetMs;
+  const mostTaken = between(taken.first, taken.last, far);
   const isFree = hasRoom && waitMs <= limitMs && occupancy <= mostTaken;
   if (isFree) return {kind: 'admit'};
-  const aheadMs = (1 - 1 / over) * input.windowMs;
+  const aheadMs = (1 - input.level / input.given) * input.windowMs;
   return refuse(REFUSAL_REASON.overShare, aheadMs, input);
 }
 
@@ -101,6 +108,10 @@
   return {kind: 'refuse', reason, retryAfterS};
 }
 
+function clampPart(part: number): number {
+  return Math.min(1, Math.max(0, part));
+}
+
 function between(from: number, to: number, part: number): number {
   return from + (to - from) * part;
 }
--- a/packages/routing/src/lib/admission/customer_shares.test.ts
+++ b/packages/routing/src/lib/admission/customer_shares.test.ts
@@ -28,10 +28,11 @@
     shares.add('large', {asked: 1000, given: 500}, t);
     shares.add('small', {asked: 10, given: 10}, t);
   }
-  const level = shares.level(5000, 4000);
+  const level = shares.levels(5000, 4000).owed;
   const small = shares.useOf('small', 4000);
   assert.ok(small.asked < level);
   assert.ok(shares.useOf('large', 4000).asked > level);
   assert.equal(shares.useOf('large', 9000).given, 0);
-  assert.equal(shares.level(5000, 9000), Infinity);
+  const idle = {owed: Infinity, even: Infinity};
+  assert.deepEqual(shares.levels(5000, 9000), idle);
 });
--- a/packages/routing/src/lib/admission/customer_shares.ts
+++ b/packages/routing/src/lib/admission/customer_shares.ts
@@ -10,6 +10,19 @@
   readonly given: number;
 }
 
+/**
+ * Max-min levels in weighted tokens a window: customers that asked for less
+ * get all, the others this much each. Infinite while all is served.
+ *
+ * @public
+ */
+export interface ShareLevels {
+  /** Of the configured rate. */
+  readonly owed: number;
+  /** Of all that was given, had it been given evenly. */
+  readonly even: number;
+}
+
 interface Windows {
   readonly asked: WindowSum;
   readonly given: WindowSum;
@@ -18,8 +31,8 @@
 /** Uses of all customers in a sliding window. @public */
 export class CustomerShares {
   private readonly windows = new Map<string, Windows>();
-  private cachedLevel = Infinity;
-  private levelAtMs = -Infinity;
+  private cached: ShareLevels = {owed: Infinity, even: Infinity};
+  private levelsAtMs = -Infinity;
 
   private constructor(private readonly windowMs: number) {}
 
@@ -43,24 +56,22 @@
     };
   }
 
-  /**
-   * The max-min level: customers that asked for less get all, the others this
-   * much each, in weighted tokens a window. Infinite while all can be served.
-   */
-  level(tokensPerS: number, nowMs: number): number {
-    if (nowMs - this.levelAtMs < LEVEL_AGE_MS) return this.cachedLevel;
-    const capacity = (tokensPerS * this.windowMs) / 1000;
-    this.cachedLevel = maxMinLevel(this.allAsked(nowMs), capacity);
-    this.levelAtMs = nowMs;
-    return this.cachedLevel;
-  }
-
-  private allAsked(nowMs: number): number[] {
+  /** The levels of the window that ends now. */
+  levels(tokensPerS: number, nowMs: number): ShareLevels {
+    if (nowMs - this.levelsAtMs < LEVELS_AGE_MS) return this.cached;
+    const owed = (tokensPerS * this.windowMs) / 1000;
     const asked: number[] = [];
+    let given = 0;
     for (const windows of this.windows.values()) {
       asked.push(windows.asked.total(nowMs));
+      given += windows.given.total(nowMs);
     }
-    return asked;
+    this.cached = {
+      owed: maxMinLevel(asked, owed),
+      even: maxMinLevel(asked, given),
+    };
+    this.levelsAtMs = nowMs;
+    return this.cached;
   }
 
   private windowsOf(customer: string): Windows {
@@ -77,7 +88,7 @@
   }
 }
 
-const LEVEL_AGE_MS = 50;
+const LEVELS_AGE_MS = 50;
 
 /** The level to which a capacity fills the demands. @public */
 export function maxMinLevel(
--- a/packages/routing/src/testing/heavy_day.ts
+++ b/packages/routing/src/testing/heavy_day.ts
@@ -208,8 +208,9 @@
   );
   const kvTokens = prompt.inputTokens + prompt.outputTokens;
   const {given} = day.shares.useOf(customer, day.nowMs);
-  const level = day.shares.level(TOKENS_PER_S, day.nowMs);
-  const longestMs = given > level ? Infinity : maxWaitMs(LATENCY_TARGET_MS);
+  const levels = day.shares.levels(TOKENS_PER_S, day.nowMs);
+  const longestMs =
+    given > levels.owed ? Infinity : maxWaitMs(LATENCY_TARGET_MS);
   const placement = place(candidates, kvTokens, longestMs);
   if (placement === undefined) return undefined;
   const running = candidates.reduce((sum, c) => sum + c.load.running, 0);
@@ -220,7 +221,8 @@
     hasRoom: placement.hasRoom,
     occupancy: running / (ENGINES * RATES.slots),
     given,
-    level,
+    level: levels.owed,
+    evenLevel: levels.even,
     windowMs: WINDOW_MS,
     spread: 0.5,
   });
