--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -2,11 +2,11 @@
  * One request from the moment that it passed the checks to its end: places
  * it, sends it, passes the answer on, and says truthfully what became of it.
  */
-import {decideAdmission, RUN_LIMIT} from '@applebend/routing';
+import {RUN_LIMIT} from '@applebend/routing';
 import {attemptFailure, EXECUTION} from '../errors.js';
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptLedger} from './attempt_ledger.js';
-import {admissionInput, costOf, findPlacement, kvTokensOf} from './placing.js';
+import {costOf, decideRequest, findPlacement, kvTokensOf} from './placing.js';
 import {PlainRelay} from './plain_relay.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 import {StreamRelay} from './stream_relay.js';
@@ -94,23 +94,24 @@
 
   private admit(): void {
     const {context, tools, placing} = this;
-    const placement = findPlacement(placing);
-    const input = placement && admissionInput(placing, placement);
-    const decision = input && decideAdmission(input);
-    const isAdmitted = decision?.kind === 'admit';
+    const decision = decideRequest(placing);
+    const isAdmitted = decision?.admission.kind === 'admit';
     const cost = costOf(context);
     if (cost > 0) {
       tools.onUse(context.customer ?? '', cost, isAdmitted ? cost : 0);
     }
-    if (placement === undefined || decision === undefined) {
+    if (decision === undefined) {
       this.refuse('no_target', RETRY_SOON_S);
-    } else if (decision.kind === 'refuse') {
+      return;
+    }
+    const {admission, input, placement} = decision;
+    if (admission.kind === 'refuse') {
       this.refusedFor = input;
-      this.refuse(decision.reason, decision.retryAfterS);
-    } else {
-      tools.state.budgetOf(context.service).onRequest(placing.nowMs);
-      this.send(placement);
+      this.refuse(admission.reason, admission.retryAfterS);
+      return;
     }
+    tools.state.budgetOf(context.service).onRequest(placing.nowMs);
+    this.send(placement);
   }
 
   private refuse(kind: string, retryAfterS: number): void {
--- a/packages/gateway/src/lib/front/placing.ts
+++ b/packages/gateway/src/lib/front/placing.ts
@@ -1,8 +1,19 @@
 /** Feeds what the fleet knows into the decisions about one request. */
-import {maxWaitMs, place, serviceCost} from '@applebend/routing';
+import {
+  decideCall,
+  NO_SHARE_LIMIT,
+  placeCall,
+  serviceCost,
+} from '@applebend/routing';
 import {candidatesFor} from '../upstream/candidates.js';
 
-import type {AdmissionInput, Placement} from '@applebend/routing';
+import type {
+  CallDecision,
+  CallNeeds,
+  Candidate,
+  Placement,
+  ShareStanding,
+} from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
 
@@ -31,46 +42,39 @@
 
 /** The best target for the request, if any may take it. @public */
 export function findPlacement(input: PlacingInput): Placement | undefined {
+  return placeCall(candidatesOf(input), needsOf(input));
+}
+
+/** Where the request would go and whether it is taken. @public */
+export function decideRequest(input: PlacingInput): CallDecision | undefined {
+  return decideCall(candidatesOf(input), needsOf(input));
+}
+
+function candidatesOf(input: PlacingInput): Candidate[] {
   const {context, state, used, nowMs, random} = input;
-  const candidates = candidatesFor(state.targets.readyOf(context.service), {
+  return candidatesFor(state.targets.readyOf(context.service), {
     prompt: context.prompt,
     failureDomain: state.settings.failureDomain,
     used,
     nowMs,
     random,
   });
-  // A customer over its share waits for the targets that keep its prompts.
-  const longestMs = isOverShare(input)
-    ? Infinity
-    : maxWaitMs(context.route.latencyTargetMs);
-  return place(candidates, kvTokensOf(context), longestMs);
 }
 
-function isOverShare({context, state, nowMs}: PlacingInput): boolean {
-  if (context.prompt === undefined) return false;
-  const {given} = state.shares.useOf(context.customer ?? '', nowMs);
-  return given > state.shareLevels(nowMs, context.config).owed;
-}
-
-/** What decides whether the request is taken at that target. @public */
-export function admissionInput(
-  input: PlacingInput,
-  {candidate, hasRoom}: Placement
-): AdmissionInput {
+function needsOf(input: PlacingInput): CallNeeds {
   const {context, state, nowMs, random} = input;
-  const {shares, settings, targets} = state;
-  const isModelCall = context.prompt !== undefined;
-  const levels = state.shareLevels(nowMs, context.config);
   return {
-    waitMs: candidate.waitMs,
+    kvTokens: kvTokensOf(context),
     latencyTargetMs: context.route.latencyTargetMs,
     leftMs: context.endsMs - nowMs,
-    hasRoom,
-    occupancy: targets.occupancyOf(context.service),
-    given: shares.useOf(context.customer ?? '', nowMs).given,
-    level: isModelCall ? levels.owed : Infinity,
-    evenLevel: isModelCall ? levels.even : Infinity,
-    windowMs: settings.shareWindowMs,
+    standing: standingOf(input),
+    windowMs: state.settings.shareWindowMs,
     spread: random(),
   };
 }
+
+function standingOf({context, state, nowMs}: PlacingInput): ShareStanding {
+  if (context.prompt === undefined) return NO_SHARE_LIMIT;
+  const {tokensPerS} = context.config.limits;
+  return state.shares.standing(context.customer ?? '', tokensPerS, nowMs);
+}
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -84,9 +84,9 @@
     return this.source.configAgeMs() <= this.settings.denyProofMaxAgeMs;
   }
 
-  /** The share levels now; the configured rate is that of `config`. */
-  shareLevels(nowMs: number, config = this.current): ShareLevels {
-    const tokensPerS = config?.limits.tokensPerS ?? Infinity;
+  /** The share levels now. */
+  shareLevels(nowMs: number): ShareLevels {
+    const tokensPerS = this.current?.limits.tokensPerS ?? Infinity;
     return this.shares.levels(tokensPerS, nowMs);
   }
 
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -41,17 +41,6 @@
     return this.byService.get(service) ?? [];
   }
 
-  /** Part of the slots of a service that are taken; 1 without any. */
-  occupancyOf(service: string): number {
-    let running = 0;
-    let slots = 0;
-    for (const {load, target} of this.readyOf(service)) {
-      running += load.running;
-      slots += target.slots;
-    }
-    return slots === 0 ? 1 : running / slots;
-  }
-
   get(id: string): TargetEntry | undefined {
     return this.entries.get(id);
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,20 +1,23 @@
 /** The gateway's decisions, pure: no network, no sockets, time passed in. */
-export {
-  decideAdmission,
-  maxWaitMs,
-  REFUSAL_REASON,
-} from './lib/admission/admission.js';
+export {REFUSAL_REASON} from './lib/admission/admission.js';
 export type {
   AdmissionDecision,
   AdmissionInput,
   RefusalReason,
 } from './lib/admission/admission.js';
+export {decideCall, placeCall} from './lib/admission/call_decision.js';
+export type {CallDecision, CallNeeds} from './lib/admission/call_decision.js';
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {LoopSample} from './lib/admission/overload_guard.js';
-export {CustomerShares, maxMinLevel} from './lib/admission/customer_shares.js';
+export {
+  CustomerShares,
+  maxMinLevel,
+  NO_SHARE_LIMIT,
+} from './lib/admission/customer_shares.js';
 export type {
   CustomerUse,
   ShareLevels,
+  ShareStanding,
 } from './lib/admission/customer_shares.js';
 export {WindowSum} from './lib/admission/window_sum.js';
 export {RUN_LIMIT} from './lib/config/fleet_config.js';
@@ -44,7 +47,6 @@
 export {FleetLayout, relayOf} from './lib/membership/fleet_layout.js';
 export type {Member} from './lib/membership/fleet_layout.js';
 export {FirstEventModel} from './lib/placement/first_event_model.js';
-export {place} from './lib/placement/placer.js';
 export type {Candidate, Placement} from './lib/placement/placer.js';
 export {PrefixCache} from './lib/placement/prefix_cache.js';
 export {serviceCost, sessionOf} from './lib/placement/prompt.js';
--- /dev/null
+++ b/packages/routing/src/lib/admission/call_decision.ts
@@ -0,0 +1,75 @@
+/**
+ * Decides about one call: the target where it would run, and whether it is
+ * taken there now.
+ */
+import {decideAdmission, maxWaitMs} from './admission.js';
+import {place} from '../placement/placer.js';
+
+import type {AdmissionDecision, AdmissionInput} from './admission.js';
+import type {ShareStanding} from './customer_shares.js';
+import type {Candidate, Placement} from '../placement/placer.js';
+
+/** A call that waits for a decision. Times in milliseconds. @public */
+export interface CallNeeds {
+  /** Memory that it takes at a model engine, in tokens. */
+  readonly kvTokens: number;
+  readonly latencyTargetMs: number;
+  readonly leftMs: number;
+  /** How its customer stands in the window of shares. */
+  readonly standing: ShareStanding;
+  readonly windowMs: number;
+  /** From 0 up to 1, spreads the return of refused clients. */
+  readonly spread: number;
+}
+
+/** What was decided, and on what it rests. @public */
+export interface CallDecision {
+  readonly placement: Placement;
+  readonly input: AdmissionInput;
+  readonly admission: AdmissionDecision;
+}
+
+/** The best target for a call; undefined where there is none. @public */
+export function placeCall(
+  candidates: readonly Candidate[],
+  {kvTokens, latencyTargetMs, standing}: CallNeeds
+): Placement | undefined {
+  // A customer over its share waits for the targets that keep its prompts.
+  const isOver = standing.given > standing.levels.owed;
+  const longestMs = isOver ? Infinity : maxWaitMs(latencyTargetMs);
+  return place(candidates, kvTokens, longestMs);
+}
+
+/** Places a call and admits or refuses it. @public */
+export function decideCall(
+  candidates: readonly Candidate[],
+  needs: CallNeeds
+): CallDecision | undefined {
+  const placement = placeCall(candidates, needs);
+  if (placement === undefined) return undefined;
+  const {given, levels} = needs.standing;
+  const input: AdmissionInput = {
+    waitMs: placement.candidate.waitMs,
+    latencyTargetMs: needs.latencyTargetMs,
+    leftMs: needs.leftMs,
+    hasRoom: placement.hasRoom,
+    occupancy: occupancyOf(candidates),
+    given,
+    level: levels.owed,
+    evenLevel: levels.even,
+    windowMs: needs.windowMs,
+    spread: needs.spread,
+  };
+  return {placement, input, admission: decideAdmission(input)};
+}
+
+/** Part of the places of all candidates that is taken. */
+function occupancyOf(candidates: readonly Candidate[]): number {
+  let running = 0;
+  let slots = 0;
+  for (const candidate of candidates) {
+    running += candidate.load.running;
+    slots += candidate.slots;
+  }
+  return slots === 0 ? 1 : running / slots;
+}
--- a/packages/routing/src/lib/admission/customer_shares.ts
+++ b/packages/routing/src/lib/admission/customer_shares.ts
@@ -23,6 +23,19 @@
   readonly even: number;
 }
 
+/** How a customer stands in the window. @public */
+export interface ShareStanding {
+  /** Weighted tokens that it was given. */
+  readonly given: number;
+  readonly levels: ShareLevels;
+}
+
+/** The standing of calls that are not counted. @public */
+export const NO_SHARE_LIMIT: ShareStanding = {
+  given: 0,
+  levels: {owed: Infinity, even: Infinity},
+};
+
 interface Windows {
   readonly asked: WindowSum;
   readonly given: WindowSum;
@@ -56,6 +69,11 @@
     };
   }
 
+  standing(customer: string, tokensPerS: number, nowMs: number): ShareStanding {
+    const {given} = this.useOf(customer, nowMs);
+    return {given, levels: this.levels(tokensPerS, nowMs)};
+  }
+
   /** The levels of the window that ends now. */
   levels(tokensPerS: number, nowMs: number): ShareLevels {
     if (nowMs - this.levelsAtMs < LEVELS_AGE_MS) return this.cached;
--- a/packages/routing/src/testing/heavy_day.ts
+++ b/packages/routing/src/testing/heavy_day.ts
@@ -4,10 +4,9 @@
  * share long prompt parts. For tests.
  */
 import {hash32, Random} from '@applebend/utils';
-import {decideAdmission, maxWaitMs} from '../lib/admission/admission.js';
+import {decideCall} from '../lib/admission/call_decision.js';
 import {CustomerShares} from '../lib/admission/customer_shares.js';
 import {FirstEventModel} from '../lib/placement/first_event_model.js';
-import {place} from '../lib/placement/placer.js';
 import {PrefixCache} from '../lib/placement/prefix_cache.js';
 import {serviceCost, sessionOf} from '../lib/placement/prompt.js';
 import {OwnLoad} from '../lib/placement/target_load.js';
@@ -26,7 +25,8 @@
   tokensPerEvent: 5,
 };
 const ENGINES = 6;
-const TOKENS_PER_S = 200_000;
+/** Half of what the engines begin on these days. */
+const USUAL_TOKENS_PER_S = 200_000;
 const LATENCY_TARGET_MS = 800;
 const WINDOW_MS = 4000;
 const LENGTH_MS = 30_000;
@@ -74,7 +74,9 @@
   private constructor(
     seed: number,
     private readonly demand: Demand,
-    private readonly policy: Policy
+    private readonly policy: Policy,
+    /** Configured rate, in weighted tokens. */
+    readonly tokensPerS: number
   ) {
     this.random = Random.create(seed);
     this.figures = demand(0).map(() => ({
@@ -93,8 +95,13 @@
     }
   }
 
-  static create(seed: number, demand: Demand, policy: Policy): HeavyDay {
-    const day = new HeavyDay(seed, demand, policy);
+  static create(
+    seed: number,
+    demand: Demand,
+    policy: Policy,
+    tokensPerS = USUAL_TOKENS_PER_S
+  ): HeavyDay {
+    const day = new HeavyDay(seed, demand, policy, tokensPerS);
     while (day.nowMs < LENGTH_MS) day.tick();
     return day;
   }
@@ -206,28 +213,17 @@
   const candidates = day.targets.map(target =>
     candidateOf(day, target, prompt)
   );
-  const kvTokens = prompt.inputTokens + prompt.outputTokens;
-  const {given} = day.shares.useOf(customer, day.nowMs);
-  const levels = day.shares.levels(TOKENS_PER_S, day.nowMs);
-  const longestMs =
-    given > levels.owed ? Infinity : maxWaitMs(LATENCY_TARGET_MS);
-  const placement = place(candidates, kvTokens, longestMs);
-  if (placement === undefined) return undefined;
-  const running = candidates.reduce((sum, c) => sum + c.load.running, 0);
-  const decision = decideAdmission({
-    waitMs: placement.candidate.waitMs,
+  const decision = decideCall(candidates, {
+    kvTokens: prompt.inputTokens + prompt.outputTokens,
     latencyTargetMs: LATENCY_TARGET_MS,
     leftMs: 15_000,
-    hasRoom: placement.hasRoom,
-    occupancy: running / (ENGINES * RATES.slots),
-    given,
-    level: levels.owed,
-    evenLevel: levels.even,
+    standing: day.shares.standing(customer, day.tokensPerS, day.nowMs),
     windowMs: WINDOW_MS,
     spread: 0.5,
   });
-  if (decision.kind === 'refuse') return undefined;
-  return day.targets.find(({id}) => id === placement.candidate.id);
+  if (decision?.admission.kind !== 'admit') return undefined;
+  const {id} = decision.placement.candidate;
+  return day.targets.find(target => target.id === id);
 };
 
 function candidateOf(day: HeavyDay, target: Target, prompt: Prompt): Candidate {
