Limits fall within a share as well, where the fleet serves less than configured

A customer within its share of the configured rate was taken at any occupancy and up to 0.45 of the latency target, whatever others were given. Where engines are lost, slow or empty, the fleet serves less than the configured rate, nobody is over its share, and who asks most gets most.

Evidence: hot_customer_day.test.ts with a configured rate of 900,000 where the engines begin 400,000 failed for all four ranks with a ratio of 0: small customers got nothing for six seconds.

Change: within a share, limits fall from the even level to 1.6 times it. Where the fleet serves what is configured the even level is no less than the share, so nothing changes there.

--- a/packages/routing/src/hot_customer_day.test.ts
+++ b/packages/routing/src/hot_customer_day.test.ts
@@ -14,6 +14,8 @@
 const BURST_FROM_MS = 12_000;
 const BURST_TO_MS = 22_000;
 const WINDOW_S = 6;
+/** Over twice of what the engines begin, as after a loss of many. */
+const UNREACHED_TOKENS_PER_S = 900_000;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 
 function demandOf(hotRank: number) {
@@ -27,8 +29,13 @@
   };
 }
 
-function leastWindow(seed: number, hotRank: number): FairnessWindow {
-  const day = HeavyDay.create(seed, demandOf(hotRank), shared);
+function leastWindow(
+  seed: number,
+  hotRank: number,
+  tokensPerS?: number
+): FairnessWindow {
+  const demand = demandOf(hotRank);
+  const day = HeavyDay.create(seed, demand, shared, tokensPerS);
   const windows = fairnessWindows(day.timeline, WINDOW_S);
   return windows.reduce((a, b) => (a.ratio <= b.ratio ? a : b));
 }
@@ -40,4 +47,11 @@
       assert.ok(least.ratio >= 1, `seed ${seed}: ${JSON.stringify(least)}`);
     }
   });
+
+  test(`a waiting customer has half of what a hot one of rank ${hotRank} gets where the fleet serves less than configured`, () => {
+    for (const seed of SEEDS) {
+      const least = leastWindow(seed, hotRank, UNREACHED_TOKENS_PER_S);
+      assert.ok(least.ratio >= 1, `seed ${seed}: ${JSON.stringify(least)}`);
+    }
+  });
 }
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -45,22 +45,34 @@
 export type RefusalReason =
   (typeof REFUSAL_REASON)[keyof typeof REFUSAL_REASON];
 
-/** Part of the latency target that may be spent waiting. */
-const WAIT_PART = 0.45;
 /**
- * Limits of a customer over its share. They fall all the way from half of the
- * even level on, so that no two customers apart have the same.
+ * Limits that fall with what a customer was given beside others, so that no
+ * two customers apart have the same.
  */
-const OVER_SHARE_LIMITS = {
+interface Limits {
   /** Part of the even level up to which the first limits hold. */
-  fromEven: 0.5,
+  readonly fromEven: number;
   /** Times the even level from which the last limits hold. */
-  toEven: 1.6,
+  readonly toEven: number;
   /** Part of the latency target that may be spent waiting. */
-  waitPart: {first: 0.3, last: 0},
+  readonly waitPart: {readonly first: number; readonly last: number};
   /** Part of the service's slots that may be taken. */
+  readonly occupancy: {readonly first: number; readonly last: number};
+}
+
+/** For a customer within its share of the configured rate. */
+const WITHIN_SHARE: Limits = {
+  fromEven: 1,
+  toEven: 1.6,
+  waitPart: {first: 0.45, last: 0},
+  occupancy: {first: 1, last: 0.3},
+};
+const OVER_SHARE: Limits = {
+  fromEven: 0.5,
+  toEven: 1.6,
+  waitPart: {first: 0.3, last: 0},
   occupancy: {first: 0.95, last: 0.3},
-} as const;
+};
 const MIN_RETURN_MS = 250;
 const RETURN_SPREAD_MS = 1200;
 /** Clients heed at most this part of the time that they have left. */
@@ -68,35 +80,35 @@
 
 /** @public */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
-  const {given, level} = input;
-  return given > level ? decideOverShare(input) : decideWithinShare(input);
+  const {given, level, hasRoom, waitMs, windowMs} = input;
+  const isOver = given > level;
+  const limits = limitsFor(input, isOver ? OVER_SHARE : WITHIN_SHARE);
+  const isOnTime = waitMs <= limits.waitMs;
+  const hasSlots = input.occupancy <= limits.occupancy;
+  if (hasRoom && isOnTime && hasSlots) return {kind: 'admit'};
+  if (isOver) {
+    const aheadMs = (1 - level / given) * windowMs;
+    return refuse(REFUSAL_REASON.overShare, aheadMs, input);
+  }
+  const aheadMs = waitMs - limits.waitMs;
+  return refuse(REFUSAL_REASON.noCapacity, aheadMs, input);
 }
 
 /** The longest wait for which a customer within its share is taken. @public */
 export function maxWaitMs(latencyTargetMs: number): number {
-  return WAIT_PART * latencyTargetMs;
-}
-
-function decideWithinShare(input: AdmissionInput): AdmissionDecision {
-  const {hasRoom, waitMs, latencyTargetMs} = input;
-  const limitMs = maxWaitMs(latencyTargetMs);
-  if (hasRoom && waitMs <= limitMs) return {kind: 'admit'};
-  const aheadMs = waitMs - limitMs;
-  return refuse(REFUSAL_REASON.noCapacity, aheadMs, input);
+  return WITHIN_SHARE.waitPart.first * latencyTargetMs;
 }
 
 /** The more a customer was given beside others, the more has to be free. */
-function decideOverShare(input: AdmissionInput): AdmissionDecision {
-  const {hasRoom, waitMs, latencyTargetMs, occupancy} = input;
-  const {fromEven, toEven, waitPart, occupancy: taken} = OVER_SHARE_LIMITS;
-  const ofEven = input.given / input.evenLevel;
-  const far = clampPart((ofEven - fromEven) / (toEven - fromEven));
-  const limitMs = between(waitPart.first, waitPart.last, far) * latencyTargetMs;
-  const mostTaken = between(taken.first, taken.last, far);
-  const isFree = hasRoom && waitMs <= limitMs && occupancy <= mostTaken;
-  if (isFree) return {kind: 'admit'};
-  const aheadMs = (1 - input.level / input.given) * input.windowMs;
-  return refuse(REFUSAL_REASON.overShare, aheadMs, input);
+function limitsFor(
+  {given, evenLevel, latencyTargetMs}: AdmissionInput,
+  {fromEven, toEven, waitPart, occupancy}: Limits
+): {readonly waitMs: number; readonly occupancy: number} {
+  const far = clampPart((given / evenLevel - fromEven) / (toEven - fromEven));
+  return {
+    waitMs: between(waitPart.first, waitPart.last, far) * latencyTargetMs,
+    occupancy: between(occupancy.first, occupancy.last, far),
+  };
 }
 
 function refuse(
