A fleet that has refused all calls for a window admits again

Where nothing was given in the window the even level is 0, a customer's part of it is 0 / 0, and no wait is at most NaN. So once all calls of a window are refused, for whatever reason, none is taken again.

Change: a customer that was given nothing stands at nothing. The test failed before: it asks for a call of a free fleet after a window of refusals.

--- a/packages/routing/src/lib/admission/admission.test.ts
+++ b/packages/routing/src/lib/admission/admission.test.ts
@@ -25,6 +25,11 @@
   }
 });
 
+test('a fleet that gave nothing for a whole window admits again', () => {
+  const refusedAll = {level: 1000, evenLevel: 0, given: 0};
+  assert.equal(decideAdmission({...CALM, ...refusedAll}).kind, 'admit');
+});
+
 test('the further over its share, the earlier a customer is refused', () => {
   const limits = [0.5, 1.01, 1.4, 2.5].map(over => {
     let waitMs = 0;
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -104,7 +104,9 @@
   {given, evenLevel, latencyTargetMs}: AdmissionInput,
   {fromEven, toEven, waitPart, occupancy}: Limits
 ): {readonly waitMs: number; readonly occupancy: number} {
-  const far = clampPart((given / evenLevel - fromEven) / (toEven - fromEven));
+  // The even level is 0 where nothing was given to anyone.
+  const ofEven = given === 0 ? 0 : given / evenLevel;
+  const far = clampPart((ofEven - fromEven) / (toEven - fromEven));
   return {
     waitMs: between(waitPart.first, waitPart.last, far) * latencyTargetMs,
     occupancy: between(occupancy.first, occupancy.last, far),
