Customers under the even level are told apart as well: none starves

What callers saw, in the model: with four of six engines lost in a burst, a customer that asks for 208,666 tokens in six seconds gets nothing, while the hot one is served.

Up to the even level a customer within its share had one limit, so below it who asks most often took the few places again.

Change: limits within a share begin to fall at half of the even level, as they do over it.

--- a/packages/routing/src/hot_customer_day.test.ts
+++ b/packages/routing/src/hot_customer_day.test.ts
@@ -24,6 +24,11 @@
   return nowMs >= 15_000 && nowMs < 24_000 ? 2 : 0;
 }
 
+/** The same with two thirds of them. */
+function mostEnginesLost(nowMs: number): number {
+  return 2 * lostEngines(nowMs);
+}
+
 function demandOf(hotRank: number) {
   return (nowMs: number): number[] => {
     const isHot = nowMs >= HOT_FROM_MS && nowMs < BURST_TO_MS;
@@ -62,4 +67,11 @@
   test(`a waiting customer has half of what a hot one of rank ${hotRank} gets as engines are lost`, () => {
     checkAllSeeds({demand, lostEngines});
   });
+
+  test(`no customer starves beside a hot one of rank ${hotRank} as most engines are lost`, () => {
+    for (const seed of SEEDS) {
+      const least = leastWindow({seed, demand, lostEngines: mostEnginesLost});
+      assert.ok(least.given > 0, `seed ${seed}: ${JSON.stringify(least)}`);
+    }
+  });
 }
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -64,7 +64,7 @@
 
 /** For a customer within its share of the configured rate. */
 const WITHIN_SHARE: Limits = {
-  fromEven: 1,
+  fromEven: 0.5,
   toEven: 1.6,
   waitPart: {first: 0.45, last: 0},
   occupancy: {first: 1, last: 0.3},
