An overloaded instance refuses the customer that overloads it

What callers saw: where one customer's callers all reach one small instance, every request there is refused unread with the same chance, three in four, also those of customers that send a few a second.

The overload guard drew by lot before it looked at the key.

Change: route and key are checked first (two look-ups), then the part that an overloaded instance serves is divided max-min among the customers whose requests reached it in the last second. What it refuses counts as asked, so that the even level and the log of customers' uses see it.

Evidence: overload_guard.test.ts, one customer with 1,000 a second and one with 20: before, 0.75 of both were refused by the guard's rule; now none of the small one's and over 0.7 of the large one's.

--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -6,11 +6,13 @@
 import {readBody} from './body_reader.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
+import {costOf} from './placing.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 
 import type {Socket} from 'node:net';
 import type {ListenAddress} from '../ports.js';
 import type {ExchangeTools} from './exchange_tools.js';
+import type {RequestContext} from './request_context.js';
 import type {OwnAnswer} from './responses.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -96,9 +98,14 @@
     this.server.closeIdleConnections();
   }
 
-  private refuseOverloaded(res: http.ServerResponse): void {
-    const {state, random, onOverloaded} = this.tools;
+  private refuseOverloaded(
+    context: RequestContext,
+    res: http.ServerResponse
+  ): void {
+    const {state, random, onOverloaded, onUse} = this.tools;
     onOverloaded();
+    const cost = costOf(context);
+    if (cost > 0) onUse(context.customer ?? '', cost, 0);
     const answer = {
       status: STATUS.unavailable,
       kind: 'overloaded',
@@ -122,10 +129,6 @@
       sendOwnAnswer(res, STOPPING, true);
       return;
     }
-    if (state.overload.refuses(tools.random())) {
-      this.refuseOverloaded(res);
-      return;
-    }
     const checked = checkRequest(
       {
         host: req.headers.host ?? '',
@@ -140,6 +143,10 @@
       return;
     }
     const context = checked.value;
+    if (state.overload.refuses(context.customer ?? '', arrivedMs)) {
+      this.refuseOverloaded(context, res);
+      return;
+    }
     const body = await readBody(req, context.config.limits.maxBodyBytes);
     if (await hasLeft(req.socket)) {
       tools.onLeftUnread();
--- a/packages/routing/src/lib/admission/overload_guard.ts
+++ b/packages/routing/src/lib/admission/overload_guard.ts
@@ -2,8 +2,10 @@
  * Tells when an instance itself is the bottleneck. Answers the load of one
  * customer whose callers all reach the same instance: connections wait to be
  * accepted for seconds, and every request on it is late. Refused callers reach
- * other instances with their next try.
+ * other instances with their next try; those of customers that send little
+ * are served here all the same.
  */
+import {ArrivalShares} from './arrival_shares.js';
 
 /** What a sample of the event loop shows. @public */
 export interface LoopSample {
@@ -32,6 +34,7 @@
 export class OverloadGuard {
   private smoothedMs = 0;
   private smoothedBusy = 0;
+  private readonly shares = ArrivalShares.create();
 
   private constructor() {}
 
@@ -60,13 +63,15 @@
     this.smoothedBusy += SAMPLE_WEIGHT * (busyPart - this.smoothedBusy);
   }
 
-  /**
-   * Whether a new request is refused.
-   *
-   * @param chance - from 0 up to 1
-   */
-  refuses(chance: number): boolean {
-    return this.isOverloaded && chance >= SERVED_PART;
+  /** Whether a request that arrives now is refused; call it once for each. */
+  refuses(customer: string, nowMs: number): boolean {
+    const {shares, isOverloaded} = this;
+    shares.onArrival(customer, nowMs);
+    if (isOverloaded && !shares.hasShare(customer, SERVED_PART, nowMs)) {
+      return true;
+    }
+    shares.onTaken(customer, nowMs);
+    return false;
   }
 
   /**
