--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,14 +11,13 @@
 export type {LoopSample} from './lib/admission/overload_guard.js';
 export {
   CustomerShares,
-  maxMinLevel,
   NO_SHARE_LIMIT,
 } from './lib/admission/customer_shares.js';
 export type {
-  CustomerUse,
   ShareLevels,
   ShareStanding,
 } from './lib/admission/customer_shares.js';
+export type {CustomerUse} from './lib/admission/customer_uses.js';
 export {WindowSum} from './lib/admission/window_sum.js';
 export {RUN_LIMIT} from './lib/config/fleet_config.js';
 export type {
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -47,34 +47,23 @@
 export type RefusalReason =
   (typeof REFUSAL_REASON)[keyof typeof REFUSAL_REASON];
 
-/**
- * Limits that fall with what a customer was given beside others, so that no
- * two customers apart have the same.
- */
+/** What has to hold for a call to be taken. */
 interface Limits {
-  /** Part of the even level up to which the first limits hold. */
-  readonly fromEven: number;
-  /** Times the even level from which the last limits hold. */
-  readonly toEven: number;
   /** Part of the latency target that may be spent waiting. */
-  readonly waitPart: {readonly first: number; readonly last: number};
+  readonly waitPart: number;
   /** Part of the service's slots that may be taken. */
-  readonly occupancy: {readonly first: number; readonly last: number};
+  readonly occupancy: number;
 }
 
-/** For a customer within its share of the configured rate. */
-const WITHIN_SHARE: Limits = {
-  fromEven: 0.5,
-  toEven: 1.6,
-  waitPart: {first: 0.45, last: 0},
-  occupancy: {first: 1, last: 0.3},
-};
-const OVER_SHARE: Limits = {
-  fromEven: 0.5,
-  toEven: 1.6,
-  waitPart: {first: 0.3, last: 0},
-  occupancy: {first: 0.95, last: 0.3},
-};
+/** Limits of a customer that was given little beside others. */
+const FIRST_WITHIN_SHARE: Limits = {waitPart: 0.45, occupancy: 1};
+const FIRST_OVER_SHARE: Limits = {waitPart: 0.3, occupancy: 0.95};
+/** Limits of one that was given much; between, they fall evenly. */
+const LAST: Limits = {waitPart: 0, occupancy: 0.3};
+/** Part of the even level up to which the first limits hold. */
+const FIRST_UP_TO = 0.5;
+/** Times the even level from which the last limits hold. */
+const LAST_FROM = 1.6;
 const MIN_RETURN_MS = 250;
 const RETURN_SPREAD_MS = 1200;
 /** Clients heed at most this part of the time that they have left. */
@@ -82,36 +71,36 @@
 
 /** @public */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
-  const {given, level, hasRoom, waitMs, windowMs} = input;
+  const {given, level, hasRoom, waitMs, windowMs, latencyTargetMs} = input;
   const isOver = given > level;
-  const limits = limitsFor(input, isOver ? OVER_SHARE : WITHIN_SHARE);
-  const isOnTime = waitMs <= limits.waitMs;
+  const limits = limitsFor(
+    input,
+    isOver ? FIRST_OVER_SHARE : FIRST_WITHIN_SHARE
+  );
+  const lateByMs = waitMs - limits.waitPart * latencyTargetMs;
   const hasSlots = input.occupancy <= limits.occupancy;
-  if (hasRoom && isOnTime && hasSlots) return {kind: 'admit'};
-  if (isOver) {
-    const aheadMs = (1 - level / given) * windowMs;
-    return refuse(REFUSAL_REASON.overShare, aheadMs, input);
-  }
-  const aheadMs = waitMs - limits.waitMs;
-  return refuse(REFUSAL_REASON.noCapacity, aheadMs, input);
+  if (hasRoom && lateByMs <= 0 && hasSlots) return {kind: 'admit'};
+  if (!isOver) return refuse(REFUSAL_REASON.noCapacity, lateByMs, input);
+  const aheadMs = (1 - level / given) * windowMs;
+  return refuse(REFUSAL_REASON.overShare, aheadMs, input);
 }
 
 /** The longest wait for which a customer within its share is taken. @public */
 export function maxWaitMs(latencyTargetMs: number): number {
-  return WITHIN_SHARE.waitPart.first * latencyTargetMs;
+  return FIRST_WITHIN_SHARE.waitPart * latencyTargetMs;
 }
 
 /** The more a customer was given beside others, the more has to be free. */
 function limitsFor(
-  {recentGiven, evenLevel, latencyTargetMs}: AdmissionInput,
-  {fromEven, toEven, waitPart, occupancy}: Limits
-): {readonly waitMs: number; readonly occupancy: number} {
+  {recentGiven, evenLevel}: AdmissionInput,
+  first: Limits
+): Limits {
   // The even level is 0 where nothing was given to anyone.
   const ofEven = recentGiven === 0 ? 0 : recentGiven / evenLevel;
-  const far = clampPart((ofEven - fromEven) / (toEven - fromEven));
+  const far = clampPart((ofEven - FIRST_UP_TO) / (LAST_FROM - FIRST_UP_TO));
   return {
-    waitMs: between(waitPart.first, waitPart.last, far) * latencyTargetMs,
-    occupancy: between(occupancy.first, occupancy.last, far),
+    waitPart: between(first.waitPart, LAST.waitPart, far),
+    occupancy: between(first.occupancy, LAST.occupancy, far),
   };
 }
 
--- a/packages/routing/src/lib/admission/customer_shares.test.ts
+++ b/packages/routing/src/lib/admission/customer_shares.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {CustomerShares, maxMinLevel} from './customer_shares.js';
+import {CustomerShares} from './customer_shares.js';
+import {maxMinLevel} from './max_min_level.js';
 
 test('the level shares all of the capacity, and no one could get more', () => {
   const demands = fc.array(fc.integer({min: 1, max: 1000}), {
--- a/packages/routing/src/lib/admission/customer_shares.ts
+++ b/packages/routing/src/lib/admission/customer_shares.ts
@@ -2,13 +2,10 @@
  * How much service each customer asked for and was given over the fleet in
  * the last seconds, and the max-min share that this leaves each of them.
  */
-import {WindowSum} from './window_sum.js';
+import {CustomerUses} from './customer_uses.js';
+import {maxMinLevel} from './max_min_level.js';
 
-/** Asked and given service, in weighted tokens. @public */
-export interface CustomerUse {
-  readonly asked: number;
-  readonly given: number;
-}
+import type {CustomerUse} from './customer_uses.js';
 
 /**
  * Max-min levels in weighted tokens: customers that asked for less get all,
@@ -46,101 +43,66 @@
  */
 const EVEN_WINDOW_MS = 2500;
 
-interface Windows {
-  readonly asked: WindowSum;
-  readonly given: WindowSum;
-  readonly recentAsked: WindowSum;
-  readonly recentGiven: WindowSum;
-}
+const LEVELS_AGE_MS = 50;
 
-/** Uses of all customers in a sliding window. @public */
+/** Uses of all customers in two sliding windows. @public */
 export class CustomerShares {
-  private readonly windows = new Map<string, Windows>();
+  private readonly uses: CustomerUses;
+  private readonly recent = CustomerUses.create(EVEN_WINDOW_MS);
   private cached: ShareLevels = {owed: Infinity, even: Infinity};
   private levelsAtMs = -Infinity;
 
-  private constructor(private readonly windowMs: number) {}
+  private constructor(private readonly windowMs: number) {
+    this.uses = CustomerUses.create(windowMs);
+  }
 
+  /**
+   * @param windowMs - the window of shares, in which the configured rate is
+   *     divided
+   */
   static create(windowMs: number): CustomerShares {
     return new CustomerShares(windowMs);
   }
 
   /** Adds what was asked for and given here or at a peer. */
   add(customer: string, use: CustomerUse, nowMs: number): void {
-    const windows = this.windowsOf(customer);
-    windows.asked.add(use.asked, nowMs);
-    windows.given.add(use.given, nowMs);
-    windows.recentAsked.add(use.asked, nowMs);
-    windows.recentGiven.add(use.given, nowMs);
+    this.uses.add(customer, use, nowMs);
+    this.recent.add(customer, use, nowMs);
   }
 
+  /** A customer's use in the window of shares. */
   useOf(customer: string, nowMs: number): CustomerUse {
-    const windows = this.windows.get(customer);
-    if (windows === undefined) return {asked: 0, given: 0};
-    return {
-      asked: windows.asked.total(nowMs),
-      given: windows.given.total(nowMs),
-    };
+    return this.uses.of(customer, nowMs);
   }
 
+  /**
+   * How a customer stands.
+   *
+   * @param tokensPerS - the configured rate, in weighted tokens
+   */
   standing(customer: string, tokensPerS: number, nowMs: number): ShareStanding {
-    const {given} = this.useOf(customer, nowMs);
-    const windows = this.windows.get(customer);
-    const recentGiven = windows?.recentGiven.total(nowMs) ?? 0;
-    return {given, recentGiven, levels: this.levels(tokensPerS, nowMs)};
+    return {
+      given: this.uses.of(customer, nowMs).given,
+      recentGiven: this.recent.of(customer, nowMs).given,
+      levels: this.levels(tokensPerS, nowMs),
+    };
   }
 
-  /** The levels of the window that ends now. */
+  /** The levels of the windows that end now. */
   levels(tokensPerS: number, nowMs: number): ShareLevels {
     if (nowMs - this.levelsAtMs < LEVELS_AGE_MS) return this.cached;
-    const owed = (tokensPerS * this.windowMs) / 1000;
-    const asked: number[] = [];
-    const recentAsked: number[] = [];
-    let recentGiven = 0;
-    for (const windows of this.windows.values()) {
-      asked.push(windows.asked.total(nowMs));
-      recentAsked.push(windows.recentAsked.total(nowMs));
-      recentGiven += windows.recentGiven.total(nowMs);
-    }
+    const configured = (tokensPerS * this.windowMs) / 1000;
+    const recent = this.recent.all(nowMs);
+    const given = recent.reduce((sum, use) => sum + use.given, 0);
     this.cached = {
-      owed: maxMinLevel(asked, owed),
-      even: maxMinLevel(recentAsked, recentGiven),
+      owed: maxMinLevel(askedOf(this.uses.all(nowMs)), configured),
+      even: maxMinLevel(askedOf(recent), given),
     };
     this.levelsAtMs = nowMs;
     return this.cached;
   }
-
-  private windowsOf(customer: string): Windows {
-    let windows = this.windows.get(customer);
-    if (windows === undefined) {
-      const {windowMs} = this;
-      windows = {
-        asked: WindowSum.create(windowMs),
-        given: WindowSum.create(windowMs),
-        recentAsked: WindowSum.create(EVEN_WINDOW_MS),
-        recentGiven: WindowSum.create(EVEN_WINDOW_MS),
-      };
-      this.windows.set(customer, windows);
-    }
-    return windows;
-  }
 }
 
-const LEVELS_AGE_MS = 50;
-
-/** The level to which a capacity fills the demands. @public */
-export function maxMinLevel(
-  demands: readonly number[],
-  capacity: number
-): number {
-  const sorted = [...demands].sort((a, b) => a - b);
-  let left = capacity;
-  let count = sorted.length;
-  for (const demand of sorted) {
-    const even = left / count;
-    if (demand > even) return even;
-    left -= demand;
-    count -= 1;
-  }
-  return Infinity;
+function askedOf(uses: readonly CustomerUse[]): number[] {
+  return uses.map(({asked}) => asked);
 }
