--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -6,7 +6,8 @@
 import {attemptFailure, EXECUTION} from '../errors.js';
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptLedger} from './attempt_ledger.js';
-import {costOf, decideRequest, findPlacement, kvTokensOf} from './placing.js';
+import {noteUse} from './note_use.js';
+import {decideRequest, findPlacement, kvTokensOf} from './placing.js';
 import {PlainRelay} from './plain_relay.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 import {StreamRelay} from './stream_relay.js';
@@ -95,11 +96,7 @@
   private admit(): void {
     const {context, tools, placing} = this;
     const decision = decideRequest(placing);
-    const isAdmitted = decision?.admission.kind === 'admit';
-    const cost = costOf(context);
-    if (cost > 0) {
-      tools.onUse(context.customer ?? '', cost, isAdmitted ? cost : 0);
-    }
+    noteUse(tools, context, decision?.admission.kind === 'admit');
     if (decision === undefined) {
       this.refuse('no_target', RETRY_SOON_S);
       return;
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -6,7 +6,7 @@
 import {readBody} from './body_reader.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
-import {costOf} from './placing.js';
+import {noteUse} from './note_use.js';
 import {STATUS, sendOwnAnswer} from './responses.js';
 
 import type {Socket} from 'node:net';
@@ -102,10 +102,9 @@
     context: RequestContext,
     res: http.ServerResponse
   ): void {
-    const {state, random, onOverloaded, onUse} = this.tools;
+    const {state, random, onOverloaded} = this.tools;
     onOverloaded();
-    const cost = costOf(context);
-    if (cost > 0) onUse(context.customer ?? '', cost, 0);
+    noteUse(this.tools, context, false);
     const answer = {
       status: STATUS.unavailable,
       kind: 'overloaded',
--- a/packages/gateway/src/lib/front/plain_service_day.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_day.test.ts
@@ -1,13 +1,13 @@
 /** What customers get of a plain service beside a hot one, in virtual time. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {fairnessWindows} from '@applebend/routing';
+import {fairnessWindows, UseRecorder} from '@applebend/routing';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {Random} from '@applebend/utils';
 import {FleetState} from '../state/fleet_state.js';
 import {costOf, decideRequest} from './placing.js';
 
-import type {SecondUse, Target} from '@applebend/routing';
+import type {Target, UseTimeline} from '@applebend/routing';
 import type {GatewaySettings, StateSource} from '../ports.js';
 import type {RequestContext} from './request_context.js';
 
@@ -56,10 +56,10 @@
   }) as unknown as RequestContext;
 
 /** Customer to its uses by second, in requests. */
-function playDay(seed: number): Map<string, SecondUse[]> {
+function playDay(seed: number): UseTimeline {
   const random = Random.create(seed);
   const state = createState();
-  const timeline = new Map<string, SecondUse[]>();
+  const recorder = UseRecorder.create(LENGTH_S);
   /** When each slot of a target is free. */
   const freeAtMs = new Map<string, number[]>();
   const ends: {atMs: number; onEnd: () => void}[] = [];
@@ -86,7 +86,11 @@
     const cost = costOf(context);
     const use = {asked: cost, given: isTaken ? cost : 0};
     if (cost > 0) state.shares.add(customer, use, nowMs);
-    note(timeline, customer, Math.floor(nowMs / 1000), isTaken);
+    recorder.add(customer, Math.floor(nowMs / 1000), {
+      asked: 1,
+      given: isTaken ? 1 : 0,
+      waited: !isTaken,
+    });
     if (isTaken) run(decision.placement.candidate.id, nowMs);
   };
 
@@ -96,25 +100,7 @@
       if (random.chance(perS / 1000)) arrive(`customer-${index}`, nowMs);
     }
   }
-  return timeline;
-}
-
-function note(
-  timeline: Map<string, SecondUse[]>,
-  customer: string,
-  second: number,
-  isTaken: boolean
-): void {
-  const empty = {asked: 0, given: 0, waited: false};
-  const uses =
-    timeline.get(customer) ?? Array.from({length: LENGTH_S}, () => empty);
-  const sum = uses[second];
-  uses[second] = {
-    asked: sum.asked + 1,
-    given: sum.given + (isTaken ? 1 : 0),
-    waited: sum.waited || !isTaken,
-  };
-  timeline.set(customer, uses);
+  return recorder.timeline;
 }
 
 test('a waiting customer has half of what a hot one gets of a plain service', () => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -38,6 +38,7 @@
   SecondUse,
   UseTimeline,
 } from './lib/fairness/fairness_windows.js';
+export {UseRecorder} from './lib/fairness/use_recorder.js';
 export {Freshness} from './lib/freshness/freshness.js';
 export type {ReadStamp} from './lib/freshness/freshness.js';
 export {ListFreshness} from './lib/freshness/list_freshness.js';
--- a/packages/routing/src/testing/heavy_day.ts
+++ b/packages/routing/src/testing/heavy_day.ts
@@ -6,13 +6,14 @@
 import {hash32, Random} from '@applebend/utils';
 import {decideCall} from '../lib/admission/call_decision.js';
 import {CustomerShares} from '../lib/admission/customer_shares.js';
+import {UseRecorder} from '../lib/fairness/use_recorder.js';
 import {FirstEventModel} from '../lib/placement/first_event_model.js';
 import {PrefixCache} from '../lib/placement/prefix_cache.js';
 import {serviceCost, sessionOf} from '../lib/placement/prompt.js';
 import {OwnLoad} from '../lib/placement/target_load.js';
 import {EngineModel} from './engine_model.js';
 
-import type {SecondUse} from '../lib/fairness/fairness_windows.js';
+import type {SecondUse, UseTimeline} from '../lib/fairness/fairness_windows.js';
 import type {Candidate} from '../lib/placement/placer.js';
 import type {Prompt} from '../lib/placement/prompt.js';
 
@@ -55,8 +56,6 @@
   readonly lostEngines?: (nowMs: number) => number;
 }
 
-const NO_USE: SecondUse = {asked: 0, given: 0, waited: false};
-
 export interface Target {
   readonly id: string;
   readonly engine: EngineModel;
@@ -77,7 +76,7 @@
   readonly model = FirstEventModel.create();
   readonly figures: CustomerFigures[];
   /** Uses by second; service counts where its first event comes. */
-  readonly timeline = new Map<string, SecondUse[]>();
+  private readonly recorder = UseRecorder.create(LENGTH_MS / 1000 + 1);
   nowMs = 0;
   private readonly random: Random;
 
@@ -108,6 +107,10 @@
     return day;
   }
 
+  get timeline(): UseTimeline {
+    return this.recorder.timeline;
+  }
+
   /** Configured rate, in weighted tokens. */
   get tokensPerS(): number {
     return this.options.tokensPerS ?? USUAL_TOKENS_PER_S;
@@ -161,19 +164,7 @@
   }
 
   private note(customer: string, use: SecondUse): void {
-    let uses = this.timeline.get(customer);
-    if (uses === undefined) {
-      const length = Math.ceil(LENGTH_MS / 1000) + 1;
-      uses = Array.from({length}, () => NO_USE);
-      this.timeline.set(customer, uses);
-    }
-    const second = Math.floor(this.nowMs / 1000);
-    const sum = uses[second];
-    uses[second] = {
-      asked: sum.asked + use.asked,
-      given: sum.given + use.given,
-      waited: sum.waited || use.waited,
-    };
+    this.recorder.add(customer, Math.floor(this.nowMs / 1000), use);
   }
 
   private run(
