Plain services are shared by max-min as the engines are

Cause: usage was counted in tokens of prompts only, so a plain call counted for nobody and its customer was always within its share.

Change: usage is counted in pools, one for all engines in weighted tokens and one for each plain service in requests; admission of a plain call goes by its pool. Usage rows between instances name the pool unless it is the engines'.

Ruled out: one pool for both, in which a heavy customer of the engines would be refused at a plain service that it hardly uses (a test holds them apart).

--- a/packages/gateway/src/lib/front/customer_usage_log.test.ts
+++ b/packages/gateway/src/lib/front/customer_usage_log.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {ENGINE_POOL} from '@applebend/routing';
 import {CustomerUsageLog} from './customer_usage_log.js';
 
 import type {Logger} from '@applebend/telemetry';
@@ -31,7 +32,12 @@
   for (; nowMs < seconds * 1000; nowMs += 10) {
     for (let i = 0; i < customers; i++) {
       const tokens = 10 + i;
-      usageLog.onUsage(`customer-${i}`, tokens, nowMs % 20 === 0 ? tokens : 0);
+      usageLog.onUsage({
+        pool: ENGINE_POOL,
+        customer: `customer-${i}`,
+        requested: tokens,
+        admitted: nowMs % 20 === 0 ? tokens : 0,
+      });
     }
   }
   usageLog.flush();
--- a/packages/gateway/src/lib/front/customer_usage_log.ts
+++ b/packages/gateway/src/lib/front/customer_usage_log.ts
@@ -1,6 +1,9 @@
+import {ENGINE_POOL} from '@applebend/routing';
+
 import type {ShareLevels} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
+import type {UsageRow} from '../peers/peer_message.js';
 
 const SECOND_MS = 1000;
 /** Rows of one line; limits its length. */
@@ -44,8 +47,9 @@
     return new CustomerUsageLog(log, clock, levels);
   }
 
-  /** Adds the weighted tokens of one request. */
-  onUsage(customer: string, requested: number, admitted: number): void {
+  /** Adds the usage of one request; that of plain services is left out. */
+  onUsage({pool, customer, requested, admitted}: UsageRow): void {
+    if (pool !== ENGINE_POOL) return;
     const second = Math.floor(this.clock.wallMs() / SECOND_MS);
     if (second !== this.second) this.flush();
     this.second = second;
--- a/packages/gateway/src/lib/front/exchange_deps.ts
+++ b/packages/gateway/src/lib/front/exchange_deps.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
 import type {Clock} from '@applebend/utils';
 import type {HeaderCodec} from '../ports.js';
+import type {UsageRow} from '../peers/peer_message.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {ExchangeReport} from './exchange_report.js';
 import type {RequestContext} from './request_context.js';
@@ -25,8 +26,8 @@
     context: RequestContext,
     isCacheMiss: boolean
   ): void;
-  /** Called with the weighted tokens of each model request. */
-  onUsage(customer: string, requested: number, admitted: number): void;
+  /** Called with the cost of each request. */
+  onUsage(usage: UsageRow): void;
   /**
    * Called when a request is refused, before its body is read, because the
    * event loop is overloaded.
--- a/packages/gateway/src/lib/front/placement.ts
+++ b/packages/gateway/src/lib/front/placement.ts
@@ -1,6 +1,6 @@
 import {
+  ENGINE_POOL,
   placeAndAdmit,
-  UNLIMITED_SHARE,
   choosePlacement,
   weightedTokensOf,
 } from '@applebend/routing';
@@ -39,9 +39,19 @@
   return prompt.inputTokens + prompt.outputTokens;
 }
 
-/** Cost of the request in weighted tokens; 0 without a prompt. @public */
+/**
+ * Cost of the request in the unit of its usage pool: weighted tokens, or one
+ * request of a plain service.
+ *
+ * @public
+ */
 export function weightedCostOf({prompt}: RequestContext): number {
-  return prompt === undefined ? 0 : weightedTokensOf(prompt);
+  return prompt === undefined ? 1 : weightedTokensOf(prompt);
+}
+
+/** The usage pool in which the request counts. @public */
+export function usagePoolOf({prompt, service}: RequestContext): string {
+  return prompt === undefined ? service : ENGINE_POOL;
 }
 
 /** The best target for the request, or undefined if there is none. @public */
@@ -84,13 +94,11 @@
   };
 }
 
-/** A request without a prompt counts toward no customer's usage. */
+/** Only the rate of the model engines is configured. */
 function shareStatusOf({context, state, nowMs}: PlacementInput): ShareStatus {
-  if (context.prompt === undefined) return UNLIMITED_SHARE;
+  const pool = usagePoolOf(context);
   const {tokensPerS} = context.config.limits;
-  return state.customerShares.statusOf(
-    context.customer ?? '',
-    tokensPerS,
-    nowMs
-  );
+  const ratePerS = pool === ENGINE_POOL ? tokensPerS : Infinity;
+  const shares = state.sharesOf(pool);
+  return shares.statusOf(context.customer ?? '', ratePerS, nowMs);
 }
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {fairnessWindows, UsageRecorder} from '@applebend/routing';
+import {ENGINE_POOL, fairnessWindows, UsageRecorder} from '@applebend/routing';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {Random} from '@applebend/utils';
 import {FleetState} from '../state/fleet_state.js';
@@ -22,7 +22,9 @@
 /** Time that a slot needs for a request. */
 const REQUEST_MS = 85;
 const LENGTH_S = 20;
-/** Requests a second of each customer; the targets serve 211 in total. */
+/** What all targets together serve in a second. */
+const CAPACITY_PER_S = (TARGETS * SLOTS * 1000) / REQUEST_MS;
+/** Requests a second of each customer; together more than the capacity. */
 const DEMAND_PER_S = [400, 60, 40, 30, 20, 10, 5, 5];
 /** Length of the windows in which customers are compared. */
 const WINDOW_S = 6;
@@ -92,7 +94,7 @@
     const isAdmitted = decision?.admission.kind === 'admit';
     const cost = weightedCostOf(context);
     const usage = {requested: cost, admitted: isAdmitted ? cost : 0};
-    if (cost > 0) state.customerShares.add(customer, usage, nowMs);
+    state.sharesOf(SERVICE).add(customer, usage, nowMs);
     recorder.add(customer, Math.floor(nowMs / 1000), {
       requested: 1,
       admitted: isAdmitted ? 1 : 0,
@@ -119,3 +121,19 @@
     assert.ok(lowest.ratio >= 1, `seed ${seed}: ${JSON.stringify(lowest)}`);
   }
 });
+
+test('what a heavy customer is refused leaves no capacity of a plain service idle', () => {
+  for (const seed of [1, 2, 3]) {
+    const usage = [...simulate(seed).values()].flat();
+    const admitted = usage.reduce((sum, second) => sum + second.admitted, 0);
+    assert.ok(admitted >= 0.95 * CAPACITY_PER_S * LENGTH_S, `seed ${seed}`);
+  }
+});
+
+test('usage of a plain service does not count against a share of the engines', () => {
+  const state = createState();
+  const usage = {requested: 1000, admitted: 1000};
+  state.sharesOf(SERVICE).add('heavy', usage, 0);
+  const engines = state.sharesOf(ENGINE_POOL);
+  assert.equal(engines.statusOf('heavy', 300_000, 0).admitted, 0);
+});
--- a/packages/gateway/src/lib/front/record_usage.ts
+++ b/packages/gateway/src/lib/front/record_usage.ts
@@ -1,11 +1,11 @@
-import {weightedCostOf} from './placement.js';
+import {usagePoolOf, weightedCostOf} from './placement.js';
 
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 
 /**
- * Counts the weighted tokens of a request as requested by its customer, and as
- * admitted if the request is. A request without a prompt has none.
+ * Counts the cost of a request as requested by its customer, and as admitted if
+ * the request is.
  *
  * @public
  */
@@ -15,6 +15,10 @@
   isAdmitted: boolean
 ): void {
   const cost = weightedCostOf(context);
-  if (cost === 0) return;
-  deps.onUsage(context.customer ?? '', cost, isAdmitted ? cost : 0);
+  deps.onUsage({
+    pool: usagePoolOf(context),
+    customer: context.customer ?? '',
+    requested: cost,
+    admitted: isAdmitted ? cost : 0,
+  });
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -79,9 +79,9 @@
       random: () => random.uniform(),
       onPlaced: (target, context, isCacheMiss) =>
         this.peers.onPlaced(target, context.prompt, isCacheMiss),
-      onUsage: (customer, requested, admitted) => {
-        this.peers.onUsage(customer, requested, admitted);
-        this.usageLog.onUsage(customer, requested, admitted);
+      onUsage: usage => {
+        this.peers.onUsage(usage);
+        this.usageLog.onUsage(usage);
       },
       onOverloaded: () => this.metrics.onOverloaded(),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
--- a/packages/gateway/src/lib/peers/aggregate_exchange.ts
+++ b/packages/gateway/src/lib/peers/aggregate_exchange.ts
@@ -252,7 +252,7 @@
     const {state} = this.options;
     const {rest} = this.outboxes;
     const isNew = this.aggregates.onAggregate(message, nowMs, row => {
-      state.customerShares.add(row.customer, row, nowMs);
+      state.sharesOf(row.pool).add(row.customer, row, nowMs);
       rest.usage.add(row);
     });
     if (!isNew) return;
--- a/packages/gateway/src/lib/peers/aggregate_table.test.ts
+++ b/packages/gateway/src/lib/peers/aggregate_table.test.ts
@@ -96,7 +96,9 @@
   const table = AggregateTable.create(LoadTotals.create());
   let total = 0;
   for (const [index, tokens] of [5000, 5400, 5600].entries()) {
-    const usage = [{customer: 'c', requested: tokens, admitted: tokens}];
+    const usage = [
+      {pool: '', customer: 'c', requested: tokens, admitted: tokens},
+    ];
     table.onAggregate(aggregate({sequence: index + 1, usage}), 0, row => {
       total += row.admitted;
     });
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -151,13 +151,12 @@
     if (this.placements.length < MAX_PLACEMENTS) this.placements.push(row);
   }
 
-  /** Adds usage, in weighted tokens, at this instance. */
-  onUsage(customer: string, requested: number, admitted: number): void {
+  /** Adds usage at this instance. */
+  onUsage(row: UsageRow): void {
     const {state, clock} = this.options;
-    const row = {customer, requested, admitted};
     this.usage.add(row);
     this.aggregates.onGroupUsage(row);
-    state.customerShares.add(customer, row, clock.monotonicMs());
+    state.sharesOf(row.pool).add(row.customer, row, clock.monotonicMs());
   }
 
   private onHeartbeat(): void {
@@ -201,7 +200,7 @@
     const {state, clock, source} = this.options;
     const nowMs = clock.monotonicMs();
     const onUsage = (row: UsageRow) => {
-      state.customerShares.add(row.customer, row, nowMs);
+      state.sharesOf(row.pool).add(row.customer, row, nowMs);
       this.aggregates.onGroupUsage(row);
     };
     if (!this.peerTable.onMessage(message, nowMs, onUsage)) return;
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -23,7 +23,12 @@
     {maxLength: 6}
   ),
   usage: fc.array(
-    fc.record({customer: id, requested: count, admitted: count}),
+    fc.record({
+      pool: fc.constantFrom('', 'app'),
+      customer: id,
+      requested: count,
+      admitted: count,
+    }),
     {
       maxLength: 6,
     }
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -5,8 +5,14 @@
 import type {LoadRow} from '../state/load_totals.js';
 import type {MessageRows, WireRows} from './wire_rows.js';
 
-/** A total or an increment of a customer's usage, in weighted tokens. @public */
+/**
+ * A total or an increment of a customer's usage, in the unit of its pool.
+ *
+ * @public
+ */
 export interface UsageRow {
+  /** The usage pool, see `ENGINE_POOL`. */
+  readonly pool: string;
   readonly customer: string;
   readonly requested: number;
   readonly admitted: number;
--- a/packages/gateway/src/lib/peers/peer_table.test.ts
+++ b/packages/gateway/src/lib/peers/peer_table.test.ts
@@ -53,7 +53,7 @@
 test('usage is counted once, whatever messages are lost', () => {
   const table = PeerTable.create(LoadTotals.create());
   const usageOf = (admitted: number) => [
-    {customer: 'c', requested: admitted, admitted},
+    {pool: '', customer: 'c', requested: admitted, admitted},
   ];
   let total = 0;
   const addUsage = (row: {admitted: number}) => (total += row.admitted);
@@ -80,7 +80,7 @@
   let total = 0;
   const addUsage = (row: {admitted: number}) => (total += row.admitted);
   const usageOf = (customer: string, tokens: number) => [
-    {customer, requested: tokens, admitted: tokens},
+    {pool: '', customer, requested: tokens, admitted: tokens},
   ];
   table.onMessage(
     message({sequence: 900, usage: usageOf('c', 5000)}),
--- a/packages/gateway/src/lib/peers/usage_counters.ts
+++ b/packages/gateway/src/lib/peers/usage_counters.ts
@@ -2,7 +2,7 @@
 
 /**
  * The sender's side of the exchange of usage: the total usage of each customer
- * since the start. Sending totals instead of increments lets the next message
+ * in each pool since the start. Sending totals instead of increments lets the next message
  * about a customer make up for a lost one.
  *
  * @public
@@ -17,18 +17,15 @@
     return new UsageCounters();
   }
 
-  add({customer, requested, admitted}: UsageRow): void {
-    const total = this.totals.get(customer) ?? {
-      customer,
-      requested: 0,
-      admitted: 0,
-    };
-    this.totals.set(customer, {
-      customer,
-      requested: total.requested + requested,
-      admitted: total.admitted + admitted,
+  add(row: UsageRow): void {
+    const key = keyOf(row);
+    const total = this.totals.get(key);
+    this.totals.set(key, {
+      ...row,
+      requested: (total?.requested ?? 0) + row.requested,
+      admitted: (total?.admitted ?? 0) + row.admitted,
     });
-    this.changed.add(customer);
+    this.changed.add(key);
   }
 
   get hasChanges(): boolean {
@@ -38,8 +35,8 @@
   /** Returns the totals that changed since the last call. */
   takeChanged(): UsageRow[] {
     const rows: UsageRow[] = [];
-    for (const customer of this.changed) {
-      const row = this.totals.get(customer);
+    for (const key of this.changed) {
+      const row = this.totals.get(key);
       if (row !== undefined) rows.push(row);
     }
     this.changed.clear();
@@ -71,11 +68,12 @@
   increments(rows: readonly UsageRow[]): UsageRow[] {
     const increments: UsageRow[] = [];
     for (const row of rows) {
-      const before = this.totals.get(row.customer);
-      this.totals.set(row.customer, row);
+      const key = keyOf(row);
+      const before = this.totals.get(key);
+      this.totals.set(key, row);
       if (before === undefined && !this.isFromStart) continue;
       increments.push({
-        customer: row.customer,
+        ...row,
         requested: row.requested - (before?.requested ?? 0),
         admitted: row.admitted - (before?.admitted ?? 0),
       });
@@ -83,3 +81,7 @@
     return increments;
   }
 }
+
+function keyOf({pool, customer}: UsageRow): string {
+  return `${pool} ${customer}`;
+}
--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -1,3 +1,4 @@
+import {ENGINE_POOL} from '@applebend/routing';
 import {unpack} from 'msgpackr';
 
 import type {LoadRow} from '../state/load_totals.js';
@@ -22,7 +23,10 @@
   prefillTokens: number,
   kvTokens: number,
 ];
-type WireUsage = [customer: string, requested: number, admitted: number];
+/** The pool is left out if it is that of the model engines. */
+type WireUsage =
+  | [customer: string, requested: number, admitted: number]
+  | [customer: string, requested: number, admitted: number, pool: string];
 /** `blocks` holds the id and the tokens of each block in turn. */
 type WirePlacement = [
   target: string,
@@ -105,12 +109,17 @@
   return {target, running, prefillTokens, kvTokens};
 }
 
-function encodeUsage({customer, requested, admitted}: UsageRow): WireUsage {
-  return [customer, Math.round(requested), Math.round(admitted)];
+function encodeUsage(row: UsageRow): WireUsage {
+  const {pool, customer, requested, admitted} = row;
+  const totals = [Math.round(requested), Math.round(admitted)] as const;
+  return pool === ENGINE_POOL
+    ? [customer, ...totals]
+    : [customer, ...totals, pool];
 }
 
-function decodeUsage([customer, requested, admitted]: WireUsage): UsageRow {
-  return {customer, requested, admitted};
+function decodeUsage(wire: WireUsage): UsageRow {
+  const [customer, requested, admitted, pool = ENGINE_POOL] = wire;
+  return {pool, customer, requested, admitted};
 }
 
 function encodePlacement({
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -1,5 +1,6 @@
 import {
   CustomerShares,
+  ENGINE_POOL,
   FleetRetryBudget,
   OverloadGuard,
 } from '@applebend/routing';
@@ -20,7 +21,7 @@
   readonly peerLoads = PeerLoadTotals.create();
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
-  readonly customerShares: CustomerShares;
+  private readonly shares = new Map<string, CustomerShares>();
   private readonly budgets = new Map<string, FleetRetryBudget>();
   private current: FleetConfig | undefined;
   /** Instances that accept requests, including this one. */
@@ -37,14 +38,13 @@
     inspector: TargetInspector,
     private readonly log: Logger
   ) {
-    const {isFleetBootstrap, shareWindowMs} = settings;
+    const {isFleetBootstrap} = settings;
     this.targets = TargetDirectory.create(
       this.peerLoads,
       inspector,
       log,
       isFleetBootstrap
     );
-    this.customerShares = CustomerShares.create(shareWindowMs);
   }
 
   static create(
@@ -95,10 +95,20 @@
     return this.source.configAgeMs() <= this.settings.maxConfigAgeForDenialMs;
   }
 
-  /** The share levels of customers at a monotonic time. */
+  /** The share levels of customers of the engines at a monotonic time. */
   shareLevels(nowMs: number): ShareLevels {
     const tokensPerS = this.current?.limits.tokensPerS ?? Infinity;
-    return this.customerShares.levels(tokensPerS, nowMs);
+    return this.sharesOf(ENGINE_POOL).levels(tokensPerS, nowMs);
+  }
+
+  /** The usage of all customers in a pool; created on first use. */
+  sharesOf(pool: string): CustomerShares {
+    let shares = this.shares.get(pool);
+    if (shares === undefined) {
+      shares = CustomerShares.create(this.settings.shareWindowMs);
+      this.shares.set(pool, shares);
+    }
+    return shares;
   }
 
   /** The retry budget of a service; created on first use. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,7 +22,7 @@
 export type {EventLoopSample} from './lib/admission/overload_guard.js';
 export {
   CustomerShares,
-  UNLIMITED_SHARE,
+  ENGINE_POOL,
 } from './lib/admission/customer_shares.js';
 export type {
   ShareLevels,
--- a/packages/routing/src/lib/admission/customer_shares.ts
+++ b/packages/routing/src/lib/admission/customer_shares.ts
@@ -4,8 +4,8 @@
 import type {CustomerUsage} from './usage_window.js';
 
 /**
- * Max-min levels in weighted tokens: a customer that requested less than the
- * level gets all that it requested, the others get the level. Infinite if every
+ * Max-min levels in the unit of the pool: a customer that requested less than
+ * the level gets all that it requested, the others get the level. Infinite if every
  * customer can get all that it requested.
  *
  * @public
@@ -20,25 +20,22 @@
   readonly even: number;
 }
 
-/** A customer's usage beside the share levels. @public */
+/** A customer's usage of a pool beside the share levels. @public */
 export interface ShareStatus {
-  /** Weighted tokens admitted in the share window. */
+  /** Admitted in the share window. */
   readonly admitted: number;
-  /** Weighted tokens admitted in the recent window. */
+  /** Admitted in the recent window. */
   readonly recentAdmitted: number;
   readonly levels: ShareLevels;
 }
 
 /**
- * The share status of requests that count toward no customer's usage.
+ * Name of the pool in which the usage of all model engines counts, in weighted
+ * tokens. Each plain service is a pool of its own name, in which requests count.
  *
  * @public
  */
-export const UNLIMITED_SHARE: ShareStatus = {
-  admitted: 0,
-  recentAdmitted: 0,
-  levels: {owed: Infinity, even: Infinity},
-};
+export const ENGINE_POOL = '';
 
 /**
  * After engines are lost, tokens admitted before the loss count against a
@@ -51,8 +48,8 @@
 const MAX_LEVELS_AGE_MS = 50;
 
 /**
- * Tracks the fleet-wide usage of all customers in two sliding windows, and the
- * max-min share levels that follow from it.
+ * Tracks the fleet-wide usage of one pool by all customers in two sliding
+ * windows, and the max-min share levels that follow from it.
  *
  * @public
  */
@@ -80,7 +77,7 @@
     this.recentUsage.add(customer, usage, nowMs);
   }
 
-  /** Returns a customer's usage in the share window, in weighted tokens. */
+  /** Returns a customer's usage in the share window. */
   usageOf(customer: string, nowMs: number): CustomerUsage {
     return this.usage.of(customer, nowMs);
   }
@@ -88,13 +85,13 @@
   /**
    * Returns a customer's usage and the current share levels.
    *
-   * @param tokensPerS - the configured rate, in weighted tokens per second
+   * @param ratePerS - the configured rate of the pool; infinite if it has none
    */
-  statusOf(customer: string, tokensPerS: number, nowMs: number): ShareStatus {
+  statusOf(customer: string, ratePerS: number, nowMs: number): ShareStatus {
     return {
       admitted: this.usage.of(customer, nowMs).admitted,
       recentAdmitted: this.recentUsage.of(customer, nowMs).admitted,
-      levels: this.levels(tokensPerS, nowMs),
+      levels: this.levels(ratePerS, nowMs),
     };
   }
 
@@ -102,11 +99,11 @@
    * Returns the share levels of the windows that end now, or cached levels of
    * less than 50 ms ago.
    *
-   * @param tokensPerS - the configured rate, in weighted tokens per second
+   * @param ratePerS - the configured rate of the pool; infinite if it has none
    */
-  levels(tokensPerS: number, nowMs: number): ShareLevels {
+  levels(ratePerS: number, nowMs: number): ShareLevels {
     if (nowMs - this.cachedAtMs < MAX_LEVELS_AGE_MS) return this.cachedLevels;
-    const configured = (tokensPerS * this.windowMs) / 1000;
+    const configured = (ratePerS * this.windowMs) / 1000;
     const recent = this.recentUsage.all(nowMs);
     const admitted = recent.reduce((sum, usage) => sum + usage.admitted, 0);
     this.cachedLevels = {
