--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -15,6 +15,8 @@
     | 'connect_failed'
     // The target reports that it did not run the request.
     | 'not_executed'
+    // The target did not run the request and asks for a pause.
+    | 'target_paused'
     // The server is not the addressed target (status 421).
     | 'wrong_target'
     // The connection failed after the target may have received the request.
--- /dev/null
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -0,0 +1,87 @@
+import {kvTokensOf} from './placement.js';
+
+import type {Candidate, LoadHandle} from '@applebend/routing';
+import type {AttemptFailure} from '../errors.js';
+import type {TargetRecord} from '../state/target_record.js';
+import type {TargetResponse} from '../upstream/target_call.js';
+import type {ExchangeDeps} from './exchange_deps.js';
+import type {RequestContext} from './request_context.js';
+
+/**
+ * What one attempt tells of its target: its load while the attempt runs, its
+ * health, its pause, its prefix cache and the time that a prefill takes there.
+ *
+ * @public
+ */
+export class AttemptFeedback {
+  private readonly sentMs: number;
+  private readonly load: LoadHandle;
+
+  private constructor(
+    private readonly record: TargetRecord,
+    private readonly candidate: Candidate,
+    private readonly context: RequestContext,
+    private readonly deps: ExchangeDeps
+  ) {
+    const {id, uncachedTokens} = candidate;
+    this.sentMs = this.nowMs;
+    this.load = record.ownLoad.start(uncachedTokens, kvTokensOf(context));
+    record.health.onSent();
+    record.pause.onSent();
+    const blocks = context.prompt?.prefixBlocks ?? [];
+    const isCacheMiss = !record.prefixCache.hasSharedBlocks(blocks);
+    record.prefixCache.touch(blocks);
+    deps.onPlaced(id, context, isCacheMiss);
+  }
+
+  /** Counts an attempt that is being sent, here and at all peers. */
+  static create(
+    record: TargetRecord,
+    candidate: Candidate,
+    context: RequestContext,
+    deps: ExchangeDeps
+  ): AttemptFeedback {
+    return new AttemptFeedback(record, candidate, context, deps);
+  }
+
+  private get nowMs(): number {
+    return this.deps.clock.monotonicMs();
+  }
+
+  /**
+   * Records the head of a response. Returns the time since the attempt was
+   * sent, which counts as the time to the first event.
+   */
+  onHead({status, head}: TargetResponse): number {
+    const {record, candidate, context, nowMs} = this;
+    const headMs = nowMs - this.sentMs;
+    const isStream = context.route.streaming && status < 300;
+    if (isStream && context.prompt !== undefined) {
+      const {load, uncachedTokens} = candidate;
+      const readTokens = load.prefillTokens + uncachedTokens;
+      record.firstEventModel.observe(readTokens, headMs);
+    }
+    this.load.onFirstEvent();
+    // A target that asks for a pause is full and not faulty.
+    if (head.signals.pauseMs !== undefined) record.health.onInconclusive();
+    else if (status >= 500) record.health.onFailure(nowMs);
+    else record.pause.onServed();
+    return headMs;
+  }
+
+  /** Records a response that arrived in full. */
+  onServed(): void {
+    this.record.health.onSuccess();
+  }
+
+  onFailure({kind}: AttemptFailure): void {
+    const {health} = this.record;
+    if (kind === 'target_paused') health.onInconclusive();
+    else health.onFailure(this.nowMs);
+  }
+
+  /** Removes the attempt from the load. Repeated calls have no effect. */
+  end(): void {
+    this.load.onEnd();
+  }
+}
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,15 +1,18 @@
 import {RETRY_SAFETY} from '@applebend/routing';
 import {attemptFailure, EXECUTION} from '../errors.js';
 import {TargetCall} from '../upstream/target_call.js';
+import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
-import {decideRequest, findPlacement, kvTokensOf} from './placement.js';
+import {decideRequest, findPlacement} from './placement.js';
+import {earliestPauseEndMs} from '../upstream/candidates.js';
 import {BufferedRelay} from './buffered_relay.js';
-import {STATUS, sendResponse} from './responses.js';
+import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
+import {STATUS} from './responses.js';
 import {StreamRelay} from './stream_relay.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 
-import type {Candidate, Placement, LoadHandle} from '@applebend/routing';
+import type {Placement} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
 import type {TargetRecord} from '../state/target_record.js';
 import type {
@@ -17,15 +20,13 @@
   TargetResponse,
 } from '../upstream/target_call.js';
 import type {PlacementInput} from './placement.js';
-import type {GatewayResponse} from './responses.js';
 import type {RequestContext} from './request_context.js';
-import type {ExchangeReport, PlacementEstimates} from './exchange_report.js';
 import type {InboundRequest, ExchangeDeps} from './exchange_deps.js';
 
 /** A request is not sent with less time left until its deadline. */
 const MIN_LEFT_TO_SEND_MS = 5;
-/** When callers may retry a request that certainly did not run. */
-const RETRY_AFTER_S = 0.3;
+/** Callers that wait for a pause to end return within this time after it. */
+const PAUSE_SPREAD_MS = 300;
 /** Multiple of the target gap between events that counts as a stall. */
 const STALL_FACTOR = 3;
 const MIN_STALL_TIMEOUT_MS = 1000;
@@ -33,15 +34,11 @@
 /** Handles one checked request, from admission to its outcome. @public */
 export class Exchange {
   private readonly attempts: AttemptTracker;
+  private readonly ending: ExchangeEnding;
   private call: TargetCall | undefined;
-  private running: LoadHandle | undefined;
+  private feedback: AttemptFeedback | undefined;
   private stream: StreamRelay | undefined;
-  private currentTarget: TargetRecord | undefined;
-  private ended = false;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private placed: PlacementEstimates | undefined;
-  private refusedFor: ExchangeReport['refusedFor'];
-  private headMs: number | undefined;
 
   private constructor(
     private readonly context: RequestContext,
@@ -49,6 +46,13 @@
     private readonly deps: ExchangeDeps
   ) {
     this.attempts = AttemptTracker.create(context.route.maxAttempts);
+    this.ending = ExchangeEnding.create(
+      context,
+      inbound,
+      deps,
+      this.attempts,
+      () => this.onEnded()
+    );
   }
 
   /** Starts an exchange, which ends by itself. */
@@ -95,26 +99,42 @@
     const decision = decideRequest(placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
     if (decision === undefined) {
-      this.refuse('no_target', RETRY_AFTER_S);
+      this.refuseWithoutTarget();
       return;
     }
     const {admission, input, placement} = decision;
     if (admission.kind === 'refuse') {
-      this.refusedFor = input;
-      this.refuse(admission.reason, admission.retryAfterS);
+      this.ending.noteRefusal(input);
+      this.ending.refuse(admission.reason, admission.retryAfterS);
       return;
     }
     deps.state.retryBudgetOf(context.service).onRequest(placementInput.nowMs);
     this.send(placement);
   }
 
-  private refuse(kind: string, retryAfterS: number): void {
-    this.respond({
-      status: STATUS.unavailable,
-      kind,
-      execution: EXECUTION.notRun,
-      retryAfterS,
-    });
+  /** Refuses at once, also if all targets of the service are paused. */
+  private refuseWithoutTarget(): void {
+    const pauseLeftMs = this.pauseLeftMs();
+    if (pauseLeftMs === undefined) {
+      this.ending.refuse('no_target', RETRY_AFTER_S);
+    } else {
+      this.ending.refuse('targets_paused', this.afterPauseS(pauseLeftMs));
+    }
+  }
+
+  /** Time until the first paused target of the service may get requests. */
+  private pauseLeftMs(): number | undefined {
+    const {state} = this.deps;
+    const records = state.targets.readyTargets(this.context.service);
+    const {nowMs} = this;
+    const endsAtMs = earliestPauseEndMs(records, nowMs);
+    return endsAtMs === undefined ? undefined : endsAtMs - nowMs;
+  }
+
+  /** When to retry after a pause; spread, so that callers return in turn. */
+  private afterPauseS(pauseLeftMs: number): number {
+    const spreadMs = this.deps.random() * PAUSE_SPREAD_MS;
+    return (pauseLeftMs + spreadMs) / 1000;
   }
 
   private send({candidate}: Placement): void {
@@ -125,41 +145,21 @@
       this.giveUp(attemptFailure(kind, EXECUTION.notRun, 'request not sent'));
       return;
     }
-    this.currentTarget = record;
-    this.recordPlacement(record, candidate);
-    const sentMs = this.nowMs;
-    const readTokens = candidate.load.prefillTokens + candidate.uncachedTokens;
+    this.ending.notePlacement(candidate);
+    this.attempts.onSend(candidate.id);
+    const feedback = AttemptFeedback.create(record, candidate, context, deps);
+    this.feedback = feedback;
     const predictedMs = candidate.waitMs + candidate.prefillMs;
     this.call = TargetCall.create(this.callOptions(record, predictedMs), {
       onResponse: response => {
-        // The time to the head counts as the time to the first event.
-        this.headMs = this.nowMs - sentMs;
-        const isStream = context.route.streaming && response.status < 300;
-        if (isStream && context.prompt !== undefined) {
-          record.firstEventModel.observe(readTokens, this.headMs);
-        }
-        this.running?.onFirstEvent();
-        this.onResponse(record, response);
+        this.ending.noteHead(feedback.onHead(response));
+        this.onResponse(response);
       },
+      onSignals: signals => deps.state.onTargetSignals(record, signals),
       onFailure: failure => this.onFailure(failure),
     });
   }
 
-  /** Counts the request in the target's load, here and at all peers. */
-  private recordPlacement(record: TargetRecord, candidate: Candidate): void {
-    const {context, deps, attempts} = this;
-    const {id, load, waitMs, prefillMs, uncachedTokens} = candidate;
-    const {running, kvTokens} = load;
-    this.placed = {waitMs, prefillMs, running, uncachedTokens, kvTokens};
-    attempts.onSend(id);
-    this.running = record.ownLoad.start(uncachedTokens, kvTokensOf(context));
-    record.health.onSent();
-    const blocks = context.prompt?.prefixBlocks ?? [];
-    const isCacheMiss = !record.prefixCache.hasSharedBlocks(blocks);
-    record.prefixCache.touch(blocks);
-    deps.onPlaced(id, context, isCacheMiss);
-  }
-
   private callOptions(
     {target}: TargetRecord,
     predictedMs: number
@@ -175,10 +175,9 @@
   }
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
-  private onResponse(record: TargetRecord, response: TargetResponse): void {
+  private onResponse(response: TargetResponse): void {
     const {route} = this.context;
     const {status} = response;
-    if (status >= 500) record.health.onFailure(this.nowMs);
     if (route.streaming && status < 300) {
       this.relayStream(response);
       return;
@@ -196,8 +195,8 @@
       this.deps.state.closesConnections,
       {
         onDone: () => {
-          if (status < 500) record.health.onSuccess();
-          this.end('answered', status);
+          if (status < 500) this.feedback?.onServed();
+          this.ending.end('answered', status);
         },
         onAborted: () =>
           this.onFailure(
@@ -216,8 +215,8 @@
         STALL_FACTOR * route.eventGapTargetMs
       ),
       onDone: () => {
-        this.currentTarget?.health.onSuccess();
-        this.end('answered', STATUS.ok);
+        this.feedback?.onServed();
+        this.ending.end('answered', STATUS.ok);
       },
       onAborted: message =>
         this.onFailure(attemptFailure('reset', EXECUTION.unknown, message)),
@@ -240,10 +239,10 @@
   }
 
   private onFailure(failure: AttemptFailure): void {
-    if (this.ended) return;
+    if (this.ending.hasEnded) return;
     this.endRunning();
     this.attempts.onFailure(failure);
-    this.currentTarget?.health.onFailure(this.nowMs);
+    this.feedback?.onFailure(failure);
     const failedToConnect = failure.kind === 'connect_failed';
     // A request that may have run is sent again only if it is idempotent.
     const isSafe = failure.execution === EXECUTION.notRun || this.isIdempotent;
@@ -257,7 +256,9 @@
   /** Whether a retry is allowed; charges it to the budget if `costsBudget`. */
   private tryAcquireRetry(costsBudget: boolean): boolean {
     const {context, deps} = this;
-    if (this.ended || !this.attempts.allowsRetry(this.leftMs)) return false;
+    if (this.ending.hasEnded || !this.attempts.allowsRetry(this.leftMs)) {
+      return false;
+    }
     if (!costsBudget) return true;
     const budget = deps.state.retryBudgetOf(context.service);
     return budget.tryAcquire(deps.state.instanceCount, this.nowMs);
@@ -277,74 +278,40 @@
     this.send(placement);
   }
 
-  /** Responds 503 if the request certainly did not run, otherwise 502. */
   private giveUp(failure: AttemptFailure): void {
-    const notRun =
-      failure.execution === EXECUTION.notRun && !this.attempts.mayHaveRun;
-    this.respond({
-      status: notRun ? STATUS.unavailable : STATUS.badGateway,
-      kind: failure.kind,
-      execution: notRun ? EXECUTION.notRun : EXECUTION.unknown,
-      retryAfterS: notRun ? RETRY_AFTER_S : undefined,
-    });
+    const pauseLeftMs = this.pauseLeftMs();
+    const isPaused =
+      failure.kind === 'target_paused' && pauseLeftMs !== undefined;
+    const retryAfterS = isPaused
+      ? this.afterPauseS(pauseLeftMs)
+      : RETRY_AFTER_S;
+    this.ending.giveUp(failure, retryAfterS);
   }
 
   private onDeadline(): void {
-    if (this.ended) return;
-    const sent = this.attempts.sends > 0;
+    if (this.ending.hasEnded) return;
     this.call?.abort();
-    this.respond({
-      status: sent ? STATUS.gatewayTimeout : STATUS.unavailable,
-      kind: 'timeout',
-      execution: sent ? EXECUTION.unknown : EXECUTION.notRun,
-      retryAfterS: sent ? undefined : RETRY_AFTER_S,
-    });
+    this.ending.timeOut();
   }
 
   /** Frees the target, but lets a non-stream finish that must run only once. */
   private onCallerDisconnected(): void {
-    if (this.ended) return;
+    if (this.ending.hasEnded) return;
     const {call} = this;
     const {route} = this.context;
     const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     if (this.isIdempotent || route.streaming) call?.abort();
     else setTimeout(() => call?.abort(), leftMs);
-    this.end('caller_left', 0);
+    this.ending.end('caller_left', 0);
   }
 
-  private respond(response: GatewayResponse): void {
-    if (this.ended) return;
-    sendResponse(this.inbound.res, response, this.deps.state.closesConnections);
-    this.end(response.kind, response.status);
+  private onEnded(): void {
+    clearTimeout(this.deadlineTimer);
+    this.endRunning();
   }
 
   private endRunning(): void {
-    this.running?.onEnd();
-    this.running = undefined;
+    this.feedback?.end();
     this.stream?.detach();
   }
-
-  private end(outcome: string, status: number): void {
-    if (this.ended) return;
-    this.ended = true;
-    clearTimeout(this.deadlineTimer);
-    this.endRunning();
-    const {context} = this;
-    this.deps.onEnd({
-      attemptId: context.caller.attemptId,
-      route: context.route.name,
-      service: context.service,
-      customer: context.customer,
-      outcome,
-      status,
-      sends: this.attempts.sends,
-      target: this.currentTarget?.target.id,
-      failure: this.attempts.lastFailure,
-      placed: this.placed,
-      refusedFor: this.refusedFor,
-      headMs: this.headMs,
-      elapsedMs: this.nowMs - context.arrivedAtMs,
-      configVersion: context.config.version,
-    });
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -0,0 +1,130 @@
+import {EXECUTION} from '../errors.js';
+import {STATUS, sendResponse} from './responses.js';
+
+import type {AdmissionInput, Candidate} from '@applebend/routing';
+import type {AttemptFailure} from '../errors.js';
+import type {AttemptTracker} from './attempt_tracker.js';
+import type {ExchangeDeps, InboundRequest} from './exchange_deps.js';
+import type {PlacementEstimates} from './exchange_report.js';
+import type {RequestContext} from './request_context.js';
+import type {GatewayResponse} from './responses.js';
+
+/** When callers may retry a request that certainly did not run. */
+export const RETRY_AFTER_S = 0.3;
+
+/**
+ * The end of one exchange: what is said to the caller where no target's response
+ * is forwarded, and the report, whose parts are noted as they become known.
+ *
+ * @public
+ */
+export class ExchangeEnding {
+  private ended = false;
+  private target: string | undefined;
+  private placed: PlacementEstimates | undefined;
+  private refusedFor: AdmissionInput | undefined;
+  private headMs: number | undefined;
+
+  private constructor(
+    private readonly context: RequestContext,
+    private readonly inbound: InboundRequest,
+    private readonly deps: ExchangeDeps,
+    private readonly attempts: AttemptTracker,
+    private readonly onEnded: () => void
+  ) {}
+
+  /** @param onEnded - called once, before the exchange is reported */
+  static create(
+    context: RequestContext,
+    inbound: InboundRequest,
+    deps: ExchangeDeps,
+    attempts: AttemptTracker,
+    onEnded: () => void
+  ): ExchangeEnding {
+    return new ExchangeEnding(context, inbound, deps, attempts, onEnded);
+  }
+
+  get hasEnded(): boolean {
+    return this.ended;
+  }
+
+  notePlacement(candidate: Candidate): void {
+    const {id, load, waitMs, prefillMs, uncachedTokens} = candidate;
+    const {running, kvTokens} = load;
+    this.target = id;
+    this.placed = {waitMs, prefillMs, running, uncachedTokens, kvTokens};
+  }
+
+  noteHead(headMs: number): void {
+    this.headMs = headMs;
+  }
+
+  noteRefusal(input: AdmissionInput): void {
+    this.refusedFor = input;
+  }
+
+  /** Refuses a request that was not sent to any target. */
+  refuse(kind: string, retryAfterS: number): void {
+    this.respond({
+      status: STATUS.unavailable,
+      kind,
+      execution: EXECUTION.notRun,
+      retryAfterS,
+    });
+  }
+
+  /** Responds 503 if the request certainly did not run, otherwise 502. */
+  giveUp(failure: AttemptFailure, retryAfterS: number): void {
+    const isNotRun =
+      failure.execution === EXECUTION.notRun && !this.attempts.mayHaveRun;
+    this.respond({
+      status: isNotRun ? STATUS.unavailable : STATUS.badGateway,
+      kind: failure.kind,
+      execution: isNotRun ? EXECUTION.notRun : EXECUTION.unknown,
+      retryAfterS: isNotRun ? retryAfterS : undefined,
+    });
+  }
+
+  /** Responds that no response came before the deadline. */
+  timeOut(): void {
+    const isSent = this.attempts.sends > 0;
+    this.respond({
+      status: isSent ? STATUS.gatewayTimeout : STATUS.unavailable,
+      kind: 'timeout',
+      execution: isSent ? EXECUTION.unknown : EXECUTION.notRun,
+      retryAfterS: isSent ? undefined : RETRY_AFTER_S,
+    });
+  }
+
+  /** Reports the exchange; called once the caller has its response, or left. */
+  end(outcome: string, status: number): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.onEnded();
+    const {context, attempts, deps} = this;
+    const nowMs = deps.clock.monotonicMs();
+    deps.onEnd({
+      attemptId: context.caller.attemptId,
+      route: context.route.name,
+      service: context.service,
+      customer: context.customer,
+      outcome,
+      status,
+      sends: attempts.sends,
+      target: this.target,
+      failure: attempts.lastFailure,
+      placed: this.placed,
+      refusedFor: this.refusedFor,
+      headMs: this.headMs,
+      elapsedMs: nowMs - context.arrivedAtMs,
+      configVersion: context.config.version,
+    });
+  }
+
+  private respond(response: GatewayResponse): void {
+    if (this.ended) return;
+    const {closesConnections} = this.deps.state;
+    sendResponse(this.inbound.res, response, closesConnections);
+    this.end(response.kind, response.status);
+  }
+}
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -38,6 +38,7 @@
   slots: SLOTS,
   state: 'ready',
   startedAtMs: 1,
+  registeredAt: 1,
 });
 
 function createState(): FleetState {
@@ -45,11 +46,12 @@
     failureDomain: 'hall-a',
     shareWindowMs: 4000,
   } as unknown as GatewaySettings;
-  const inspector = {fetchCachedBlocks: () => Promise.resolve(undefined)};
+  const inspector = {inspect: () => Promise.resolve(undefined)};
   const log = Logger.create(LOG_LEVEL.error, {});
   const source = {} as StateSource;
   const state = FleetState.create(settings, source, inspector, log);
-  state.onTargets(Array.from({length: TARGETS}, (_, i) => target(i)));
+  const targets = Array.from({length: TARGETS}, (_, i) => target(i));
+  state.onTargets({targets, storeEra: 0, restoredBefore: 0}, 0);
   return state;
 }
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -15,11 +15,13 @@
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
+import type {TargetRecord} from './state/target_record.js';
 import type {
   GatewaySettings,
   HeaderCodec,
   StateSource,
   TargetInspector,
+  TargetSignals,
 } from './ports.js';
 
 /** The settings and platform adapters of a gateway. @public */
@@ -60,6 +62,8 @@
     this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
+    this.state.onTargetSignals = (record, signals) =>
+      this.onTargetSignals(record, signals);
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
       this.state.shareLevels(systemClock.monotonicMs())
     );
@@ -114,7 +118,7 @@
     this.peers.start();
     stateSource.start({
       onConfig: config => this.onConfig(config),
-      onTargets: targets => this.state.onTargets(targets),
+      onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
       onPeers: peers => this.peers.addListedPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       requestConfirmation: targetsKey =>
@@ -128,6 +132,26 @@
     log.info('started');
   }
 
+  /** Applies what a target says of itself, and tells the peers. */
+  private onTargetSignals(
+    record: TargetRecord,
+    {isLeaving, pauseMs}: TargetSignals
+  ): void {
+    const {targets} = this.state;
+    const nowMs = systemClock.monotonicMs();
+    const {id} = record.target;
+    if (pauseMs !== undefined) {
+      targets.onPause(record, pauseMs, nowMs);
+      this.peers.announce({kind: 'pause', target: id, pauseMs});
+      this.metrics.onTargetPaused();
+    }
+    if (!isLeaving) return;
+    const departure = targets.onLeaving(record, nowMs);
+    if (departure === undefined) return;
+    this.peers.announce({kind: 'departure', departure});
+    this.metrics.onTargetLeaving();
+  }
+
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config);
     const limits = this.state.config?.limits;
@@ -140,6 +164,7 @@
     return this.metrics.text({
       configAgeMs: this.ports.stateSource.configAgeMs(),
       configVersion: state.config?.version ?? 0,
+      storeEra: this.ports.stateSource.heldState().storeEra,
       instances: state.instanceCount,
       targets: [...state.targets.all()].length,
       active: front?.activeCount ?? 0,
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -9,6 +9,8 @@
   /** Age of the last confirmation of the configuration. */
   readonly configAgeMs: number;
   readonly configVersion: number;
+  /** Rises when the store was restored from a copy. */
+  readonly storeEra: number;
   /** Instances that accept requests, including this one. */
   readonly instances: number;
   /** Registered targets. */
@@ -46,6 +48,12 @@
     help: 'Requests whose caller had gone before they were placed',
     registers: [this.registry],
   });
+  private readonly targetNotices = new Counter({
+    name: 'applebend_gateway_target_notices_total',
+    help: 'What targets said of themselves: that they leave, or want a pause',
+    labelNames: ['notice'],
+    registers: [this.registry],
+  });
   private readonly requestSeconds = new Histogram({
     name: 'applebend_gateway_request_seconds',
     help: 'Time from arrival to the end of the answer',
@@ -83,6 +91,14 @@
     }
   }
 
+  onTargetLeaving(): void {
+    this.targetNotices.inc({notice: 'leaving'});
+  }
+
+  onTargetPaused(): void {
+    this.targetNotices.inc({notice: 'paused'});
+  }
+
   onOverloaded(): void {
     this.overloaded.inc();
   }
--- a/packages/gateway/src/lib/peers/aggregate_exchange.ts
+++ b/packages/gateway/src/lib/peers/aggregate_exchange.ts
@@ -5,6 +5,9 @@
   encodeAggregate,
   AGGREGATE_SCOPE,
 } from './aggregate_message.js';
+import {MESSAGE_ORDER} from './message_order.js';
+import {NoticeOutbox} from './notice_outbox.js';
+import {applyNotice} from './target_notice.js';
 import {UsageCounters} from './usage_counters.js';
 import {MESSAGE_KIND} from './wire_rows.js';
 
@@ -17,6 +20,7 @@
 import type {PeerDirectory} from './peer_directory.js';
 import type {PlacementRow, UsageRow} from './peer_message.js';
 import type {PeerSocket} from './peer_socket.js';
+import type {TargetNotice} from './target_notice.js';
 import type {AggregateMessage, AggregateScope} from './aggregate_message.js';
 
 /**
@@ -49,6 +53,7 @@
 interface Outbox {
   readonly diff: LoadDiff;
   readonly usage: UsageCounters;
+  readonly notices: NoticeOutbox;
   placements: PlacementRow[];
 }
 
@@ -115,6 +120,11 @@
     if (this.isRelay && row.isCacheMiss) addPlacement(this.outboxes.group, row);
   }
 
+  /** Passes on what an instance of the own group tells of a target. */
+  onGroupNotice(notice: TargetNotice, nowMs: number): void {
+    if (this.isRelay) this.outboxes.group.notices.add(notice, nowMs);
+  }
+
   /**
    * Evicts stale aggregates; returns how many instances of other groups accept
    * requests.
@@ -196,12 +206,16 @@
     instanceCount: number,
     isFull: boolean
   ): Buffer | undefined {
-    const {state, incarnation, directory} = this.options;
+    const {state, incarnation, directory, clock} = this.options;
+    const nowMs = clock.monotonicMs();
     const outbox = this.outboxes[scope];
     const changed = outbox.diff.changedRows(rows);
-    const {placements, usage} = outbox;
+    const {placements, usage, notices} = outbox;
     const hasChanges =
-      changed.length > 0 || placements.length > 0 || usage.hasChanges;
+      changed.length > 0 ||
+      placements.length > 0 ||
+      usage.hasChanges ||
+      notices.isDue(nowMs);
     if (!isFull && !hasChanges) return undefined;
     outbox.placements = [];
     this.sequence += 1;
@@ -216,6 +230,7 @@
       loads: isFull ? rows : changed,
       usage: usage.takeChanged(),
       placements,
+      notices: notices.take(nowMs),
     });
   }
 
@@ -248,14 +263,27 @@
     return !this.isRelay && message.instance === this.groupRelay(nowMs);
   }
 
+  /** Tells a relay that started which targets departed before. */
+  private repeatDepartures(nowMs: number): void {
+    const {targets} = this.options.state;
+    for (const departure of targets.recentDepartures(nowMs)) {
+      this.onGroupNotice({kind: 'departure', departure}, nowMs);
+    }
+  }
+
   private apply(message: AggregateMessage, nowMs: number): void {
     const {state} = this.options;
     const {rest} = this.outboxes;
-    const isNew = this.aggregates.onAggregate(message, nowMs, row => {
+    const order = this.aggregates.onAggregate(message, nowMs, row => {
       state.sharesOf(row.pool).add(row.customer, row, nowMs);
       rest.usage.add(row);
     });
-    if (!isNew) return;
+    if (order === MESSAGE_ORDER.stale) return;
+    if (order === MESSAGE_ORDER.started) this.repeatDepartures(nowMs);
+    for (const notice of message.notices) {
+      applyNotice(notice, state.targets, nowMs);
+      if (this.isRelay) rest.notices.add(notice, nowMs);
+    }
     for (const row of message.placements) {
       state.targets.get(row.target)?.prefixCache.touch(row.blocks);
       if (this.isRelay) addPlacement(rest, row);
@@ -267,6 +295,7 @@
   return {
     diff: LoadDiff.create(),
     usage: UsageCounters.create(),
+    notices: NoticeOutbox.create(),
     placements: [],
   };
 }
--- a/packages/gateway/src/lib/peers/aggregate_table.test.ts
+++ b/packages/gateway/src/lib/peers/aggregate_table.test.ts
@@ -24,6 +24,7 @@
     loads: [],
     usage: [],
     placements: [],
+    notices: [],
     ...change,
   };
 }
--- a/packages/gateway/src/lib/peers/aggregate_table.ts
+++ b/packages/gateway/src/lib/peers/aggregate_table.ts
@@ -1,8 +1,10 @@
+import {MESSAGE_ORDER} from './message_order.js';
 import {UsageReceiver} from './usage_counters.js';
 
 import type {LoadRow, LoadTotals} from '../state/load_totals.js';
 import type {UsageRow} from './peer_message.js';
 import type {AggregateMessage} from './aggregate_message.js';
+import type {MessageOrder} from './message_order.js';
 
 /** Aggregates that were not renewed for longer are no longer counted. */
 const EVICTION_TIMEOUT_MS = 1500;
@@ -28,20 +30,21 @@
 
   /**
    * Stores an aggregate and calls `onUsage` with the usage that it adds.
-   * Returns false if one received earlier is at least as new.
+   * Returns `stale` if one received earlier is at least as new, `started` for
+   * the first one of a relay's incarnation, otherwise `newer`.
    */
   onAggregate(
     message: AggregateMessage,
     nowMs: number,
     onUsage: (row: UsageRow) => void
-  ): boolean {
+  ): MessageOrder {
     const key = keyOf(message);
     const known = this.records.get(key);
     const isSameIncarnation =
       known?.message.instance === message.instance &&
       known.message.incarnation === message.incarnation;
     if (isSameIncarnation && message.sequence <= known.message.sequence) {
-      return false;
+      return MESSAGE_ORDER.stale;
     }
     // The totals of a relay run from its own start, so the first ones of a new
     // relay include usage that the former one sent.
@@ -50,7 +53,7 @@
     const rows = known?.rows ?? new Map<string, LoadRow>();
     this.updateRows(rows, message);
     this.records.set(key, {message, receivedAtMs: nowMs, rows, usage});
-    return true;
+    return isSameIncarnation ? MESSAGE_ORDER.newer : MESSAGE_ORDER.started;
   }
 
   /**
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -49,16 +49,18 @@
   req: ConfirmationRequest,
   state: ConfirmedState
 ): Buffer {
-  const {configVersion, targetsKey, targets} = state;
+  const {configVersion, targetsKey, targets, storeEra, restoredBefore} = state;
   const head = [
     MESSAGE_KIND.confirmationResponse,
     req.nonce,
     configVersion,
     targetsKey,
   ];
-  if (req.targetsKey === targetsKey) return pack(head);
-  const bytes = pack([...head, targets]);
-  return bytes.length <= MAX_LIST_BYTES ? bytes : pack(head);
+  const end = [storeEra, restoredBefore];
+  const withoutList = pack([...head, null, ...end]);
+  if (req.targetsKey === targetsKey) return withoutList;
+  const bytes = pack([...head, targets, ...end]);
+  return bytes.length <= MAX_LIST_BYTES ? bytes : withoutList;
 }
 
 /** Returns undefined if the response is malformed. @public */
@@ -66,9 +68,13 @@
   wire: readonly unknown[]
 ): ConfirmationResponse | undefined {
   const [, nonce, configVersion, targetsKey, list] = wire;
+  const [storeEra = 0, restoredBefore = 0] = wire.slice(5);
   if (typeof nonce !== 'number') return undefined;
   if (typeof configVersion !== 'number') return undefined;
   if (typeof targetsKey !== 'number') return undefined;
+  if (typeof storeEra !== 'number') return undefined;
+  if (typeof restoredBefore !== 'number') return undefined;
   const targets = Array.isArray(list) ? (list as Target[]) : undefined;
-  return {nonce, state: {configVersion, targetsKey, targets}};
+  const newest = {configVersion, targetsKey, targets};
+  return {nonce, state: {...newest, storeEra, restoredBefore}};
 }
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -1,9 +1,12 @@
 import {PeerTable} from './peer_table.js';
 import {PeerDirectory} from './peer_directory.js';
 import {decodePeerMessage, encodePeerMessage} from './peer_message.js';
+import {MESSAGE_ORDER} from './message_order.js';
+import {NoticeOutbox} from './notice_outbox.js';
 import {PeerSocket} from './peer_socket.js';
 import {ConfirmationExchange} from './confirmation_exchange.js';
 import {AggregateExchange} from './aggregate_exchange.js';
+import {applyNotice} from './target_notice.js';
 import {UsageCounters} from './usage_counters.js';
 import {MESSAGE_KIND} from './wire_rows.js';
 
@@ -18,6 +21,7 @@
 } from '../ports.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {PeerDatagram, PlacementRow, UsageRow} from './peer_message.js';
+import type {TargetNotice} from './target_notice.js';
 
 /** A message is sent at least this often. */
 const HEARTBEAT_INTERVAL_MS = 250;
@@ -55,6 +59,7 @@
   private readonly aggregates: AggregateExchange;
   private readonly confirmations: ConfirmationExchange;
   private readonly usage = UsageCounters.create();
+  private readonly notices = NoticeOutbox.create();
   private placements: PlacementRow[] = [];
   private sequence = 0;
   private heartbeat: NodeJS.Timeout | undefined;
@@ -159,6 +164,14 @@
     state.sharesOf(row.pool).add(row.customer, row, clock.monotonicMs());
   }
 
+  /** Tells all peers of a target. */
+  announce(notice: TargetNotice): void {
+    const nowMs = this.options.clock.monotonicMs();
+    this.notices.add(notice, nowMs);
+    this.aggregates.onGroupNotice(notice, nowMs);
+    this.sendTimer ??= setTimeout(() => this.send(), PLACEMENT_DELAY_MS);
+  }
+
   private onHeartbeat(): void {
     const {state, clock} = this.options;
     const nowMs = clock.monotonicMs();
@@ -169,7 +182,7 @@
   }
 
   private send(): void {
-    const {state, incarnation, source} = this.options;
+    const {state, incarnation, source, clock} = this.options;
     clearTimeout(this.sendTimer);
     this.sendTimer = undefined;
     this.sequence += 1;
@@ -178,10 +191,11 @@
       incarnation,
       sequence: this.sequence,
       leaving: state.isStopping,
-      targetList: source.targetListStamp(),
+      ...source.heldState(),
       loads: state.targets.loadRows(({ownLoad}) => ownLoad.load),
       usage: this.usage.takeChanged(),
       placements: this.placements,
+      notices: this.notices.take(clock.monotonicMs()),
     });
     this.placements = [];
     for (const address of this.directory.directPeers()) {
@@ -203,15 +217,29 @@
       state.sharesOf(row.pool).add(row.customer, row, nowMs);
       this.aggregates.onGroupUsage(row);
     };
-    if (!this.peerTable.onMessage(message, nowMs, onUsage)) return;
+    const order = this.peerTable.onMessage(message, nowMs, onUsage);
+    if (order === MESSAGE_ORDER.stale) return;
     this.directory.addAddress(from);
-    source.onPeerTargetList(message.targetList);
+    source.onPeerState(message);
+    if (order === MESSAGE_ORDER.started) this.repeatDepartures(nowMs);
+    for (const notice of message.notices) {
+      applyNotice(notice, state.targets, nowMs);
+      this.aggregates.onGroupNotice(notice, nowMs);
+    }
     for (const row of message.placements) {
       state.targets.get(row.target)?.prefixCache.touch(row.blocks);
       this.aggregates.onGroupPlacement(row);
     }
   }
 
+  /** Tells a peer that started which targets departed before. */
+  private repeatDepartures(nowMs: number): void {
+    const {targets} = this.options.state;
+    for (const departure of targets.recentDepartures(nowMs)) {
+      this.notices.add({kind: 'departure', departure}, nowMs);
+    }
+  }
+
   /**
    * Returns the address of the parent: the group's relay for an ordinary
    * member, the relay of the parent group for a relay. Returns undefined if
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -40,8 +40,11 @@
   slots: 32,
   state: 'ready',
   startedAtMs: 1,
+  registeredAt: 1,
 };
 
+const TARGET_LIST = {targets: [TARGET], storeEra: 0, restoredBefore: 0};
+
 /** Asks the parent, else returns a fixed state and counts this as a read. */
 class CountingSource implements StateSource {
   reads = 0;
@@ -55,16 +58,23 @@
   configAgeMs(): number {
     return 0;
   }
-  targetListStamp() {
-    return {key: 0, ageMs: 0};
+  heldState() {
+    const targetList = {key: 0, ageMs: 0};
+    return {storeEra: 0, configVersion: 7, targetList};
   }
-  onPeerTargetList(): void {}
+  onPeerState(): void {}
   async confirm(): Promise<ConfirmedState | undefined> {
     const newest = await this.askParent();
     if (newest !== undefined) return newest;
     if (this.isStoreDown) return undefined;
     this.reads += 1;
-    return {configVersion: 7, targetsKey: 8, targets: [TARGET]};
+    return {
+      configVersion: 7,
+      targetsKey: 8,
+      targets: [TARGET],
+      storeEra: 0,
+      restoredBefore: 0,
+    };
   }
 }
 
@@ -97,9 +107,9 @@
       retryBudget: {windowMs: 10_000, ratio: 0.2, minRetries: 58},
     } as unknown as GatewaySettings;
     const source = new CountingSource();
-    const inspector = {fetchCachedBlocks: () => Promise.resolve(undefined)};
+    const inspector = {inspect: () => Promise.resolve(undefined)};
     const state = FleetState.create(settings, source, inspector, log);
-    state.onTargets([TARGET]);
+    state.onTargets(TARGET_LIST, systemClock.monotonicMs());
     const clock = systemClock;
     const incarnation = index + 1;
     const exchange = PeerExchange.create({
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -7,7 +7,7 @@
   encodeAggregate,
   AGGREGATE_SCOPE,
 } from './aggregate_message.js';
-import {unpackMessage} from './wire_rows.js';
+import {MESSAGE_KIND, unpackMessage} from './wire_rows.js';
 
 const count = fc.integer({min: 0, max: 2_000_000});
 const id = fc.string({minLength: 1, maxLength: 12});
@@ -41,6 +41,24 @@
     }),
     {maxLength: 6}
   ),
+  notices: fc.array(
+    fc.oneof(
+      fc.record({
+        kind: fc.constant('departure' as const),
+        departure: fc.record({
+          kind: fc.constantFrom('leaving' as const, 'removed' as const),
+          target: fc.record({id, startedAtMs: count}),
+          storeEra: count,
+        }),
+      }),
+      fc.record({
+        kind: fc.constant('pause' as const),
+        target: id,
+        pauseMs: count,
+      })
+    ),
+    {maxLength: 4}
+  ),
 };
 
 const message = fc.record({
@@ -49,6 +67,8 @@
   sequence: count,
   leaving: fc.boolean(),
   targetList: fc.record({key: count, ageMs: count}),
+  storeEra: count,
+  configVersion: count,
   ...rows,
 });
 
@@ -87,3 +107,28 @@
     })
   );
 });
+
+test('a message whose rows are malformed is rejected without an exception', () => {
+  const value = fc.oneof(
+    count,
+    id,
+    fc.constantFrom(null, true, [], {}),
+    fc.array(fc.oneof(count, id, fc.constant(null)), {maxLength: 4})
+  );
+  const lists = fc.array(fc.array(value, {maxLength: 3}), {maxLength: 6});
+  fc.assert(
+    fc.property(lists, rowLists => {
+      const head = ['entry-1', 1, 1, false, 0, 0];
+      decodePeerMessage([MESSAGE_KIND.peer, ...head, ...rowLists]);
+      const aggregateHead = ['group', 'entry-1', 1, 1, 0, 8, true];
+      decodeAggregate([MESSAGE_KIND.aggregate, ...aggregateHead, ...rowLists]);
+    })
+  );
+});
+
+test('a message without notices, as older instances send it, is read', () => {
+  const wire = [MESSAGE_KIND.peer, 'entry-1', 1, 1, false, 0, 0, [], [], []];
+  const decoded = decodePeerMessage(wire);
+  assert.deepEqual(decoded?.notices, []);
+  assert.equal(decoded?.storeEra, 0);
+});
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -43,6 +43,10 @@
   readonly leaving: boolean;
   /** The target list that the sender read from the store. */
   readonly targetList: TargetListStamp;
+  /** Era of the store that the sender knows; 0 if the store has no eras. */
+  readonly storeEra: number;
+  /** Version of the configuration that the sender holds; 0 without one. */
+  readonly configVersion: number;
   /** The sender's load at every target where it has any. */
   readonly loads: readonly LoadRow[];
 }
@@ -56,8 +60,15 @@
   targetsKey: number,
   targetsAgeMs: number,
   ...rows: WireRows,
+  storeEra: number,
+  configVersion: number,
 ];
 
+/** Index of the first row list of a message. */
+const ROWS_INDEX = 7;
+/** Index of the store's era, after the four row lists. */
+const STORE_ERA_INDEX = ROWS_INDEX + 4;
+
 /** @public */
 export function encodePeerMessage(message: PeerDatagram): Buffer {
   const wire: Wire = [
@@ -69,6 +80,8 @@
     message.targetList.key,
     Math.round(message.targetList.ageMs),
     ...encodeRows(message),
+    message.storeEra,
+    message.configVersion,
   ];
   return pack(wire);
 }
@@ -79,10 +92,14 @@
 ): PeerDatagram | undefined {
   const [, instance, incarnation, sequence, leaving, key, ageMs] =
     wire as unknown as Wire;
-  const rows = decodeRows(wire, 7);
+  const [storeEra = 0, configVersion = 0] = wire.slice(STORE_ERA_INDEX);
+  const rows = decodeRows(wire, ROWS_INDEX);
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
   }
+  if (typeof storeEra !== 'number' || typeof configVersion !== 'number') {
+    return undefined;
+  }
   if (rows === undefined) return undefined;
   return {
     instance,
@@ -90,6 +107,8 @@
     sequence,
     leaving,
     targetList: {key, ageMs},
+    storeEra,
+    configVersion,
     ...rows,
   };
 }
--- a/packages/gateway/src/lib/peers/peer_table.test.ts
+++ b/packages/gateway/src/lib/peers/peer_table.test.ts
@@ -13,9 +13,12 @@
     sequence: 1,
     leaving: false,
     targetList: {key: 0, ageMs: 0},
+    storeEra: 0,
+    configVersion: 0,
     loads: [],
     usage: [],
     placements: [],
+    notices: [],
     ...change,
   };
 }
@@ -100,3 +103,18 @@
   );
   assert.equal(total, 100);
 });
+
+test('a late message of a former incarnation does not replace the newer one', () => {
+  const loads = LoadTotals.create();
+  const table = PeerTable.create(loads);
+  const running = (count: number) => [
+    {target: 't', running: count, prefillTokens: 0, kvTokens: 0},
+  ];
+  const before = message({incarnation: 9, sequence: 40, loads: running(7)});
+  const restarted = message({incarnation: 2, sequence: 1, loads: running(1)});
+  const late = message({incarnation: 9, sequence: 41, loads: running(8)});
+  assert.equal(table.onMessage(before, 0, ignore), 'started');
+  assert.equal(table.onMessage(restarted, 10, ignore), 'started');
+  assert.equal(table.onMessage(late, 20, ignore), 'stale');
+  assert.equal(loads.of('t').running, 1);
+});
--- a/packages/gateway/src/lib/peers/peer_table.ts
+++ b/packages/gateway/src/lib/peers/peer_table.ts
@@ -1,6 +1,8 @@
+import {MESSAGE_ORDER} from './message_order.js';
 import {UsageReceiver} from './usage_counters.js';
 
 import type {LoadTotals} from '../state/load_totals.js';
+import type {MessageOrder} from './message_order.js';
 import type {PeerDatagram, UsageRow} from './peer_message.js';
 
 /** The load of a peer that has been silent for longer is no longer counted. */
@@ -17,6 +19,8 @@
   readonly message: PeerDatagram;
   readonly receivedAtMs: number;
   readonly usage: UsageReceiver;
+  /** Incarnations that this one replaced; their late messages do not count. */
+  readonly formerIncarnations: ReadonlySet<number>;
 }
 
 /** The latest message of each peer in this instance's group. @public */
@@ -32,25 +36,32 @@
 
   /**
    * Stores a message and calls `onUsage` with the usage that it adds. Returns
-   * false if a message received earlier is at least as new.
+   * `stale` if a message received earlier is at least as new, `started` for the
+   * first message of an incarnation, otherwise `newer`.
    */
   onMessage(
     message: PeerDatagram,
     nowMs: number,
     onUsage: (row: UsageRow) => void
-  ): boolean {
+  ): MessageOrder {
     const known = this.peers.get(message.instance);
+    if (known !== undefined && isStale(message, known)) {
+      return MESSAGE_ORDER.stale;
+    }
     const isSameIncarnation =
       known?.message.incarnation === message.incarnation;
-    if (isSameIncarnation && message.sequence <= known.message.sequence)
-      return false;
     const usage = isSameIncarnation
       ? known.usage
       : UsageReceiver.create(message.sequence <= MAX_FIRST_SEQUENCE);
     for (const row of usage.increments(message.usage)) onUsage(row);
     this.loads.replace(known?.message.loads ?? [], message.loads);
-    this.peers.set(message.instance, {message, receivedAtMs: nowMs, usage});
-    return true;
+    this.peers.set(message.instance, {
+      message,
+      receivedAtMs: nowMs,
+      usage,
+      formerIncarnations: formerIncarnations(message, known),
+    });
+    return isSameIncarnation ? MESSAGE_ORDER.newer : MESSAGE_ORDER.started;
   }
 
   /** Returns whether a peer sent a message recently and is not shutting down. */
@@ -74,3 +85,20 @@
     return accepting;
   }
 }
+
+function isStale(message: PeerDatagram, known: PeerRecord): boolean {
+  const {incarnation, sequence} = message;
+  if (known.formerIncarnations.has(incarnation)) return true;
+  if (known.message.incarnation !== incarnation) return false;
+  return sequence <= known.message.sequence;
+}
+
+function formerIncarnations(
+  {incarnation}: PeerDatagram,
+  known: PeerRecord | undefined
+): ReadonlySet<number> {
+  if (known === undefined) return new Set();
+  const former = known.message.incarnation;
+  if (former === incarnation) return known.formerIncarnations;
+  return new Set([...known.formerIncarnations, former]);
+}
--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -1,8 +1,10 @@
 import {ENGINE_POOL} from '@applebend/routing';
 import {unpack} from 'msgpackr';
+import {decodeNotice, encodeNotice} from './target_notice.js';
 
 import type {LoadRow} from '../state/load_totals.js';
 import type {PlacementRow, UsageRow} from './peer_message.js';
+import type {TargetNotice, WireNotice} from './target_notice.js';
 
 /**
  * The first element of each message: its type and format version. Messages are
@@ -40,6 +42,7 @@
   /** Totals since the sender's start, of customers whose totals changed. */
   readonly usage: readonly UsageRow[];
   readonly placements: readonly PlacementRow[];
+  readonly notices: readonly TargetNotice[];
 }
 
 /** The same rows as they stand in a message. @public */
@@ -47,6 +50,7 @@
   loads: WireLoad[],
   usage: WireUsage[],
   placements: WirePlacement[],
+  notices: WireNotice[],
 ];
 
 /**
@@ -66,11 +70,12 @@
 }
 
 /** Encodes rows; token counts are rounded to integers. @public */
-export function encodeRows({loads, usage, placements}: MessageRows): WireRows {
+export function encodeRows(rows: MessageRows): WireRows {
   return [
-    loads.map(encodeLoad),
-    usage.map(encodeUsage),
-    placements.map(encodePlacement),
+    rows.loads.map(encodeLoad),
+    rows.usage.map(encodeUsage),
+    rows.placements.map(encodePlacement),
+    rows.notices.map(encodeNotice),
   ];
 }
 
@@ -84,19 +89,48 @@
   wire: readonly unknown[],
   from: number
 ): MessageRows | undefined {
-  const [loads, usage, placements] = wire.slice(from);
-  if (!isRowList(loads) || !isRowList(usage) || !isRowList(placements)) {
-    return undefined;
-  }
+  const [loads, usage, placements, notices = []] = wire.slice(from);
+  if (!isListOf(loads, isWireLoad)) return undefined;
+  if (!isListOf(usage, isWireUsage)) return undefined;
+  if (!isListOf(placements, isWirePlacement)) return undefined;
+  if (!isListOf(notices, Array.isArray)) return undefined;
   return {
-    loads: (loads as WireLoad[]).map(decodeLoad),
-    usage: (usage as WireUsage[]).map(decodeUsage),
-    placements: (placements as WirePlacement[]).map(decodePlacement),
+    loads: loads.map(decodeLoad),
+    usage: usage.map(decodeUsage),
+    placements: placements.map(decodePlacement),
+    notices: notices.flatMap(wireNotice => decodeNotice(wireNotice) ?? []),
   };
 }
 
-function isRowList(value: unknown): value is unknown[][] {
-  return Array.isArray(value) && value.every(row => Array.isArray(row));
+function isListOf<T>(
+  value: unknown,
+  isRow: (row: unknown) => row is T
+): value is T[] {
+  return Array.isArray(value) && value.every(isRow);
+}
+
+function isWireLoad(row: unknown): row is WireLoad {
+  if (!Array.isArray(row)) return false;
+  const [target, ...amounts] = row as unknown[];
+  return typeof target === 'string' && areNumbers(amounts, 3);
+}
+
+function isWireUsage(row: unknown): row is WireUsage {
+  if (!Array.isArray(row)) return false;
+  const [customer, requested, admitted, pool = ENGINE_POOL] = row as unknown[];
+  const areNames = typeof customer === 'string' && typeof pool === 'string';
+  return areNames && areNumbers([requested, admitted], 2);
+}
+
+function isWirePlacement(row: unknown): row is WirePlacement {
+  if (!Array.isArray(row)) return false;
+  const [target, blocks] = row as unknown[];
+  return typeof target === 'string' && Array.isArray(blocks);
+}
+
+function areNumbers(values: readonly unknown[], count: number): boolean {
+  const numbers = values.filter(value => typeof value === 'number');
+  return values.length === count && numbers.length === count;
 }
 
 function encodeLoad(row: LoadRow): WireLoad {
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -8,6 +8,7 @@
   Prompt,
   PrefixBlock,
   Target,
+  TargetList,
 } from '@applebend/routing';
 
 /** Alternating header names and values, as received. @public */
@@ -41,6 +42,14 @@
   readonly bodyBytes: number;
 }
 
+/** What a target says of itself in a response. @public */
+export interface TargetSignals {
+  /** Whether it is leaving and is to get no new requests. */
+  readonly isLeaving: boolean;
+  /** Milliseconds for which it wants no requests; undefined if it says none. */
+  readonly pauseMs: number | undefined;
+}
+
 /** The decoded headers of a target's response. @public */
 export interface TargetResponseHead {
   /** Id of the attempt that it responds to, or undefined if there is none. */
@@ -51,6 +60,7 @@
   readonly notExecuted: boolean;
   /** Whether the body has a content encoding, as added by an intermediary. */
   readonly contentEncoded: boolean;
+  readonly signals: TargetSignals;
   /** Alternating names and values of the headers to forward to the caller. */
   readonly headers: readonly string[];
 }
@@ -62,12 +72,17 @@
   decodeTargetResponse(status: number, raw: RawHeaders): TargetResponseHead;
 }
 
+/** The response of a target to a query. @public */
+export interface TargetInspection {
+  /** The blocks in an engine's prefix cache, or undefined if it sent none. */
+  readonly cachedBlocks: readonly PrefixBlock[] | undefined;
+  readonly signals: TargetSignals;
+}
+
 /** Queries targets out of band. @public */
 export interface TargetInspector {
-  /** The blocks in an engine's prefix cache, or undefined if the query fails. */
-  fetchCachedBlocks(
-    target: Target
-  ): Promise<readonly PrefixBlock[] | undefined>;
+  /** Asks for the prefix cache; resolves to undefined without a response. */
+  inspect(target: Target): Promise<TargetInspection | undefined>;
 }
 
 /**
@@ -80,7 +95,7 @@
   /** Called with the first configuration and with each newer one. */
   onConfig(config: FleetConfig): void;
   /** Called with all registered targets; any other target has been removed. */
-  onTargets(targets: readonly Target[]): void;
+  onTargets(list: TargetList): void;
   /**
    * Called with listed peers, which may include this instance. Peers that were
    * passed before stay known.
@@ -113,6 +128,8 @@
 
 /** The newest state, as shown by a read that began at a known time. @public */
 export interface ConfirmedState {
+  /** Era of the store that was read; 0 if the store has no eras. */
+  readonly storeEra: number;
   readonly configVersion: number;
   /** Hash of the target list; equal for lists with equal contents. */
   readonly targetsKey: number;
@@ -121,6 +138,8 @@
    * list is too long for a message.
    */
   readonly targets: readonly Target[] | undefined;
+  /** See `TargetList`. */
+  readonly restoredBefore: number;
 }
 
 /** Identity and age of a target list. @public */
@@ -131,6 +150,16 @@
   readonly ageMs: number;
 }
 
+/** What an instance holds, for its peers to compare with. @public */
+export interface HeldState {
+  /** Newest known era of the store; 0 if the store has no eras. */
+  readonly storeEra: number;
+  /** Version of the configuration; 0 without one. */
+  readonly configVersion: number;
+  /** The target list that this instance read. */
+  readonly targetList: TargetListStamp;
+}
+
 /** Follows the configuration, the targets and the peers. @public */
 export interface StateSource {
   /** Begins to read, and calls back until `stop` is called. */
@@ -141,10 +170,12 @@
    * configuration as the newest.
    */
   configAgeMs(): number;
-  /** The target list that this instance holds. */
-  targetListStamp(): TargetListStamp;
-  /** Called when a peer has read the target list; can save a read here. */
-  onPeerTargetList(stamp: TargetListStamp): void;
+  heldState(): HeldState;
+  /**
+   * Called with what a peer holds: the store may be in a newer era, it may have
+   * a newer configuration, and a read of the target list may be saved here.
+   */
+  onPeerState(state: HeldState): void;
   /**
    * Determines the newest state by a read, here or at the parent, that begins
    * after the call. Resolves to undefined if no read succeeds.
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -7,9 +7,10 @@
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
 
-import type {FleetConfig, ShareLevels, Target} from '@applebend/routing';
+import type {FleetConfig, ShareLevels, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {GatewaySettings, StateSource, TargetInspector} from '../ports.js';
+import type {TargetSignalListener} from './target_directory.js';
 
 /**
  * The state that all requests of one instance share: the configuration, the
@@ -29,6 +30,9 @@
   /** The number of them in this instance's group. */
   groupInstanceCount = 1;
   isStopping = false;
+  private wasConfirmed = false;
+  /** Called with what a target says of itself, in any of its responses. */
+  onTargetSignals: TargetSignalListener = () => undefined;
   /** Number of open connections of callers. */
   callerConnections = 0;
 
@@ -43,7 +47,8 @@
       this.peerLoads,
       inspector,
       log,
-      isFleetBootstrap
+      isFleetBootstrap,
+      (record, signals) => this.onTargetSignals(record, signals)
     );
   }
 
@@ -62,7 +67,7 @@
 
   /** Whether the balancer may send new connections here. */
   get isReady(): boolean {
-    return this.isLoaded && !this.isStopping;
+    return this.isLoaded && this.hasBeenConfirmed && !this.isStopping;
   }
 
   /**
@@ -74,6 +79,12 @@
     return this.isStopping || this.callerConnections > maxCallerConnections;
   }
 
+  /** Whether the configuration in force was ever confirmed as the newest. */
+  private get hasBeenConfirmed(): boolean {
+    this.wasConfirmed ||= this.source.configAgeMs() < Infinity;
+    return this.wasConfirmed;
+  }
+
   /** Whether a configuration and the targets have been read. */
   get isLoaded(): boolean {
     return this.current !== undefined && this.targets.isLoaded;
@@ -131,7 +142,7 @@
     this.log.info('configuration in force', {version, routes: routes.size});
   }
 
-  onTargets(targets: readonly Target[]): void {
-    this.targets.onTargets(targets);
+  onTargets(list: TargetList, nowMs: number): void {
+    this.targets.onTargets(list, nowMs);
   }
 }
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -1,33 +1,65 @@
-import {FirstEventModel, TARGET_STATE} from '@applebend/routing';
+import {
+  DEPARTURE_KIND,
+  FirstEventModel,
+  isExcessivePause,
+  TARGET_STATE,
+  TargetDepartures,
+} from '@applebend/routing';
 import {TargetRecord} from './target_record.js';
 
-import type {FleetConfig, TargetLoad, Target} from '@applebend/routing';
+import type {
+  Departure,
+  FleetConfig,
+  Target,
+  TargetList,
+  TargetLoad,
+} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {TargetInspector} from '../ports.js';
+import type {TargetInspector, TargetSignals} from '../ports.js';
 import type {PeerLoadTotals, LoadRow} from './load_totals.js';
 
+/** Called with what a target says of itself in a response. @public */
+export type TargetSignalListener = (
+  record: TargetRecord,
+  signals: TargetSignals
+) => void;
+
+/** Longest time for which a pause asked of a peer keeps requests away. */
+const MAX_PEER_PAUSE_MS = 1000;
+
 /** The registered targets, by id and by service. @public */
 export class TargetDirectory {
   private records = new Map<string, TargetRecord>();
   private byService = new Map<string, TargetRecord[]>();
   private readonly models = new Map<string, FirstEventModel>();
+  private readonly departures = TargetDepartures.create();
   private config: FleetConfig | undefined;
   private loaded = false;
+  /** Era of the store in which the present targets were read. */
+  private storeEra = 0;
 
   private constructor(
     private readonly peerLoads: PeerLoadTotals,
     private readonly inspector: TargetInspector,
     private readonly log: Logger,
-    private readonly isFleetBootstrap: boolean
+    private readonly isFleetBootstrap: boolean,
+    private readonly onSignals: TargetSignalListener
   ) {}
 
   static create(
     peerLoads: PeerLoadTotals,
     inspector: TargetInspector,
     log: Logger,
-    isFleetBootstrap: boolean
+    isFleetBootstrap: boolean,
+    onSignals: TargetSignalListener
   ): TargetDirectory {
-    return new TargetDirectory(peerLoads, inspector, log, isFleetBootstrap);
+    return new TargetDirectory(
+      peerLoads,
+      inspector,
+      log,
+      isFleetBootstrap,
+      onSignals
+    );
   }
 
   /** Whether the registrations have been read at least once. */
@@ -78,10 +110,12 @@
    * Replaces the registered targets. Records of targets that stay registered and
    * have not restarted are kept.
    */
-  onTargets(targets: readonly Target[]): void {
+  onTargets(list: TargetList, nowMs: number): void {
+    this.storeEra = list.storeEra;
     const records = new Map<string, TargetRecord>();
-    for (const target of targets)
+    for (const target of this.departures.apply(list, nowMs)) {
       records.set(target.id, this.recordFor(target));
+    }
     for (const id of this.records.keys()) {
       if (!records.has(id)) this.log.info('target removed', {target: id});
     }
@@ -91,6 +125,57 @@
     this.indexServices();
   }
 
+  /** The departures of the last minutes, for peers that missed them. */
+  recentDepartures(nowMs: number): Departure[] {
+    return this.departures.recent(nowMs);
+  }
+
+  /**
+   * Records that a target said that it is leaving: it gets no new requests,
+   * whatever is registered. Returns the departure if it is news.
+   */
+  onLeaving({target}: TargetRecord, nowMs: number): Departure | undefined {
+    const {id, startedAtMs} = target;
+    const departure = {
+      kind: DEPARTURE_KIND.leaving,
+      target: {id, startedAtMs},
+      storeEra: this.storeEra,
+    };
+    return this.onDeparture(departure, nowMs) ? departure : undefined;
+  }
+
+  /** Records a departure noticed here or by a peer; returns whether it is news. */
+  onDeparture(departure: Departure, nowMs: number): boolean {
+    if (!this.departures.add(departure, nowMs)) return false;
+    const record = this.records.get(departure.target.id);
+    if (record === undefined) return true;
+    if (!this.departures.isLeaving(record.target)) return true;
+    if (record.target.state === TARGET_STATE.leaving) return true;
+    record.target = {...record.target, state: TARGET_STATE.leaving};
+    this.log.info('target leaving', {target: record.target.id});
+    this.indexServices();
+    return true;
+  }
+
+  /** Records the pause that a target asked of this instance. */
+  onPause({target, pause}: TargetRecord, pauseMs: number, nowMs: number): void {
+    if (isExcessivePause(pauseMs)) {
+      this.log.warn('pause shortened', {target: target.id, pauseMs});
+    }
+    if (pause.endsAtMs < nowMs) {
+      this.log.info('target paused', {target: target.id, pauseMs});
+    }
+    pause.start(pauseMs, nowMs);
+  }
+
+  /** Records a pause that a target asked of a peer, which is only a hint. */
+  onPeerPause(id: string, pauseMs: number, nowMs: number): void {
+    const record = this.records.get(id);
+    if (record === undefined) return;
+    const endsAtMs = nowMs + Math.min(pauseMs, MAX_PEER_PAUSE_MS);
+    record.peerPauseEndsAtMs = Math.max(record.peerPauseEndsAtMs, endsAtMs);
+  }
+
   /** The updated record of a target; a new one if the target restarted. */
   private recordFor(target: Target): TargetRecord {
     const existing = this.records.get(target.id);
@@ -122,11 +207,15 @@
     for (const record of this.records.values()) {
       if (record.memoryTokens === 0 || record.cachedBlocksRequested) continue;
       record.cachedBlocksRequested = true;
-      const blocks = await this.inspector.fetchCachedBlocks(record.target);
-      if (blocks === undefined) continue;
-      record.prefixCache.touch(blocks);
+      const inspection = await this.inspector.inspect(record.target);
+      if (inspection === undefined) continue;
+      this.onSignals(record, inspection.signals);
+      const {cachedBlocks} = inspection;
+      if (cachedBlocks === undefined) continue;
+      record.prefixCache.touch(cachedBlocks);
       const {id} = record.target;
-      this.log.info('cached blocks read', {target: id, parts: blocks.length});
+      const parts = cachedBlocks.length;
+      this.log.info('cached blocks read', {target: id, parts});
     }
   }
 
--- a/packages/gateway/src/lib/state/target_record.ts
+++ b/packages/gateway/src/lib/state/target_record.ts
@@ -3,6 +3,7 @@
   LocalLoad,
   PrefixCache,
   TargetHealth,
+  TargetPause,
 } from '@applebend/routing';
 
 import type {FirstEventModel, TargetLoad, Target} from '@applebend/routing';
@@ -18,6 +19,10 @@
 export class TargetRecord {
   readonly ownLoad = LocalLoad.create();
   readonly health = TargetHealth.create();
+  /** The pause that it asked of this instance. */
+  readonly pause = TargetPause.create();
+  /** Until then, by monotonic milliseconds, it paused some peer. */
+  peerPauseEndsAtMs = -Infinity;
   readonly prefixCache = PrefixCache.create(0);
   /** Whether its prefix cache has been queried. */
   cachedBlocksRequested = false;
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -29,8 +29,9 @@
 }
 
 /**
- * The targets that a request may be sent to now. Ejected targets are left out,
- * unless all are ejected: trying one of them is better than trying none.
+ * The targets that a request may be sent to now. A target that asked for a pause
+ * gets none before it is over. Ejected targets, and those that paused a peer, are
+ * left out unless there is no other: trying one is better than trying none.
  *
  * @public
  */
@@ -38,12 +39,32 @@
   records: readonly TargetRecord[],
   needs: CandidateNeeds
 ): Candidate[] {
-  const untried = records.filter(({target}) => !needs.tried.has(target.id));
-  const usable = untried.filter(({health}) => health.isUsable(needs.nowMs));
-  const chosen = usable.length > 0 ? usable : untried;
+  const {tried, nowMs} = needs;
+  const allowed = records.filter(
+    ({target, pause}) => !tried.has(target.id) && pause.isUsable(nowMs)
+  );
+  const healthy = allowed.filter(({health}) => health.isUsable(nowMs));
+  const idle = healthy.filter(record => nowMs >= record.peerPauseEndsAtMs);
+  const chosen = [idle, healthy, allowed].find(list => list.length > 0) ?? [];
   return chosen.map(record => candidateOf(record, needs));
 }
 
+/**
+ * When the first of some paused targets may get requests again, in monotonic
+ * milliseconds; undefined if none is paused.
+ *
+ * @public
+ */
+export function earliestPauseEndMs(
+  records: readonly TargetRecord[],
+  nowMs: number
+): number | undefined {
+  const ends = records
+    .map(({pause}) => pause.endsAtMs)
+    .filter(endsAtMs => endsAtMs > nowMs);
+  return ends.length === 0 ? undefined : Math.min(...ends);
+}
+
 function candidateOf(record: TargetRecord, needs: CandidateNeeds): Candidate {
   const {target, firstEventModel, fleetLoad, memoryTokens} = record;
   const {prompt, failureDomain} = needs;
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -4,7 +4,7 @@
 import type {Socket} from 'node:net';
 import type {Target} from '@applebend/routing';
 import type {AttemptFailure, Execution} from '../errors.js';
-import type {HeaderCodec, TargetResponseHead} from '../ports.js';
+import type {HeaderCodec, TargetResponseHead, TargetSignals} from '../ports.js';
 
 /** A response whose head has arrived and whose body is unread. @public */
 export interface TargetResponse {
@@ -35,6 +35,8 @@
 /** The outcome of a call; an aborted call reports none. @public */
 export interface TargetCallEvents {
   onResponse(response: TargetResponse): void;
+  /** Called before the outcome, if the target says anything of itself. */
+  onSignals(signals: TargetSignals): void;
   /** Called at most once, and only instead of `onResponse`. */
   onFailure(failure: AttemptFailure): void;
 }
@@ -42,6 +44,12 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Misdirected Request: the server is not the addressed target. */
 const STATUS_MISDIRECTED = 421;
+/** Failures in which the target says that it did not run the request. */
+const NOT_RUN_KINDS: ReadonlySet<AttemptFailure['kind']> = new Set([
+  'not_executed',
+  'target_paused',
+  'wrong_target',
+]);
 
 /**
  * One request to one target, up to the head of its response.
@@ -122,6 +130,7 @@
       status,
       res.rawHeaders
     );
+    this.reportSignals(status, head.signals);
     const fault = responseFault(status, head, this.options.attemptId);
     if (fault !== undefined) {
       this.fail(fault, `invalid response with status ${status}`);
@@ -129,7 +138,7 @@
       return;
     }
     if (head.notExecuted || status === STATUS_MISDIRECTED) {
-      const kind = head.notExecuted ? 'not_executed' : 'wrong_target';
+      const kind = notRunKind(head);
       res.resume();
       this.fail(kind, `not run by the target: status ${status}`);
       return;
@@ -143,6 +152,13 @@
     this.events.onResponse({status, head, res, isComplete});
   }
 
+  /** A response with status 421 speaks for another target. */
+  private reportSignals(status: number, signals: TargetSignals): void {
+    const {isLeaving, pauseMs} = signals;
+    if (status === STATUS_MISDIRECTED) return;
+    if (isLeaving || pauseMs !== undefined) this.events.onSignals(signals);
+  }
+
   private onError(err: Error): void {
     // Node reports a reset as the end of a response that has no length.
     if (this.res?.complete === false) this.wasReset = true;
@@ -163,9 +179,7 @@
   }
 
   private executionOf(kind: AttemptFailure['kind']): Execution {
-    if (kind === 'not_executed' || kind === 'wrong_target') {
-      return EXECUTION.notRun;
-    }
+    if (NOT_RUN_KINDS.has(kind)) return EXECUTION.notRun;
     return this.sent ? EXECUTION.unknown : EXECUTION.notRun;
   }
 
@@ -176,6 +190,12 @@
   }
 }
 
+/** Why a target that says so did not run a request. */
+function notRunKind(head: TargetResponseHead): AttemptFailure['kind'] {
+  if (!head.notExecuted) return 'wrong_target';
+  return head.signals.pauseMs === undefined ? 'not_executed' : 'target_paused';
+}
+
 /** Whether the body ends with the connection, for lack of any framing. */
 function endsAtClose({headers}: http.IncomingMessage): boolean {
   const {'content-length': length, 'transfer-encoding': coding} = headers;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,10 +20,7 @@
 } from './lib/admission/request_decision.js';
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {EventLoopSample} from './lib/admission/overload_guard.js';
-export {
-  CustomerShares,
-  ENGINE_POOL,
-} from './lib/admission/customer_shares.js';
+export {CustomerShares, ENGINE_POOL} from './lib/admission/customer_shares.js';
 export type {
   ShareLevels,
   ShareStatus,
@@ -52,11 +49,26 @@
 export {UsageRecorder} from './lib/fairness/usage_recorder.js';
 export {ConfigFreshness} from './lib/freshness/config_freshness.js';
 export type {ReadStamp} from './lib/freshness/config_freshness.js';
+export {ConfigKnowledge} from './lib/freshness/config_knowledge.js';
+export type {ConfigKnowledgeOptions} from './lib/freshness/config_knowledge.js';
 export {ListFreshness} from './lib/freshness/list_freshness.js';
 export type {ListFreshnessOptions} from './lib/freshness/list_freshness.js';
+export {ERA_ORDER, StoreEra} from './lib/freshness/store_era.js';
+export type {EraOrder} from './lib/freshness/store_era.js';
 export {TargetHealth} from './lib/health/target_health.js';
+export {isExcessivePause, TargetPause} from './lib/health/target_pause.js';
 export {FleetLayout, relayOf} from './lib/membership/fleet_layout.js';
 export type {Member} from './lib/membership/fleet_layout.js';
+export {
+  DEPARTURE_KIND,
+  TargetDepartures,
+} from './lib/membership/target_departures.js';
+export type {
+  Departure,
+  DepartureKind,
+  TargetIncarnation,
+  TargetList,
+} from './lib/membership/target_departures.js';
 export {FirstEventModel} from './lib/placement/first_event_model.js';
 export type {Candidate, Placement} from './lib/placement/placer.js';
 export {PrefixCache} from './lib/placement/prefix_cache.js';
--- a/packages/routing/src/lib/config/target.ts
+++ b/packages/routing/src/lib/config/target.ts
@@ -20,4 +20,9 @@
   readonly state: TargetState;
   /** Unix milliseconds of its start; a new value means that it restarted. */
   readonly startedAtMs: number;
+  /**
+   * Position of its registration among all that were written; grows when the
+   * target renews it.
+   */
+  readonly registeredAt: number;
 }
