--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -121,6 +121,7 @@
       onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
       onPeers: peers => this.peers.addListedPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
+      hasReader: () => this.peers.hasReader,
       requestConfirmation: targetsKey =>
         this.peers.requestConfirmation(targetsKey),
     });
--- a/packages/gateway/src/lib/peers/confirmation_exchange.ts
+++ b/packages/gateway/src/lib/peers/confirmation_exchange.ts
@@ -13,11 +13,11 @@
 import type {ConfirmationRequest} from './confirmation_message.js';
 
 /** Requests that arrive within this time are answered from one read. */
-const READ_BATCH_MS = 200;
+const READ_BATCH_MS = 300;
 /** The same at a peer that has to ask its own parent. */
 const FORWARD_BATCH_MS = 80;
 /** After this time without a response the requester reads the store itself. */
-const RESPONSE_TIMEOUT_MS = 600;
+const RESPONSE_TIMEOUT_MS = 800;
 /** After a timeout no request is sent to any parent for this time. */
 const AVOID_MS = 2500;
 const MAX_NONCE = 0x7fffffff;
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -49,14 +49,15 @@
   req: ConfirmationRequest,
   state: ConfirmedState
 ): Buffer {
-  const {configVersion, targetsKey, targets, storeEra, restoredBefore} = state;
+  const {configVersion, targetsKey, targets} = state;
+  const {storeEra, restoredBefore, targetsAgeMs} = state;
   const head = [
     MESSAGE_KIND.confirmationResponse,
     req.nonce,
     configVersion,
     targetsKey,
   ];
-  const end = [storeEra, restoredBefore];
+  const end = [storeEra, restoredBefore, Math.ceil(targetsAgeMs)];
   const withoutList = pack([...head, null, ...end]);
   if (req.targetsKey === targetsKey) return withoutList;
   const bytes = pack([...head, targets, ...end]);
@@ -68,13 +69,15 @@
   wire: readonly unknown[]
 ): ConfirmationResponse | undefined {
   const [, nonce, configVersion, targetsKey, list] = wire;
-  const [storeEra = 0, restoredBefore = 0] = wire.slice(5);
+  const [storeEra = 0, restoredBefore = 0, targetsAgeMs = 0] = wire.slice(5);
   if (typeof nonce !== 'number') return undefined;
   if (typeof configVersion !== 'number') return undefined;
   if (typeof targetsKey !== 'number') return undefined;
   if (typeof storeEra !== 'number') return undefined;
   if (typeof restoredBefore !== 'number') return undefined;
+  if (typeof targetsAgeMs !== 'number') return undefined;
   const targets = Array.isArray(list) ? (list as Target[]) : undefined;
   const newest = {configVersion, targetsKey, targets};
-  return {nonce, state: {...newest, storeEra, restoredBefore}};
+  const origin = {storeEra, restoredBefore, targetsAgeMs};
+  return {nonce, state: {...newest, ...origin}};
 }
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -103,6 +103,11 @@
     return this.directory.hasMultipleGroups;
   }
 
+  /** Whether there is a parent that reads the store for this instance. */
+  get hasReader(): boolean {
+    return this.parentAddress() !== undefined;
+  }
+
   start(): void {
     const {peers, seeds} = this.options.state.settings;
     for (const seed of seeds) this.directory.addAddress(seed);
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -73,6 +73,7 @@
       targetsKey: 8,
       targets: [TARGET],
       storeEra: 0,
+      targetsAgeMs: 0,
       restoredBefore: 0,
     };
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -103,6 +103,8 @@
   onPeers(peers: readonly PeerInfo[]): void;
   /** Whether to request a confirmation from the parent before a read. */
   usesPeerConfirmations(): boolean;
+  /** Whether there is a parent that reads the store for this instance. */
+  hasReader(): boolean;
   /**
    * Requests the newest state from the parent. Resolves to undefined if there is
    * no parent or it does not respond.
@@ -138,6 +140,8 @@
    * list is too long for a message.
    */
   readonly targets: readonly Target[] | undefined;
+  /** Milliseconds since the read of the target list was sent. */
+  readonly targetsAgeMs: number;
   /** See `TargetList`. */
   readonly restoredBefore: number;
 }
