--- a/packages/telemetry/src/lib/logger.ts
+++ b/packages/telemetry/src/lib/logger.ts
@@ -1,6 +1,6 @@
-import {createConsola, LogLevels} from 'consola';
+import {createConsola, LogLevels} from 'consola/basic';
 
-import type {ConsolaInstance, LogObject} from 'consola';
+import type {ConsolaInstance, LogObject} from 'consola/basic';
 
 /** The log levels, most severe first. @public */
 export const LOG_LEVEL = {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,6 +10,8 @@
   format: 'esm',
   target: 'node20',
   external: ['@opentelemetry/*'],
+  // Saves the search for a native addon, which the bundle does not contain.
+  define: {'process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED': '"true"'},
   // Bundled CommonJS modules call `require`, which ES modules do not have.
   banner: {
     js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
