Slow streams are not cut, stalled ones are resumed, and probes always end

Progress is judged by whole events with data. - A slow but sound target was given up on after 1.6 times the latency target, or a stream after three pauses, although no retry budget was left or no other target could take over: the caller got 502, or its stream was cut.

--- /dev/null
+++ b/packages/gateway/src/lib/front/attempt_feedback.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FirstEventModel} from '@applebend/routing';
+import {EXECUTION, attemptFailure} from '../errors.js';
+import {PeerLoadTotals} from '../state/load_totals.js';
+import {TargetRecord} from '../state/target_record.js';
+import {AttemptFeedback} from './attempt_feedback.js';
+
+import type {Candidate} from '@applebend/routing';
+import type {ExchangeDeps} from './exchange_deps.js';
+import type {RequestContext} from './request_context.js';
+
+const RESET = attemptFailure('reset', EXECUTION.unknown, 'reset');
+const PAUSED = attemptFailure('target_paused', EXECUTION.notRun, 'full');
+
+/** A target, and attempts at it at a time that the test sets. */
+function createTarget() {
+  const record = TargetRecord.create(
+    {
+      id: 't-1',
+      service: 'app',
+      host: '127.0.0.1',
+      port: 9,
+      failureDomain: 'hall-a',
+      slots: 4,
+      state: 'ready',
+      startedAtMs: 1,
+      registeredAt: 1,
+    },
+    FirstEventModel.create(),
+    PeerLoadTotals.create()
+  );
+  const time = {nowMs: 0};
+  const deps = {
+    clock: {monotonicMs: () => time.nowMs},
+    onPlaced: () => undefined,
+  } as unknown as ExchangeDeps;
+  const candidate = {id: 't-1', uncachedTokens: 0} as unknown as Candidate;
+  const context = {route: {streaming: false}} as unknown as RequestContext;
+  const send = () => AttemptFeedback.create(record, candidate, context, deps);
+  return {record, time, send};
+}
+
+test('a probe that says nothing of the target makes room for the next one', () => {
+  const {record, time, send} = createTarget();
+  for (let i = 0; i < 3; i++) {
+    const attempt = send();
+    attempt.onFailure(RESET);
+    attempt.end();
+  }
+  assert.equal(record.health.isUsable(time.nowMs), false);
+  time.nowMs = 1000;
+  assert.equal(record.health.isUsable(time.nowMs), true);
+  const probe = send();
+  assert.equal(record.health.isUsable(time.nowMs), false);
+  // Its caller left, so it ends without an outcome.
+  probe.end();
+  assert.equal(record.health.isUsable(time.nowMs), true);
+});
+
+test('a pause is no failure of the target', () => {
+  const {record, send} = createTarget();
+  for (let i = 0; i < 10; i++) {
+    const attempt = send();
+    attempt.onFailure(PAUSED);
+    attempt.end();
+  }
+  assert.equal(record.health.failureRate, 0);
+  assert.equal(record.health.isUsable(0), true);
+  assert.equal(record.ownLoad.load.running, 0);
+});
--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -16,6 +16,8 @@
 export class AttemptFeedback {
   private readonly sentMs: number;
   private readonly load: LoadHandle;
+  /** Whether the outcome says anything of the target's health. */
+  private isConclusive = false;
 
   private constructor(
     private readonly record: TargetRecord,
@@ -53,8 +55,8 @@
    * sent, which counts as the time to the first event.
    */
   onHead({status, head}: TargetResponse): number {
-    const {record, candidate, context, nowMs} = this;
-    const headMs = nowMs - this.sentMs;
+    const {record, candidate, context} = this;
+    const headMs = this.nowMs - this.sentMs;
     const isStream = context.route.streaming && status < 300;
     if (isStream && context.prompt !== undefined) {
       const {load, uncachedTokens} = candidate;
@@ -63,25 +65,32 @@
     }
     this.load.onFirstEvent();
     // A target that asks for a pause is full and not faulty.
-    if (head.signals.pauseMs !== undefined) record.health.onInconclusive();
-    else if (status >= 500) record.health.onFailure(nowMs);
+    if (head.signals.pauseMs !== undefined) return headMs;
+    if (status >= 500) this.recordFailure();
     else record.pause.onServed();
     return headMs;
   }
 
   /** Records a response that arrived in full. */
   onServed(): void {
+    this.isConclusive = true;
     this.record.health.onSuccess();
   }
 
   onFailure({kind}: AttemptFailure): void {
-    const {health} = this.record;
-    if (kind === 'target_paused') health.onInconclusive();
-    else health.onFailure(this.nowMs);
+    if (kind !== 'target_paused') this.recordFailure();
   }
 
   /** Removes the attempt from the load. Repeated calls have no effect. */
   end(): void {
     this.load.onEnd();
+    if (this.isConclusive) return;
+    this.isConclusive = true;
+    this.record.health.onInconclusive();
+  }
+
+  private recordFailure(): void {
+    this.isConclusive = true;
+    this.record.health.onFailure(this.nowMs);
   }
 }
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -156,6 +156,7 @@
         this.onResponse(response);
       },
       onSignals: signals => deps.state.onTargetSignals(record, signals),
+      onSilence: () => this.onSilence(),
       onFailure: failure => this.onFailure(failure),
     });
   }
@@ -220,29 +221,36 @@
       },
       onAborted: message =>
         this.onFailure(attemptFailure('reset', EXECUTION.unknown, message)),
-      onStall: () => this.onStall(),
+      onStall: () => this.onSilence(),
     });
     this.stream.attach(response, state.closesConnections);
   }
 
-  /** Lets another target resume a stalled stream if a retry is allowed. */
-  private onStall(): void {
-    // onFailure charges the retry to the budget.
-    if (!this.isIdempotent || !this.tryAcquireRetry(false)) return;
-    const failure = attemptFailure(
-      'target_silent',
-      EXECUTION.unknown,
-      'stream stalled'
-    );
+  /**
+   * Lets another target take over from one that is late with its response or
+   * with the next event, if there is one and a retry is allowed. Otherwise the
+   * attempt goes on: its target may only be slow.
+   */
+  private onSilence(): void {
+    if (!this.isIdempotent) return;
+    const placement = findPlacement(this.placementInput);
+    if (placement === undefined || !this.tryAcquireRetry(true)) return;
     this.call?.abort();
-    this.onFailure(failure);
+    this.recordFailure(
+      attemptFailure('target_silent', EXECUTION.unknown, 'silent for too long')
+    );
+    this.send(placement);
   }
 
-  private onFailure(failure: AttemptFailure): void {
-    if (this.ending.hasEnded) return;
+  private recordFailure(failure: AttemptFailure): void {
+    this.feedback?.onFailure(failure);
     this.endRunning();
     this.attempts.onFailure(failure);
-    this.feedback?.onFailure(failure);
+  }
+
+  private onFailure(failure: AttemptFailure): void {
+    if (this.ending.hasEnded) return;
+    this.recordFailure(failure);
     const failedToConnect = failure.kind === 'connect_failed';
     // A request that may have run is sent again only if it is idempotent.
     const isSafe = failure.execution === EXECUTION.notRun || this.isIdempotent;
@@ -290,8 +298,9 @@
 
   private onDeadline(): void {
     if (this.ending.hasEnded) return;
+    const isSent = this.attempts.mayHaveRun || this.call?.isSent === true;
     this.call?.abort();
-    this.ending.timeOut();
+    this.ending.timeOut(isSent);
   }
 
   /** Frees the target, but lets a non-stream finish that must run only once. */
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -85,9 +85,12 @@
     });
   }
 
-  /** Responds that no response came before the deadline. */
-  timeOut(): void {
-    const isSent = this.attempts.sends > 0;
+  /**
+   * Responds that no response came before the deadline.
+   *
+   * @param isSent - whether some target may have received the request
+   */
+  timeOut(isSent: boolean): void {
     this.respond({
       status: isSent ? STATUS.gatewayTimeout : STATUS.unavailable,
       kind: 'timeout',
--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -5,13 +5,16 @@
 
 /** When a relayed stream stalls, and what to call. @public */
 export interface StreamRelayOptions {
-  /** Milliseconds without data after which `onStall` is called. */
+  /** Milliseconds without a whole event after which `onStall` is called. */
   readonly stallTimeoutMs: number;
   /** Called when the stream is complete. */
   onDone(): void;
   /** Called if the stream ends early. */
   onAborted(message: string): void;
-  /** Called when no data arrived in time; the stream stays attached. */
+  /**
+   * Called when no event arrived in time, and again after each further such
+   * time; the stream stays attached.
+   */
   onStall(): void;
 }
 
@@ -63,7 +66,7 @@
     from.on('data', (chunk: Buffer) => this.onData(from, chunk));
     from.on('end', () => this.onEnd(response));
     from.on('close', () => this.onClose(from));
-    this.stallTimer = setTimeout(
+    this.stallTimer = setInterval(
       () => this.options.onStall(),
       this.options.stallTimeoutMs
     );
@@ -73,15 +76,16 @@
   detach(): void {
     const {upstream} = this;
     this.upstream = undefined;
-    clearTimeout(this.stallTimer);
+    clearInterval(this.stallTimer);
     if (upstream !== undefined && !upstream.complete) upstream.destroy();
   }
 
   private onData(from: http.IncomingMessage, chunk: Buffer): void {
     if (from !== this.upstream) return;
-    this.stallTimer?.refresh();
     const events = this.splitter.push(chunk);
     if (events === undefined) return;
+    // A comment or a part of an event keeps no stalled stream alive.
+    if (events.hasData) this.stallTimer?.refresh();
     this.lastSentId = events.lastId ?? this.lastSentId;
     if (this.res.write(events.bytes)) return;
     from.pause();
--- a/packages/gateway/src/lib/front/target_call_options.ts
+++ b/packages/gateway/src/lib/front/target_call_options.ts
@@ -14,7 +14,7 @@
   readonly resumeAfter: string | undefined;
   /** Predicted time to the first event. */
   readonly predictedMs: number;
-  /** Whether another target may run it, so that silence ends this attempt. */
+  /** Whether another target may run it, so that silence can end this attempt. */
   readonly canFailOver: boolean;
 }
 
@@ -53,16 +53,15 @@
     attemptId: caller.attemptId,
     agent,
     codec,
-    headTimeoutMs: headTimeoutMs(route, attempt),
+    silenceMs: silenceMs(route, attempt),
   };
 }
 
-/** A silent target is abandoned early only if another one may take over. */
-function headTimeoutMs(
+/** Silence matters only if another target may take over. */
+function silenceMs(
   {latencyTargetMs}: Route,
-  {leftMs, predictedMs, canFailOver}: AttemptOptions
-): number {
-  const longestMs = Math.max(1, leftMs + DEADLINE_GRACE_MS);
-  if (!canFailOver) return longestMs;
-  return Math.min(longestMs, failoverTimeoutMs(latencyTargetMs, predictedMs));
+  {predictedMs, canFailOver}: AttemptOptions
+): number | undefined {
+  if (!canFailOver) return undefined;
+  return failoverTimeoutMs(latencyTargetMs, predictedMs);
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -126,6 +126,7 @@
         this.peers.requestConfirmation(targetsKey),
     });
     this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
+    this.applyLimits();
     this.servers.push(
       await startReadinessServer(settings.readiness, () => this.state.isReady),
       await startMetricsServer(settings.metrics, () => this.metricsText())
@@ -155,6 +156,11 @@
 
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config);
+    this.applyLimits();
+  }
+
+  /** The configuration and the open port may come in any order. */
+  private applyLimits(): void {
     const limits = this.state.config?.limits;
     if (limits === undefined) return;
     this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
--- a/packages/gateway/src/lib/upstream/event_splitter.ts
+++ b/packages/gateway/src/lib/upstream/event_splitter.ts
@@ -2,10 +2,13 @@
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly lastId: string | undefined;
+  /** Whether any of them has data, unlike a comment. */
+  readonly hasData: boolean;
 }
 
 const EVENT_END = '\n\n';
 const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
+const DATA_LINE = /(?:^|\n)data:/;
 const EMPTY = Buffer.alloc(0);
 
 /**
@@ -42,13 +45,14 @@
     const cut = end + EVENT_END.length;
     this.partialEvent = all.subarray(cut);
     const bytes = all.subarray(0, cut);
-    return {bytes, lastId: lastIdOf(bytes)};
+    const text = bytes.toString('latin1');
+    return {bytes, lastId: lastIdOf(text), hasData: DATA_LINE.test(text)};
   }
 }
 
-function lastIdOf(bytes: Buffer): string | undefined {
+function lastIdOf(text: string): string | undefined {
   let last: string | undefined;
-  for (const match of bytes.toString('latin1').matchAll(ID_LINE)) {
+  for (const match of text.matchAll(ID_LINE)) {
     last = match[1];
   }
   return last;
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -28,8 +28,11 @@
   readonly attemptId: string;
   readonly agent: http.Agent;
   readonly codec: HeaderCodec;
-  /** Milliseconds until the head of the response has to arrive. */
-  readonly headTimeoutMs: number;
+  /**
+   * Milliseconds without the head of a response after which `onSilence` is
+   * called; undefined if nothing would follow from it.
+   */
+  readonly silenceMs: number | undefined;
 }
 
 /** The outcome of a call; an aborted call reports none. @public */
@@ -37,6 +40,11 @@
   onResponse(response: TargetResponse): void;
   /** Called before the outcome, if the target says anything of itself. */
   onSignals(signals: TargetSignals): void;
+  /**
+   * Called when the head of the response is late, and again after each further
+   * such time. The call goes on unless it is aborted.
+   */
+  onSilence(): void;
   /** Called at most once, and only instead of `onResponse`. */
   onFailure(failure: AttemptFailure): void;
 }
@@ -58,7 +66,7 @@
  */
 export class TargetCall {
   private readonly req: http.ClientRequest;
-  private headTimer: NodeJS.Timeout | undefined;
+  private silenceTimer: NodeJS.Timeout | undefined;
   private connectTimer: NodeJS.Timeout | undefined;
   /** Whether the target may have received the request. */
   private sent = false;
@@ -84,10 +92,10 @@
     this.req.on('socket', socket => this.onSocket(socket));
     this.req.on('response', res => this.onHead(res));
     this.req.on('error', err => this.onError(err));
-    this.headTimer = setTimeout(
-      () => this.onHeadTimeout(),
-      options.headTimeoutMs
-    );
+    const {silenceMs} = options;
+    if (silenceMs !== undefined) {
+      this.silenceTimer = setInterval(() => events.onSilence(), silenceMs);
+    }
     this.req.end(body);
   }
 
@@ -98,6 +106,11 @@
     return new TargetCall(options, events);
   }
 
+  /** Whether the target may have received the request. */
+  get isSent(): boolean {
+    return this.sent;
+  }
+
   /** Closes the connection, so that the target cancels the request. */
   abort(): void {
     this.settle();
@@ -166,11 +179,6 @@
     this.fail(kind, err.message);
   }
 
-  private onHeadTimeout(): void {
-    this.fail('target_silent', 'no response head before the timeout');
-    this.req.destroy();
-  }
-
   private fail(kind: AttemptFailure['kind'], message: string): void {
     if (this.settled) return;
     this.settle();
@@ -185,7 +193,7 @@
 
   private settle(): void {
     this.settled = true;
-    clearTimeout(this.headTimer);
+    clearInterval(this.silenceTimer);
     clearTimeout(this.connectTimer);
   }
 }
--- a/packages/routing/src/lib/admission/usage_window.ts
+++ b/packages/routing/src/lib/admission/usage_window.ts
@@ -41,9 +41,23 @@
     return sums === undefined ? NO_USAGE : totalOf(sums, nowMs);
   }
 
-  /** Returns the usage of all customers, in no particular order. */
+  /**
+   * Returns the usage of all customers with any, in no particular order; forgets
+   * the others.
+   */
   all(nowMs: number): CustomerUsage[] {
-    return [...this.sums.values()].map(sums => totalOf(sums, nowMs));
+    const usages: CustomerUsage[] = [];
+    for (const [customer, sums] of this.sums) {
+      const usage = totalOf(sums, nowMs);
+      if (usage.requested > 0 || usage.admitted > 0) usages.push(usage);
+      else this.sums.delete(customer);
+    }
+    return usages;
+  }
+
+  /** The number of customers that are remembered. */
+  get size(): number {
+    return this.sums.size;
   }
 
   private sumsOf(customer: string): UsageSums {
--- a/packages/routing/src/lib/placement/placer.test.ts
+++ b/packages/routing/src/lib/placement/placer.test.ts
@@ -74,3 +74,26 @@
   assert.equal(place([cached, cold], 1000, 360)?.candidate.id, 'cold');
   assert.equal(place([cached], 1000, 360)?.candidate.id, 'cached');
 });
+
+test('a plain service is called in the own failure domain unless it is busier', () => {
+  const plain = (id: string, running: number, sameFailureDomain: boolean) =>
+    candidate(id, {
+      memoryTokens: 0,
+      slots: 12,
+      load: {running, prefillTokens: 0, kvTokens: 0},
+      sameFailureDomain,
+      prefillMs: 0,
+      rendezvousRank: 0,
+    });
+  assert.equal(idOf([plain('far', 0, false), plain('near', 1, true)]), 'near');
+  assert.equal(idOf([plain('far', 0, false), plain('near', 2, true)]), 'far');
+});
+
+test('a target without slots is not preferred', () => {
+  const none = candidate('none', {
+    slots: 0,
+    load: {running: 0, prefillTokens: 0, kvTokens: 0},
+  });
+  assert.equal(idOf([none, candidate('some')]), 'some');
+  assert.equal(idOf([candidate('some'), none]), 'some');
+});
--- a/packages/routing/src/lib/placement/placer.ts
+++ b/packages/routing/src/lib/placement/placer.ts
@@ -49,8 +49,13 @@
  * Cost of a target without room; it grows with the running requests per slot.
  */
 const NO_ROOM_COST_MS = 2000;
-/** Decides between targets of nearly equal cost. */
+/** Decides between engines of nearly equal cost. */
 const OTHER_DOMAIN_COST_MS = 2;
+/**
+ * The same between targets that are no engines, which have no cached prefixes to
+ * weigh: a little more than one running request.
+ */
+const PLAIN_OTHER_DOMAIN_COST_MS = 12;
 /**
  * Cost of the highest rendezvous rank. It sends a prompt that no target is
  * known to have cached to its preferred target, where instances that do not
@@ -104,10 +109,13 @@
 }
 
 function costOf(candidate: Candidate, hasRoom: boolean): number {
-  const {load, slots, waitMs, prefillMs, failureRate} = candidate;
-  const batchMs = FULL_BATCH_COST_MS * (load.running / Math.max(1, slots));
-  const domainMs = candidate.sameFailureDomain ? 0 : OTHER_DOMAIN_COST_MS;
-  const roomMs = hasRoom ? 0 : NO_ROOM_COST_MS * (load.running / slots);
+  const {load, waitMs, prefillMs, failureRate, memoryTokens} = candidate;
+  const runningPerSlot = load.running / Math.max(1, candidate.slots);
+  const batchMs = FULL_BATCH_COST_MS * runningPerSlot;
+  const otherDomainMs =
+    memoryTokens === 0 ? PLAIN_OTHER_DOMAIN_COST_MS : OTHER_DOMAIN_COST_MS;
+  const domainMs = candidate.sameFailureDomain ? 0 : otherDomainMs;
+  const roomMs = hasRoom ? 0 : NO_ROOM_COST_MS * runningPerSlot;
   const uncachedMs = PREFILL_WEIGHT * prefillMs;
   const rankMs = RENDEZVOUS_RANK_COST_MS * candidate.rendezvousRank;
   const failureMs = FAILURE_RATE_COST_MS * failureRate;
