Model test of restores: sequences long enough that each guard is needed

The oracle was too strict in one place, as a trace showed: a late response of the same era may show less and still confirms the version that a later read has shown.

--- a/packages/routing/src/testing/store_restore.model.test.ts
+++ b/packages/routing/src/testing/store_restore.model.test.ts
@@ -15,7 +15,7 @@
 
 import type {Target, TargetState} from '../lib/config/target.js';
 
-const TARGET_IDS = ['t-0', 't-1', 't-2'];
+const TARGET_IDS = ['t-0', 't-1'];
 /** After it, an instance that heard no peer relies on the store alone. */
 const PEER_WAIT_MS = 700;
 const SETTLE_MS = 2000;
@@ -96,6 +96,11 @@
   heldVersion = 0;
   /** Newest version that it or a peer that it heard has held. */
   knownVersion = 0;
+  /**
+   * Newest version that the store has shown it in this era. A late response may
+   * show less and still confirms this one.
+   */
+  private shownVersion = 0;
   /** Ids that it knows to be leaving. */
   readonly leaving = new Set<string>();
 
@@ -110,11 +115,12 @@
     if (this.observeEra(response.era, nowMs) === ERA_ORDER.older) return;
     const {version, sentAtMs} = response;
     this.knowledge.onStoreVersion(version);
-    const heldBefore = this.heldVersion;
-    this.heldVersion = Math.max(heldBefore, version);
+    this.shownVersion = Math.max(this.shownVersion, version);
+    this.heldVersion = Math.max(this.heldVersion, version);
     this.knownVersion = Math.max(this.knownVersion, version);
     if (this.knowledge.confirms(sentAtMs, nowMs)) {
-      assert.ok(version >= this.knownVersion, 'confirmed an older version');
+      const isNewest = this.shownVersion >= this.knownVersion;
+      assert.ok(isNewest, 'confirmed an older version');
       assert.ok(sentAtMs >= this.settledAtMs, 'confirmed by a fresh copy');
       const isAlone = nowMs - this.startedAtMs >= PEER_WAIT_MS;
       assert.ok(this.hasHeardPeer || isAlone, 'confirmed before any peer');
@@ -150,6 +156,7 @@
     if (order !== ERA_ORDER.newer) return order;
     this.knowledge.onNewEra(nowMs);
     this.isRestored = true;
+    this.shownVersion = 0;
     this.settledAtMs = nowMs + SETTLE_MS;
     return order;
   }
@@ -199,8 +206,10 @@
 }
 
 const id = fc.constantFrom(...TARGET_IDS);
-const who = fc.nat({max: 2});
+const who = fc.nat({max: 1});
+const read = fc.record({kind: fc.constant('read' as const), who});
 const step = fc.oneof(
+  {arbitrary: read, weight: 8},
   fc.record({kind: fc.constant('publish' as const)}),
   fc.record({kind: fc.constant('publishAgain' as const)}),
   fc.record({kind: fc.constant('register' as const), id}),
@@ -219,7 +228,7 @@
 
 function play(steps: readonly {step: Step; afterMs: number}[]): void {
   const store = new Store();
-  const fleet = [0, 1, 2].map(() => new Instance(0));
+  const fleet = [0, 1].map(() => new Instance(0));
   let inFlight: {to: Instance; response: Response}[] = [];
   let nowMs = 0;
   const handlers = {
@@ -230,6 +239,9 @@
     remove: (s: Step & {kind: 'remove'}) => store.remove(s.id),
     save: () => store.save(),
     restore: () => store.restore(),
+    read: (s: Step & {kind: 'read'}) => {
+      fleet[s.who].onResponse(store.read(nowMs), nowMs);
+    },
     send: (s: Step & {kind: 'send'}) => {
       inFlight.push({to: fleet[s.who], response: store.read(nowMs)});
     },
@@ -256,7 +268,9 @@
 
 test('no copy of the store brings back what an instance or its peers knew', () => {
   fc.assert(
-    fc.property(fc.array(timedStep, {maxLength: 80}), steps => play(steps)),
-    {numRuns: 3000, seed: 20261204}
+    fc.property(fc.array(timedStep, {minLength: 40, maxLength: 80}), steps =>
+      play(steps)
+    ),
+    {numRuns: 1500, seed: 20261204}
   );
 });
