A newer configuration comes from the parent peer, not from a read of each instance

Each new version was read by each of 195 instances.

Change: an instance whose parent confirms a newer version fetches the record from that parent over HTTP; it reads the store only if that fails.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,6 +6,7 @@
 import {LoopMonitor} from './loop_monitor.js';
 import {GatewayMetrics} from './metrics/gateway_metrics.js';
 import {startMetricsServer} from './metrics/metrics_server.js';
+import {startConfigServer} from './peers/config_transfer.js';
 import {PeerExchange} from './peers/peer_exchange.js';
 import {FleetState} from './state/fleet_state.js';
 import {TargetAgent} from './upstream/target_agent.js';
@@ -124,10 +125,12 @@
       hasReader: () => this.peers.hasReader,
       requestConfirmation: targetsKey =>
         this.peers.requestConfirmation(targetsKey),
+      fetchConfigRecord: () => this.peers.fetchConfigRecord(),
     });
     this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
     this.applyLimits();
     this.servers.push(
+      await startConfigServer(settings.peers, () => stateSource.configRecord()),
       await startReadinessServer(settings.readiness, () => this.state.isReady),
       await startMetricsServer(settings.metrics, () => this.metricsText())
     );
--- /dev/null
+++ b/packages/gateway/src/lib/peers/config_transfer.ts
@@ -0,0 +1,76 @@
+import http from 'node:http';
+import {errorMessage} from '@applebend/utils';
+import {listenOn} from '../listen.js';
+
+import type {Logger} from '@applebend/telemetry';
+import type {ListenAddress, PeerAddress} from '../ports.js';
+
+const CONFIG_PATH = '/configuration';
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+/** Time in which a peer has to send its configuration. */
+const FETCH_TIMEOUT_MS = 700;
+/** A longer configuration is read from the store. */
+const MAX_RECORD_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Serves the record of the configuration that this instance holds, over HTTP on
+ * the port on which its datagrams arrive. Resolves when the port is open.
+ *
+ * @param record - returns the record, or undefined if none is held
+ * @public
+ */
+export async function startConfigServer(
+  address: ListenAddress,
+  record: () => Buffer | undefined
+): Promise<http.Server> {
+  const server = http.createServer((req, res) => {
+    req.resume();
+    const bytes = req.url === CONFIG_PATH ? record() : undefined;
+    const status = bytes === undefined ? STATUS_NOT_FOUND : STATUS_OK;
+    res.writeHead(status, {'Content-Length': bytes?.length ?? 0});
+    res.end(bytes);
+  });
+  await listenOn(server, address);
+  return server;
+}
+
+/**
+ * Fetches the record of the configuration that a peer holds; resolves to
+ * undefined if it sends none in time.
+ *
+ * @public
+ */
+export async function fetchConfigRecord(
+  {host, port}: PeerAddress,
+  log: Logger
+): Promise<Buffer | undefined> {
+  const signal = AbortSignal.timeout(FETCH_TIMEOUT_MS);
+  try {
+    return await get({host, port, path: CONFIG_PATH, agent: false, signal});
+  } catch (err) {
+    log.warn('no configuration from peer', {host, cause: errorMessage(err)});
+    return undefined;
+  }
+}
+
+/** Resolves to undefined for any status but 200. */
+function get(options: http.RequestOptions): Promise<Buffer | undefined> {
+  return new Promise((resolve, reject) => {
+    const req = http.get(options, res => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      res.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes > MAX_RECORD_BYTES) req.destroy();
+        else chunks.push(chunk);
+      });
+      res.on('error', reject);
+      res.on('end', () => {
+        const isOk = res.statusCode === STATUS_OK;
+        resolve(isOk ? Buffer.concat(chunks) : undefined);
+      });
+    });
+    req.on('error', reject);
+  });
+}
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -4,6 +4,7 @@
 import {MESSAGE_ORDER} from './message_order.js';
 import {NoticeOutbox} from './notice_outbox.js';
 import {PeerSocket} from './peer_socket.js';
+import {fetchConfigRecord} from './config_transfer.js';
 import {ConfirmationExchange} from './confirmation_exchange.js';
 import {AggregateExchange} from './aggregate_exchange.js';
 import {applyNotice} from './target_notice.js';
@@ -143,6 +144,13 @@
     return this.confirmations.request(targetsKey);
   }
 
+  /** Fetches the record of the configuration that the parent peer holds. */
+  async fetchConfigRecord(): Promise<Buffer | undefined> {
+    const parent = this.parentAddress();
+    if (parent === undefined) return undefined;
+    return fetchConfigRecord(parent, this.options.log);
+  }
+
   /**
    * Called after a request was sent to a target.
    *
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -63,6 +63,9 @@
     return {storeEra: 0, configVersion: 7, targetList};
   }
   onPeerState(): void {}
+  configRecord(): undefined {
+    return undefined;
+  }
   async confirm(): Promise<ConfirmedState | undefined> {
     const newest = await this.askParent();
     if (newest !== undefined) return newest;
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -112,6 +112,11 @@
    * @param targetsKey - key of the target list that this instance holds
    */
   requestConfirmation(targetsKey: number): Promise<ConfirmedState | undefined>;
+  /**
+   * Fetches the record of the configuration that the parent holds. Resolves to
+   * undefined if there is no parent or it sends none in time.
+   */
+  fetchConfigRecord(): Promise<Buffer | undefined>;
 }
 
 /** The address at which a peer receives datagrams. @public */
@@ -175,6 +180,8 @@
    */
   configAgeMs(): number;
   heldState(): HeldState;
+  /** The record of the configuration that this instance holds, for peers. */
+  configRecord(): Buffer | undefined;
   /**
    * Called with what a peer holds: the store may be in a newer era, it may have
    * a newer configuration, and a read of the target list may be saved here.
