--- a/packages/gateway/src/lib/peers/confirmation_exchange.ts
+++ b/packages/gateway/src/lib/peers/confirmation_exchange.ts
@@ -1,6 +1,8 @@
 import {
+  decodeConfirmationRefusal,
   decodeConfirmationRequest,
   decodeConfirmationResponse,
+  encodeConfirmationRefusal,
   encodeConfirmationRequest,
   encodeConfirmationResponse,
 } from './confirmation_message.js';
@@ -16,9 +18,14 @@
 const READ_BATCH_MS = 300;
 /** The same at a peer that has to ask its own parent. */
 const FORWARD_BATCH_MS = 80;
-/** After this time without a response the requester reads the store itself. */
-const RESPONSE_TIMEOUT_MS = 800;
-/** After a timeout no request is sent to any parent for this time. */
+/**
+ * Time without a response after which the requester reads the store itself. It
+ * is longer the farther the requester is from the instance that reads for all,
+ * so that a parent which has to read itself still responds in time.
+ */
+const RESPONSE_TIMEOUT_MS = 700;
+const RESPONSE_TIMEOUT_PER_LEVEL_MS = 300;
+/** After a timeout or refusal no parent is asked for this time. */
 const AVOID_MS = 2500;
 const MAX_NONCE = 0x7fffffff;
 
@@ -35,6 +42,8 @@
   readonly source: StateSource;
   /** Returns the parent, or undefined if this instance reads the store. */
   readonly parentAddress: () => PeerAddress | undefined;
+  /** Instances that pass a request on before it reaches the one that reads. */
+  readonly levelsAbove: () => number;
 }
 
 /**
@@ -64,6 +73,9 @@
     socket.handle(MESSAGE_KIND.confirmationResponse, wire =>
       this.onResponse(wire)
     );
+    socket.handle(MESSAGE_KIND.confirmationRefusal, wire =>
+      this.onRefusal(wire)
+    );
   }
 
   static create(options: ConfirmationExchangeOptions): ConfirmationExchange {
@@ -90,11 +102,11 @@
     const response = this.responseTo(nonce);
     socket.send(encodeConfirmationRequest({nonce, targetsKey}), parent);
     const state = await response;
-    if (state === undefined) this.onTimeout(parent);
+    if (state === undefined) this.avoidParents(parent);
     return state;
   }
 
-  private onTimeout(parent: PeerAddress): void {
+  private avoidParents(parent: PeerAddress): void {
     const {clock, log} = this.options;
     this.avoidUntilMs = clock.monotonicMs() + AVOID_MS;
     log.warn('no confirmation from parent peer', {
@@ -110,7 +122,10 @@
         this.waiting.delete(nonce);
         resolve(state);
       };
-      const timer = setTimeout(() => settle(undefined), RESPONSE_TIMEOUT_MS);
+      const levelsMs =
+        RESPONSE_TIMEOUT_PER_LEVEL_MS * this.options.levelsAbove();
+      const timeoutMs = RESPONSE_TIMEOUT_MS + levelsMs;
+      const timer = setTimeout(() => settle(undefined), timeoutMs);
       this.waiting.set(nonce, settle);
     });
   }
@@ -119,15 +134,21 @@
     const req = decodeConfirmationRequest(wire);
     if (req === undefined) return false;
     this.pending.push({req, from});
-    const isReader = this.options.parentAddress() === undefined;
-    const batchMs = isReader ? READ_BATCH_MS : FORWARD_BATCH_MS;
+    const batchMs = this.readsItself ? READ_BATCH_MS : FORWARD_BATCH_MS;
     this.batchTimer ??= setTimeout(() => void this.respond(), batchMs);
     return true;
   }
 
+  /** Whether this instance has no parent, or none that responds. */
+  private get readsItself(): boolean {
+    const {parentAddress, clock} = this.options;
+    const isAvoiding = clock.monotonicMs() < this.avoidUntilMs;
+    return isAvoiding || parentAddress() === undefined;
+  }
+
   /**
    * Responds to the requests that arrived before the read began. If the read
-   * fails there is no response, and the requesters time out.
+   * fails the requesters are told, so that they need not wait.
    */
   private async respond(): Promise<void> {
     const {socket, source} = this.options;
@@ -135,12 +156,22 @@
     this.pending = [];
     this.batchTimer = undefined;
     const state = await source.confirm();
-    if (state === undefined) return;
     for (const {req, from} of pending) {
-      socket.send(encodeConfirmationResponse(req, state), from);
+      const response =
+        state === undefined
+          ? encodeConfirmationRefusal(req)
+          : encodeConfirmationResponse(req, state);
+      socket.send(response, from);
     }
   }
 
+  private onRefusal(wire: readonly unknown[]): boolean {
+    const nonce = decodeConfirmationRefusal(wire);
+    if (nonce === undefined) return false;
+    this.waiting.get(nonce)?.(undefined);
+    return true;
+  }
+
   private onResponse(wire: readonly unknown[]): boolean {
     const response = decodeConfirmationResponse(wire);
     if (response === undefined) return false;
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -64,6 +64,21 @@
   return bytes.length <= MAX_LIST_BYTES ? bytes : withoutList;
 }
 
+/** Says that the state could not be determined now. @public */
+export function encodeConfirmationRefusal({
+  nonce,
+}: ConfirmationRequest): Buffer {
+  return pack([MESSAGE_KIND.confirmationRefusal, nonce]);
+}
+
+/** Returns the nonce of the request, or undefined if malformed. @public */
+export function decodeConfirmationRefusal(
+  wire: readonly unknown[]
+): number | undefined {
+  const [, nonce] = wire;
+  return typeof nonce === 'number' ? nonce : undefined;
+}
+
 /** Returns undefined if the response is malformed. @public */
 export function decodeConfirmationResponse(
   wire: readonly unknown[]
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -92,6 +92,7 @@
       log,
       source,
       parentAddress: () => this.parentAddress(),
+      levelsAbove: () => this.levelsAbove(),
     });
   }
 
@@ -253,6 +254,14 @@
     }
   }
 
+  /** Relays between this instance's parent and the one that reads for all. */
+  private levelsAbove(): number {
+    const {directory, options} = this;
+    const isRelay = this.aggregates.isGroupRelay(options.clock.monotonicMs());
+    const relays = directory.parentGroup === 0 ? 0 : 1;
+    return isRelay ? relays : relays + 1;
+  }
+
   /**
    * Returns the address of the parent: the group's relay for an ordinary
    * member, the relay of the parent group for a relay. Returns undefined if
--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -17,6 +17,7 @@
   aggregate: 4,
   confirmationRequest: 5,
   confirmationResponse: 6,
+  confirmationRefusal: 7,
 } as const;
 
 type WireLoad = [
