--- a/apps/cli/src/lib/explain_request.test.ts
+++ b/apps/cli/src/lib/explain_request.test.ts
@@ -41,3 +41,30 @@
   );
   assert.deepEqual(explainRequest('nobody', logLines), []);
 });
+
+test('a request that no target took is explained by the targets of its service', () => {
+  const logLines = [
+    lineAt(20, 'store restored from a copy', {era: 4, lastEra: 3}),
+    lineAt(21, 'target paused', {target: 't-1', service: 'llm', pauseMs: 1500}),
+    lineAt(21, 'target paused', {target: 'a-1', service: 'app', pauseMs: 900}),
+    lineAt(22, 'target leaving', {target: 't-2', service: 'llm'}),
+    lineAt(22, 'request ended', {
+      attemptId: 'c',
+      service: 'llm',
+      outcome: 'targets_paused',
+      elapsedMs: 1,
+    }),
+  ].flatMap(line => parseLogLine(line) ?? []);
+  assert.deepEqual(
+    explainRequest('c', logLines).map(({event, fields}) => [
+      event,
+      fields['target'],
+    ]),
+    [
+      ['store restored from a copy', undefined],
+      ['target paused', 't-1'],
+      ['target leaving', 't-2'],
+      ['request ended', undefined],
+    ]
+  );
+});
--- a/apps/cli/src/lib/explain_request.ts
+++ b/apps/cli/src/lib/explain_request.ts
@@ -46,7 +46,8 @@
 /**
  * Returns the lines that name a request, together with the state changes on the
  * same instances from shortly before it to its end, in order of time. Changes
- * of targets that the request did not use are left out.
+ * of targets that the request did not use are left out, except those of its
+ * service if it was sent to none.
  *
  * @public
  */
@@ -59,6 +60,10 @@
   );
   if (ownLines.length === 0) return [];
   const targets = new Set(ownLines.map(({fields}) => fields['target']));
+  const unplaced = ownLines.filter(
+    ({fields}) => fields['target'] === undefined
+  );
+  const services = new Set(unplaced.map(({fields}) => fields['service']));
   const instances = new Set(ownLines.map(({instance}) => instance));
   const fromMs = Math.min(...ownLines.map(arrivalTimeMs)) - LOOKBACK_MS;
   const toMs = Math.max(...ownLines.map(({timeMs}) => timeMs));
@@ -67,8 +72,9 @@
     if (REQUEST_EVENTS.has(event)) return false;
     if (timeMs < fromMs || timeMs > toMs) return false;
     if (!instances.has(instance)) return false;
-    const {target} = fields;
-    return target === undefined || targets.has(target);
+    const {target, service} = fields;
+    if (target === undefined || targets.has(target)) return true;
+    return service !== undefined && services.has(service);
   });
   return [...stateChanges, ...ownLines].sort((a, b) => a.timeMs - b.timeMs);
 }
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -152,7 +152,8 @@
     if (!this.departures.isLeaving(record.target)) return true;
     if (record.target.state === TARGET_STATE.leaving) return true;
     record.target = {...record.target, state: TARGET_STATE.leaving};
-    this.log.info('target leaving', {target: record.target.id});
+    const {id, service} = record.target;
+    this.log.info('target leaving', {target: id, service});
     this.indexServices();
     return true;
   }
@@ -162,8 +163,9 @@
     if (isExcessivePause(pauseMs)) {
       this.log.warn('pause shortened', {target: target.id, pauseMs});
     }
+    const {id, service} = target;
     if (pause.endsAtMs < nowMs) {
-      this.log.info('target paused', {target: target.id, pauseMs});
+      this.log.info('target paused', {target: id, service, pauseMs});
     }
     pause.start(pauseMs, nowMs);
   }
