--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,11 +1,11 @@
 import {RETRY_SAFETY} from '@applebend/routing';
 import {attemptFailure, EXECUTION} from '../errors.js';
+import {earliestPauseEndMs} from '../upstream/candidates.js';
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
 import {decideRequest, findPlacement} from './placement.js';
-import {earliestPauseEndMs} from '../upstream/candidates.js';
 import {BufferedRelay} from './buffered_relay.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {STATUS} from './responses.js';
