--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -27,10 +27,10 @@
 /** A message is sent at least this often. */
 const HEARTBEAT_INTERVAL_MS = 250;
 /**
- * Delay after a placement before it is sent. It is short so that peers do not
- * choose the same target in the meantime.
+ * Delay before a placement or other news is sent. It is short so that peers do
+ * not choose the same target in the meantime.
  */
-const PLACEMENT_DELAY_MS = 10;
+const SEND_DELAY_MS = 10;
 /** Limit for one message; further placements are not sent. */
 const MAX_PLACEMENTS = 40;
 
@@ -119,6 +119,7 @@
       HEARTBEAT_INTERVAL_MS
     );
     this.aggregates.start();
+    this.scheduleSend();
   }
 
   stop(): void {
@@ -133,6 +134,7 @@
   /** Adds peers that are registered in the store. */
   addListedPeers(peers: readonly PeerInfo[]): void {
     this.directory.addListedPeers(peers);
+    this.scheduleSend();
   }
 
   /**
@@ -163,7 +165,7 @@
     prompt: Prompt | undefined,
     isCacheMiss: boolean
   ): void {
-    this.sendTimer ??= setTimeout(() => this.send(), PLACEMENT_DELAY_MS);
+    this.scheduleSend();
     if (prompt === undefined) return;
     const row = {target, blocks: prompt.prefixBlocks, isCacheMiss};
     this.aggregates.onGroupPlacement(row);
@@ -183,7 +185,7 @@
     const nowMs = this.options.clock.monotonicMs();
     this.notices.add(notice, nowMs);
     this.aggregates.onGroupNotice(notice, nowMs);
-    this.sendTimer ??= setTimeout(() => this.send(), PLACEMENT_DELAY_MS);
+    this.scheduleSend();
   }
 
   private onHeartbeat(): void {
@@ -195,6 +197,10 @@
     this.send();
   }
 
+  private scheduleSend(): void {
+    this.sendTimer ??= setTimeout(() => this.send(), SEND_DELAY_MS);
+  }
+
   private send(): void {
     const {state, incarnation, source, clock} = this.options;
     clearTimeout(this.sendTimer);
@@ -235,7 +241,7 @@
     if (order === MESSAGE_ORDER.stale) return;
     this.directory.addAddress(from);
     source.onPeerState(message);
-    if (order === MESSAGE_ORDER.started) this.repeatDepartures(nowMs);
+    if (order === MESSAGE_ORDER.started) this.onPeerStarted(nowMs);
     for (const notice of message.notices) {
       applyNotice(notice, state.targets, nowMs);
       this.aggregates.onGroupNotice(notice, nowMs);
@@ -246,9 +252,13 @@
     }
   }
 
-  /** Tells a peer that started which targets departed before. */
-  private repeatDepartures(nowMs: number): void {
+  /**
+   * Tells a peer that started what is held here and which targets departed; it
+   * lets no key in before it has heard a peer.
+   */
+  private onPeerStarted(nowMs: number): void {
     const {targets} = this.options.state;
+    this.scheduleSend();
     for (const departure of targets.recentDepartures(nowMs)) {
       this.notices.add({kind: 'departure', departure}, nowMs);
     }
