--- a/apps/rig/src/configuration.process.test.ts
+++ b/apps/rig/src/configuration.process.test.ts
@@ -92,7 +92,7 @@
       revision,
       'a restarted router gets the revision from a peer'
     );
-    fleet.isolate(1);
+    fleet.links.isolate(1);
     await fleet.router(1).kill();
     fleet.router(1).start();
     await sleep(1500);
@@ -101,7 +101,7 @@
       false,
       'a router without a configuration must not be ready'
     );
-    fleet.rejoin(1);
+    fleet.links.rejoin(1);
     await fleet.waitUntil('the router is ready again', () =>
       fleet.router(1).isReady()
     );
--- a/apps/rig/src/lib/fleet.ts
+++ b/apps/rig/src/lib/fleet.ts
@@ -14,7 +14,7 @@
 import {InstanceListService, LogService} from '@applebend/standins';
 import {sleep, TaggedError} from '@applebend/utils';
 import {PEER_PORT, Router} from './router.js';
-import {Relay} from './relay.js';
+import {FleetLinks} from './fleet_links.js';
 import {Target} from './target.js';
 
 import type {ConfigState, FleetConfig} from '@applebend/core';
@@ -70,7 +70,8 @@
   onRun: (key: string) => void = () => {};
   log!: LogService;
   list!: InstanceListService;
-  private readonly relays: Relay[] = [];
+  /** The links between the routers. */
+  readonly links = FleetLinks.create(index => this.hostOf(index));
   private readonly folder = mkdtempSync(path.join(tmpdir(), 'applebend-'));
   private readonly subnet: string;
   private readonly notAccepting = new Set<number>();
@@ -108,6 +109,10 @@
     return `${this.subnet}.${FIRST_ROUTER + index}`;
   }
 
+  private relayHostOf(index: number): string {
+    return `${this.subnet}.${FIRST_RELAY + index}`;
+  }
+
   accepting(index: number): boolean {
     return this.router(index).running && !this.notAccepting.has(index);
   }
@@ -123,35 +128,6 @@
     return this.runs.filter(run => run.key === key).length;
   }
 
-  /** Cuts the links between two routers, in both directions. */
-  cut(a: number, b: number): void {
-    this.relays[a]?.cut(this.hostOf(b));
-    this.relays[b]?.cut(this.hostOf(a));
-  }
-
-  /** Holds back all data between two routers; their links stay open. */
-  stall(a: number, b: number): void {
-    this.relays[a]?.stall(this.hostOf(b));
-    this.relays[b]?.stall(this.hostOf(a));
-  }
-
-  heal(a: number, b: number): void {
-    this.relays[a]?.heal(this.hostOf(b));
-    this.relays[b]?.heal(this.hostOf(a));
-  }
-
-  isolate(index: number): void {
-    for (const other of this.routers.keys()) {
-      if (other !== index) this.cut(index, other);
-    }
-  }
-
-  rejoin(index: number): void {
-    for (const other of this.routers.keys()) {
-      if (other !== index) this.heal(index, other);
-    }
-  }
-
   /** Publishes a configuration; returns its revision if it is accepted. */
   async publish(config: unknown): Promise<number> {
     return this.publishFrom(await this.configState(), config);
@@ -216,7 +192,7 @@
       id: this.router(index).id,
       role: 'router',
       service: '',
-      host: `${this.subnet}.${FIRST_RELAY + index}`,
+      host: this.relayHostOf(index),
       port: PEER_PORT,
       failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
       state,
@@ -249,7 +225,7 @@
   async stop(): Promise<void> {
     await Promise.all(this.routers.map(router => router.kill()));
     await Promise.all(this.targets.map(target => target.kill()));
-    await Promise.all(this.relays.map(relay => relay.close()));
+    await this.links.close();
     await this.log.server.close();
     await this.list.server.close();
     rmSync(this.folder, {recursive: true, force: true});
@@ -314,14 +290,7 @@
         onLog: this.options.onLog ?? (() => {}),
       });
       this.routers.push(router);
-      this.relays.push(
-        await Relay.create({
-          host: `${this.subnet}.${FIRST_RELAY + index}`,
-          port: PEER_PORT,
-          targetHost: this.hostOf(index),
-          targetPort: PEER_PORT,
-        })
-      );
+      await this.links.add(this.relayHostOf(index));
       this.listRouter(index, 'live');
     }
     for (const router of this.routers) router.start();
--- a/apps/rig/src/lib/load/fault_schedule.ts
+++ b/apps/rig/src/lib/load/fault_schedule.ts
@@ -67,16 +67,16 @@
         }),
       isolate_router: () =>
         this.onRouter(async index => {
-          this.fleet.isolate(index);
+          this.fleet.links.isolate(index);
           await sleep(this.randomDurationMs(0.5, 5));
-          this.fleet.rejoin(index);
+          this.fleet.links.rejoin(index);
         }),
       stall_pair: () =>
         this.onRouter(async index => {
           const other = (index + 1) % this.fleet.routers.length;
-          this.fleet.stall(index, other);
+          this.fleet.links.stall(index, other);
           await sleep(this.randomDurationMs(0.5, 4));
-          this.fleet.heal(index, other);
+          this.fleet.links.heal(index, other);
         }),
       crash_target: () =>
         this.onTarget(async target => {
--- a/apps/rig/src/measure.ts
+++ b/apps/rig/src/measure.ts
@@ -84,9 +84,9 @@
   fleet.setAccepting(3, true);
   await sleep(quarterMs - OUTAGE_MS);
   recordFault('cut off');
-  fleet.isolate(5);
+  fleet.links.isolate(5);
   await sleep(OUTAGE_MS);
-  fleet.rejoin(5);
+  fleet.links.rejoin(5);
 }
 
 /** Returns the figures from 1 s before a fault until the recovery is over. */
