A silent target is ejected although its attempts go on

Cause of what is mended here: since slow attempts go on, a silent target was no failure any more unless another target took over, so an engine that went dark was not ejected while the retry budget was empty.

Change: silence counts as a failure once for each attempt; a response that arrives later makes it good.

--- a/packages/gateway/src/lib/front/attempt_feedback.test.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.test.ts
@@ -69,3 +69,24 @@
   assert.equal(record.health.isUsable(0), true);
   assert.equal(record.ownLoad.load.running, 0);
 });
+
+test('a silent target is ejected although its attempts go on, until it serves one', () => {
+  const {record, send} = createTarget();
+  const attempts = [send(), send(), send()];
+  for (const attempt of attempts) {
+    attempt.onSilence();
+    attempt.onSilence();
+  }
+  assert.equal(record.health.isUsable(0), false);
+  assert.equal(record.ownLoad.load.running, 3);
+  attempts[0].onServed();
+  attempts[0].end();
+  assert.equal(record.health.isUsable(0), true);
+});
+
+test('silence counts once for each attempt', () => {
+  const {record, send} = createTarget();
+  const attempt = send();
+  for (let i = 0; i < 10; i++) attempt.onSilence();
+  assert.equal(record.health.isUsable(0), true);
+});
--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -81,6 +81,11 @@
     if (kind !== 'target_paused') this.recordFailure();
   }
 
+  /** Records that the target is silent for too long; the attempt goes on. */
+  onSilence(): void {
+    if (!this.isConclusive) this.recordFailure();
+  }
+
   /** Removes the attempt from the load. Repeated calls have no effect. */
   end(): void {
     this.load.onEnd();
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -234,7 +234,10 @@
   private onSilence(): void {
     if (!this.isIdempotent) return;
     const placement = findPlacement(this.placementInput);
-    if (placement === undefined || !this.tryAcquireRetry(true)) return;
+    if (placement === undefined || !this.tryAcquireRetry(true)) {
+      this.feedback?.onSilence();
+      return;
+    }
     this.call?.abort();
     this.recordFailure(
       attemptFailure('target_silent', EXECUTION.unknown, 'silent for too long')
