The crash tracker moves to routing, and its quarantines can end

The gateway is to use it too, so it stands in one place now. New: a quarantine lasts for a time that the owner sets and each later one four times as long (the product's own fleet keeps permanent ones), quarantines can be handed to another instance, and they are evicted by other quarantines only; before, 20,000 suspects evicted one ('many suspects evict no quarantine' fails on the moved code as it was, by its text: one map for both).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,8 +51,6 @@
   newerConfigState,
 } from './lib/config/config_state.js';
 export type {ConfigLogRecord, ConfigState} from './lib/config/config_state.js';
-export {CRASH_STATUS, CrashTracker} from './lib/crash/crash_tracker.js';
-export type {CrashStatus, TargetLoss} from './lib/crash/crash_tracker.js';
 export type {
   DispatchCommand,
   DispatcherOptions,
@@ -127,3 +125,4 @@
   RunStatus,
 } from './lib/request/request_state.js';
 export {RetryBudget} from './lib/retry/retry_budget.js';
+export type {TargetLoss} from '@applebend/routing';
--- a/packages/core/src/lib/dispatch/crash_isolation.ts
+++ b/packages/core/src/lib/dispatch/crash_isolation.ts
@@ -1,5 +1,5 @@
+import {CrashTracker} from '@applebend/routing';
 import {match} from 'ts-pattern';
-import {CrashTracker} from '../crash/crash_tracker.js';
 
 /** Copies of a request that may run at once until one has completed. */
 const MAX_FRESH_COPIES = 1;
@@ -26,17 +26,21 @@
   /** Whether a copy of a request may start on the target now. */
   allows(fingerprint: string, target: string, nowMs: number): boolean {
     const running = this.runningTargets.get(fingerprint)?.length ?? 0;
-    return match(this.tracker.statusOf(fingerprint))
+    return match(this.tracker.statusOf(fingerprint, nowMs))
       .with('cleared', () => true)
       .with('quarantined', () => false)
       .with('fresh', () => running < MAX_FRESH_COPIES)
       .with('suspect', () => {
-        if (running > 0 || this.runsSuspect(target)) return false;
+        if (running > 0 || this.runsSuspect(target, nowMs)) return false;
         return !this.tracker.hasRecentLossOn(fingerprint, target, nowMs);
       })
       .exhaustive();
   }
 
+  isQuarantined(fingerprint: string, nowMs: number): boolean {
+    return this.tracker.statusOf(fingerprint, nowMs) === 'quarantined';
+  }
+
   onStart(fingerprint: string, target: string): void {
     const targets = this.runningTargets.get(fingerprint) ?? [];
     targets.push(target);
@@ -51,10 +55,11 @@
     if (targets.length === 0) this.runningTargets.delete(fingerprint);
   }
 
-  private runsSuspect(target: string): boolean {
+  private runsSuspect(target: string, nowMs: number): boolean {
     for (const [fingerprint, targets] of this.runningTargets) {
       if (!targets.includes(target)) continue;
-      if (this.tracker.statusOf(fingerprint) === 'suspect') return true;
+      const status = this.tracker.statusOf(fingerprint, nowMs);
+      if (status === 'suspect') return true;
     }
     return false;
   }
--- a/packages/core/src/lib/dispatch/dispatch_events.ts
+++ b/packages/core/src/lib/dispatch/dispatch_events.ts
@@ -1,4 +1,4 @@
-import type {TargetLoss} from '../crash/crash_tracker.js';
+import type {TargetLoss} from '@applebend/routing';
 import type {
   DispatcherMessage,
   EntryMessage,
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -10,7 +10,7 @@
 import {RunningTracker} from './running_tracker.js';
 import {SlotTable} from './slot_table.js';
 
-import type {TargetLoss} from '../crash/crash_tracker.js';
+import type {TargetLoss} from '@applebend/routing';
 import type {
   DispatchCommand,
   DispatcherOptions,
@@ -151,7 +151,7 @@
     if (this.backlog.get(requestId) !== undefined) return;
     const rules = this.options.rulesOf(customer, className);
     this.setShare(customer, rules.share);
-    if (this.isolation.tracker.statusOf(fingerprint) === 'quarantined') {
+    if (this.isolation.isQuarantined(fingerprint, this.nowMs)) {
       return this.refuse(entry, requestId, 'quarantined', 0);
     }
     const queued = this.backlog.queueLengthOf(customer);
@@ -207,7 +207,7 @@
       .with('returned', () => this.addToBacklog(grant.request))
       .with('withdrawn', 'failed', () => {})
       .with('answered', () => {
-        this.isolation.tracker.onCompleted(fingerprint);
+        this.isolation.tracker.onCompleted(fingerprint, this.nowMs);
         this.slots.onResponse(grant.target, message.times);
       })
       .with('unreachable', () => this.slots.onLost(grant.target, this.nowMs))
@@ -231,7 +231,7 @@
   private onLoss(loss: TargetLoss): void {
     const {fingerprint} = loss;
     this.isolation.tracker.onLoss(loss, this.nowMs);
-    if (this.isolation.tracker.statusOf(fingerprint) !== 'quarantined') return;
+    if (!this.isolation.isQuarantined(fingerprint, this.nowMs)) return;
     for (const request of this.backlog.withFingerprint(fingerprint)) {
       this.backlog.remove(request);
       const {requestId} = request.announcement;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -40,6 +40,13 @@
 export {RouteTable} from './lib/config/route_table.js';
 export {TARGET_STATE} from './lib/config/target.js';
 export type {Target, TargetState} from './lib/config/target.js';
+export {CRASH_STATUS, CrashTracker} from './lib/crash/crash_tracker.js';
+export type {
+  CrashStatus,
+  CrashTrackerOptions,
+  Quarantine,
+  TargetLoss,
+} from './lib/crash/crash_tracker.js';
 export {fairnessWindows} from './lib/fairness/fairness_windows.js';
 export type {
   FairnessWindow,
--- /dev/null
+++ b/packages/routing/src/lib/crash/crash_tracker.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CrashTracker} from './crash_tracker.js';
+
+test('repeated and late reports of one loss count once', () => {
+  const tracker = CrashTracker.create();
+  const loss = {fingerprint: 'f', target: 't1', seenAtMs: 1000};
+  tracker.onLoss(loss, 0);
+  tracker.onLoss({...loss, seenAtMs: 1400}, 10);
+  tracker.onLoss(loss, 60_000);
+  assert.equal(tracker.statusOf('f', 0), 'suspect');
+  assert.equal(tracker.hasRecentLossOn('f', 't1', 5000), true);
+  assert.equal(tracker.hasRecentLossOn('f', 't2', 5000), false);
+});
+
+test('a second loss quarantines permanently, also if both are replayed', () => {
+  const tracker = CrashTracker.create();
+  tracker.onLoss({fingerprint: 'f', target: 't1', seenAtMs: 1000}, 0);
+  tracker.onLoss({fingerprint: 'f', target: 't1', seenAtMs: 90_000}, 0);
+  assert.equal(tracker.statusOf('f', 0), 'quarantined');
+  tracker.onCompleted('f', 0);
+  assert.equal(tracker.statusOf('f', 0), 'quarantined');
+});
+
+test('a suspect that runs to completion is cleared', () => {
+  const tracker = CrashTracker.create();
+  tracker.onLoss({fingerprint: 'f', target: 't1', seenAtMs: 1000}, 0);
+  tracker.onCompleted('f', 0);
+  assert.equal(tracker.statusOf('f', 0), 'cleared');
+});
+
+test('a quarantine that is over leaves a suspect, and the next is longer', () => {
+  const tracker = CrashTracker.create({
+    firstQuarantineMs: 1000,
+    maxQuarantineMs: 5000,
+  });
+  const loseAt = (target: string, nowMs: number) =>
+    tracker.onLoss({fingerprint: 'f', target, seenAtMs: nowMs}, nowMs);
+  loseAt('t1', 0);
+  loseAt('t2', 0);
+  assert.equal(tracker.statusOf('f', 999), 'quarantined');
+  assert.equal(tracker.statusOf('f', 1000), 'suspect');
+  loseAt('t3', 1000);
+  assert.equal(tracker.quarantineLeftMs('f', 1000), 4000);
+  loseAt('t4', 5000);
+  assert.equal(tracker.quarantineLeftMs('f', 5000), 5000);
+  tracker.onCompleted('f', 10_000);
+  assert.equal(tracker.statusOf('f', 10_000), 'cleared');
+});
+
+test('a quarantine that was imposed elsewhere is in force, and no loss ends it', () => {
+  const tracker = CrashTracker.create({
+    firstQuarantineMs: 1000,
+    maxQuarantineMs: 5000,
+  });
+  const quarantine = {fingerprint: 'f', losses: 3, leftMs: 4000};
+  assert.equal(tracker.onQuarantine(quarantine, 0), true);
+  assert.equal(tracker.onQuarantine(quarantine, 10), false);
+  tracker.onLoss({fingerprint: 'f', target: 't1', seenAtMs: 0}, 20);
+  assert.deepEqual(tracker.quarantines(20), [
+    {fingerprint: 'f', losses: 4, leftMs: 5000},
+  ]);
+});
+
+test('many suspects evict no quarantine', () => {
+  const tracker = CrashTracker.create();
+  for (const target of ['t1', 't2']) {
+    tracker.onLoss({fingerprint: 'f', target, seenAtMs: 0}, 0);
+  }
+  for (let i = 0; i < 30_000; i++) {
+    tracker.onLoss({fingerprint: `g${i}`, target: 't3', seenAtMs: 0}, 0);
+  }
+  assert.equal(tracker.statusOf('f', 0), 'quarantined');
+});
