A request that crashed two targets reaches no further one, at any instance

The gateway knew a request by the id of one attempt only, so nothing of a crash outlived the exchange, and no peer heard of it. Class: what a request did to targets is kept by attempt and not by content.

Change: a broken connection makes the instance check whether anything still listens at the target (one connection for all requests that broke there). If not, each request that was running there has a loss, by a fingerprint of method, host, path, customer and body; peers hear of it at once, in all groups. Two losses are a quarantine: 503 with the time left, and no retry within the exchange. It lasts ten minutes, each further one four times as long, since an innocent request may have been beside two crashes. A peer that starts is told the quarantines. A completed run clears a suspect.

Ruled out: counting each broken connection as a loss (two tests guard that a living target that resets, and a request beside one crash, are served).

--- /dev/null
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import {test} from 'node:test';
+import {LOG_LEVEL, Logger} from '@applebend/telemetry';
+import {CrashGuard} from './crash_guard.js';
+import {RequestCrashes} from './request_crashes.js';
+import {fingerprintOf} from './request_fingerprint.js';
+import {isTargetLost} from './target_check.js';
+
+import type {Target, TargetLoss} from '@applebend/routing';
+import type {AddressInfo} from 'node:net';
+import type {RequestContent} from './request_fingerprint.js';
+
+const log = Logger.create(LOG_LEVEL.error, {});
+
+const targetAt = (id: string, port = 9): Target => ({
+  id,
+  service: 'app',
+  host: '127.0.0.1',
+  port,
+  failureDomain: 'hall-a',
+  slots: 4,
+  state: 'ready',
+  startedAtMs: 1,
+  registeredAt: 1,
+});
+
+const CONTENT: RequestContent = {
+  method: 'POST',
+  host: 'shop.example',
+  url: '/safe/1',
+  customer: 'one',
+  body: Buffer.from('body'),
+};
+
+/** A guard, its clock, and the losses that it reported. */
+function createGuard(isLost: (target: Target) => Promise<boolean>) {
+  const clock = {nowMs: 0, monotonicMs: () => clock.nowMs, wallMs: () => 1e12};
+  const guard = CrashGuard.create(log, clock, isLost);
+  const reported: TargetLoss[][] = [];
+  guard.onLosses = losses => reported.push([...losses]);
+  return {guard, clock, reported};
+}
+
+test('all requests that a lost target was running are reported together, once', async () => {
+  let checks = 0;
+  const {guard, reported} = createGuard(() => {
+    checks += 1;
+    return Promise.resolve(true);
+  });
+  const target = targetAt('t-1');
+  await Promise.all(['f', 'g', 'f'].map(hash => guard.onReset(target, hash)));
+  assert.equal(checks, 1);
+  const fingerprints = reported.map(losses => losses.map(l => l.fingerprint));
+  assert.deepEqual(fingerprints, [['f', 'g']]);
+});
+
+test('a quarantine ends, and a completed run clears the request', async () => {
+  const {guard, clock} = createGuard(() => Promise.resolve(true));
+  await guard.onReset(targetAt('t-1'), 'f');
+  await guard.onReset(targetAt('t-2'), 'f');
+  const leftMs = guard.quarantineLeftMs('f');
+  assert.ok(leftMs > 60_000);
+  clock.nowMs += leftMs;
+  assert.equal(guard.quarantineLeftMs('f'), 0);
+  guard.onServed('f');
+  assert.equal(guard.isEmpty, true);
+});
+
+test('a target that is alive is no loss', async () => {
+  const {guard, reported} = createGuard(() => Promise.resolve(false));
+  await guard.onReset(targetAt('t-1'), 'f');
+  assert.equal(guard.isEmpty, true);
+  assert.deepEqual(reported, []);
+});
+
+test('a target is lost if nothing listens at its address', async () => {
+  const server = net.createServer(socket => socket.destroy());
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  assert.equal(await isTargetLost(targetAt('t-1', port)), false);
+  await new Promise(resolve => server.close(resolve));
+  assert.equal(await isTargetLost(targetAt('t-1', port)), true);
+});
+
+test('requests that differ in any part have different fingerprints', () => {
+  const changes: Partial<RequestContent>[] = [
+    {},
+    {method: 'GET'},
+    {host: 'other.example'},
+    {url: '/safe/2'},
+    {customer: 'two'},
+    {customer: undefined},
+    {body: Buffer.from('other')},
+    {body: undefined},
+  ];
+  const hashes = changes.map(change => fingerprintOf({...CONTENT, ...change}));
+  assert.equal(new Set(hashes).size, changes.length);
+  const sameHost = {...CONTENT, host: 'SHOP.example'};
+  assert.equal(fingerprintOf(sameHost), hashes[0]);
+});
+
+test('the content of a request is hashed only if something is suspected', async () => {
+  const {guard} = createGuard(() => Promise.resolve(true));
+  const crashes = RequestCrashes.create(guard, CONTENT);
+  assert.equal(crashes.quarantineLeftMs, 0);
+  assert.equal(crashes.knownFingerprint, undefined);
+  await guard.onReset(targetAt('t-1'), 'f');
+  assert.equal(crashes.quarantineLeftMs, 0);
+  assert.equal(crashes.knownFingerprint, fingerprintOf(CONTENT));
+});
--- /dev/null
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -0,0 +1,137 @@
+import {CrashTracker} from '@applebend/routing';
+import {isTargetLost} from './target_check.js';
+
+import type {Quarantine, Target, TargetLoss} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {Clock} from '@applebend/utils';
+
+/** Called with the losses of one target that this instance observed. @public */
+export type LossListener = (losses: readonly TargetLoss[]) => void;
+
+/** A check of a target, and the requests that it lost meanwhile. */
+interface PendingCheck {
+  readonly ended: Promise<void>;
+  readonly fingerprints: Set<string>;
+}
+
+const QUARANTINE = {
+  firstQuarantineMs: 10 * 60_000,
+  maxQuarantineMs: 24 * 60 * 60_000,
+} as const;
+
+/**
+ * Keeps requests that crash targets from reaching further ones. A request is
+ * suspected if its connection broke and its target is lost; the peers hear of
+ * each such loss, and the second one puts the request in quarantine.
+ *
+ * @public
+ */
+export class CrashGuard {
+  private readonly tracker = CrashTracker.create(QUARANTINE);
+  /** Checks in progress, by target. */
+  private readonly checks = new Map<string, PendingCheck>();
+  onLosses: LossListener = () => undefined;
+
+  private constructor(
+    private readonly log: Logger,
+    private readonly clock: Clock,
+    private readonly isLost: (target: Target) => Promise<boolean>
+  ) {}
+
+  /** @param isLost - whether a target whose connection broke is lost */
+  static create(
+    log: Logger,
+    clock: Clock,
+    isLost: (target: Target) => Promise<boolean> = isTargetLost
+  ): CrashGuard {
+    return new CrashGuard(log, clock, isLost);
+  }
+
+  /** Whether no request is suspected of anything. */
+  get isEmpty(): boolean {
+    return this.tracker.isEmpty;
+  }
+
+  /** Milliseconds until a request may run; 0 if it may run now. */
+  quarantineLeftMs(fingerprint: string): number {
+    return this.tracker.quarantineLeftMs(fingerprint, this.nowMs);
+  }
+
+  /** The requests in quarantine, for peers that start. */
+  quarantines(): Quarantine[] {
+    return this.tracker.quarantines(this.nowMs);
+  }
+
+  /**
+   * Called when the connection of a request broke. Resolves when it is known
+   * whether the target is lost.
+   */
+  onReset(target: Target, fingerprint: string): Promise<void> {
+    const key = incarnationOf(target);
+    const pending = this.checks.get(key) ?? this.startCheck(target, key);
+    pending.fingerprints.add(fingerprint);
+    return pending.ended;
+  }
+
+  onServed(fingerprint: string): void {
+    this.tracker.onCompleted(fingerprint, this.nowMs);
+  }
+
+  /** Records a loss that a peer observed. */
+  onPeerLoss(loss: TargetLoss): void {
+    this.record(loss);
+  }
+
+  /** Records a quarantine that was imposed elsewhere or before a restart. */
+  onQuarantine(quarantine: Quarantine): void {
+    if (!this.tracker.onQuarantine(quarantine, this.nowMs)) return;
+    this.log.warn('request quarantined', {...quarantine});
+  }
+
+  private get nowMs(): number {
+    return this.clock.monotonicMs();
+  }
+
+  private startCheck(target: Target, key: string): PendingCheck {
+    const fingerprints = new Set<string>();
+    const ended = this.check(target, key, fingerprints);
+    const pending = {ended, fingerprints};
+    this.checks.set(key, pending);
+    return pending;
+  }
+
+  private async check(
+    target: Target,
+    key: string,
+    fingerprints: ReadonlySet<string>
+  ): Promise<void> {
+    const isLost = await this.isLost(target);
+    this.checks.delete(key);
+    if (!isLost) return;
+    const {id, service} = target;
+    const running = [...fingerprints];
+    this.log.warn('target lost', {target: id, service, running});
+    const seenAtMs = this.clock.wallMs();
+    const losses = running.map(fingerprint => ({
+      fingerprint,
+      target: key,
+      seenAtMs,
+    }));
+    for (const loss of losses) this.record(loss);
+    this.onLosses(losses);
+  }
+
+  private record(loss: TargetLoss): void {
+    const {fingerprint} = loss;
+    const {nowMs} = this;
+    if (!this.tracker.onLoss(loss, nowMs)) return;
+    const leftMs = this.tracker.quarantineLeftMs(fingerprint, nowMs);
+    if (leftMs === 0) return;
+    this.log.warn('request quarantined', {fingerprint, leftMs});
+  }
+}
+
+/** Names one incarnation of a target. */
+function incarnationOf({id, startedAtMs}: Target): string {
+  return `${id} ${startedAtMs}`;
+}
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,6 +1,6 @@
 import {RETRY_SAFETY} from '@applebend/routing';
+import {RequestCrashes} from '../crash/request_crashes.js';
 import {attemptFailure, EXECUTION} from '../errors.js';
-import {earliestPauseEndMs} from '../upstream/candidates.js';
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
@@ -8,11 +8,13 @@
 import {decideRequest, findPlacement} from './placement.js';
 import {BufferedRelay} from './buffered_relay.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
+import {requestContent} from './request_content.js';
 import {STATUS} from './responses.js';
+import {secondsUntilResumed} from './pause_advice.js';
 import {StreamRelay} from './stream_relay.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 
-import type {Placement} from '@applebend/routing';
+import type {Placement, Target} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
 import type {TargetRecord} from '../state/target_record.js';
 import type {
@@ -25,8 +27,6 @@
 
 /** A request is not sent with less time left until its deadline. */
 const MIN_LEFT_TO_SEND_MS = 5;
-/** Callers that wait for a pause to end return within this time after it. */
-const PAUSE_SPREAD_MS = 300;
 /** Multiple of the target gap between events that counts as a stall. */
 const STALL_FACTOR = 3;
 const MIN_STALL_TIMEOUT_MS = 1000;
@@ -35,6 +35,8 @@
 export class Exchange {
   private readonly attempts: AttemptTracker;
   private readonly ending: ExchangeEnding;
+  private readonly crashes: RequestCrashes;
+  private target: Target | undefined;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
   private stream: StreamRelay | undefined;
@@ -46,11 +48,16 @@
     private readonly deps: ExchangeDeps
   ) {
     this.attempts = AttemptTracker.create(context.route.maxAttempts);
+    this.crashes = RequestCrashes.create(
+      deps.state.crashGuard,
+      requestContent(context, inbound)
+    );
     this.ending = ExchangeEnding.create(
       context,
       inbound,
       deps,
       this.attempts,
+      this.crashes,
       () => this.onEnded()
     );
   }
@@ -96,6 +103,11 @@
 
   private admit(): void {
     const {context, deps, placementInput} = this;
+    const {quarantineLeftMs} = this.crashes;
+    if (quarantineLeftMs > 0) {
+      this.ending.refuse('quarantined', quarantineLeftMs / 1000);
+      return;
+    }
     const decision = decideRequest(placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
     if (decision === undefined) {
@@ -114,27 +126,14 @@
 
   /** Refuses at once, also if all targets of the service are paused. */
   private refuseWithoutTarget(): void {
-    const pauseLeftMs = this.pauseLeftMs();
-    if (pauseLeftMs === undefined) {
+    const resumedInS = this.secondsUntilResumed();
+    if (resumedInS === undefined)
       this.ending.refuse('no_target', RETRY_AFTER_S);
-    } else {
-      this.ending.refuse('targets_paused', this.afterPauseS(pauseLeftMs));
-    }
-  }
-
-  /** Time until the first paused target of the service may get requests. */
-  private pauseLeftMs(): number | undefined {
-    const {state} = this.deps;
-    const records = state.targets.readyTargets(this.context.service);
-    const {nowMs} = this;
-    const endsAtMs = earliestPauseEndMs(records, nowMs);
-    return endsAtMs === undefined ? undefined : endsAtMs - nowMs;
+    else this.ending.refuse('targets_paused', resumedInS);
   }
 
-  /** When to retry after a pause; spread, so that callers return in turn. */
-  private afterPauseS(pauseLeftMs: number): number {
-    const spreadMs = this.deps.random() * PAUSE_SPREAD_MS;
-    return (pauseLeftMs + spreadMs) / 1000;
+  private secondsUntilResumed(): number | undefined {
+    return secondsUntilResumed(this.context.service, this.deps, this.nowMs);
   }
 
   private send({candidate}: Placement): void {
@@ -146,6 +145,7 @@
       return;
     }
     this.ending.notePlacement(candidate);
+    this.target = record.target;
     this.attempts.onSend(candidate.id);
     const feedback = AttemptFeedback.create(record, candidate, context, deps);
     this.feedback = feedback;
@@ -196,7 +196,7 @@
       this.deps.state.closesConnections,
       {
         onDone: () => {
-          if (status < 500) this.feedback?.onServed();
+          if (status < 500) this.onServed();
           this.ending.end('answered', status);
         },
         onAborted: () =>
@@ -216,7 +216,7 @@
         STALL_FACTOR * route.eventGapTargetMs
       ),
       onDone: () => {
-        this.feedback?.onServed();
+        this.onServed();
         this.ending.end('answered', STATUS.ok);
       },
       onAborted: message =>
@@ -245,6 +245,11 @@
     this.send(placement);
   }
 
+  private onServed(): void {
+    this.feedback?.onServed();
+    this.crashes.onServed();
+  }
+
   private recordFailure(failure: AttemptFailure): void {
     this.feedback?.onFailure(failure);
     this.endRunning();
@@ -254,6 +259,17 @@
   private onFailure(failure: AttemptFailure): void {
     if (this.ending.hasEnded) return;
     this.recordFailure(failure);
+    if (failure.kind === 'reset') void this.onReset(failure);
+    else this.retryOrGiveUp(failure);
+  }
+
+  /** A request that crashed its target may be one that crashes all of them. */
+  private async onReset(failure: AttemptFailure): Promise<void> {
+    if (this.target !== undefined) await this.crashes.onReset(this.target);
+    if (!this.ending.hasEnded) this.retryOrGiveUp(failure);
+  }
+
+  private retryOrGiveUp(failure: AttemptFailure): void {
     const failedToConnect = failure.kind === 'connect_failed';
     // A request that may have run is sent again only if it is idempotent.
     const isSafe = failure.execution === EXECUTION.notRun || this.isIdempotent;
@@ -270,6 +286,7 @@
     if (this.ending.hasEnded || !this.attempts.allowsRetry(this.leftMs)) {
       return false;
     }
+    if (this.crashes.quarantineLeftMs > 0) return false;
     if (!costsBudget) return true;
     const budget = deps.state.retryBudgetOf(context.service);
     return budget.tryAcquire(deps.state.instanceCount, this.nowMs);
@@ -290,13 +307,9 @@
   }
 
   private giveUp(failure: AttemptFailure): void {
-    const pauseLeftMs = this.pauseLeftMs();
-    const isPaused =
-      failure.kind === 'target_paused' && pauseLeftMs !== undefined;
-    const retryAfterS = isPaused
-      ? this.afterPauseS(pauseLeftMs)
-      : RETRY_AFTER_S;
-    this.ending.giveUp(failure, retryAfterS);
+    const isPaused = failure.kind === 'target_paused';
+    const resumedInS = isPaused ? this.secondsUntilResumed() : undefined;
+    this.ending.giveUp(failure, resumedInS ?? RETRY_AFTER_S);
   }
 
   private onDeadline(): void {
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -2,6 +2,7 @@
 import {STATUS, sendResponse} from './responses.js';
 
 import type {AdmissionInput, Candidate} from '@applebend/routing';
+import type {RequestCrashes} from '../crash/request_crashes.js';
 import type {AttemptFailure} from '../errors.js';
 import type {AttemptTracker} from './attempt_tracker.js';
 import type {ExchangeDeps, InboundRequest} from './exchange_deps.js';
@@ -30,6 +31,7 @@
     private readonly inbound: InboundRequest,
     private readonly deps: ExchangeDeps,
     private readonly attempts: AttemptTracker,
+    private readonly crashes: RequestCrashes,
     private readonly onEnded: () => void
   ) {}
 
@@ -39,9 +41,17 @@
     inbound: InboundRequest,
     deps: ExchangeDeps,
     attempts: AttemptTracker,
+    crashes: RequestCrashes,
     onEnded: () => void
   ): ExchangeEnding {
-    return new ExchangeEnding(context, inbound, deps, attempts, onEnded);
+    return new ExchangeEnding(
+      context,
+      inbound,
+      deps,
+      attempts,
+      crashes,
+      onEnded
+    );
   }
 
   get hasEnded(): boolean {
@@ -104,13 +114,14 @@
     if (this.ended) return;
     this.ended = true;
     this.onEnded();
-    const {context, attempts, deps} = this;
+    const {context, attempts, deps, crashes} = this;
     const nowMs = deps.clock.monotonicMs();
     deps.onEnd({
       attemptId: context.caller.attemptId,
       route: context.route.name,
       service: context.service,
       customer: context.customer,
+      fingerprint: crashes.knownFingerprint,
       outcome,
       status,
       sends: attempts.sends,
--- a/packages/gateway/src/lib/front/exchange_report.ts
+++ b/packages/gateway/src/lib/front/exchange_report.ts
@@ -21,6 +21,8 @@
   readonly route: string;
   readonly service: string;
   readonly customer: string | undefined;
+  /** Hash of the request's content; undefined if it was not needed. */
+  readonly fingerprint: string | undefined;
   /** `answered`, `caller_left`, or the kind of the gateway's response. */
   readonly outcome: string;
   /** HTTP status; 0 if the caller disconnected. */
--- a/packages/gateway/src/lib/front/request_log.test.ts
+++ b/packages/gateway/src/lib/front/request_log.test.ts
@@ -11,6 +11,7 @@
     route: 'r',
     service: 's',
     customer: undefined,
+    fingerprint: undefined,
     outcome,
     status: 200,
     sends: 1,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -12,7 +12,7 @@
 import {TargetAgent} from './upstream/target_agent.js';
 
 import type http from 'node:http';
-import type {FleetConfig} from '@applebend/routing';
+import type {FleetConfig, TargetLoss} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
@@ -75,6 +75,7 @@
       source: stateSource,
       incarnation: random.int(1, 0x7fffffff),
     });
+    this.state.crashGuard.onLosses = losses => this.onLosses(losses);
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
     this.exchangeDeps = {
       state: this.state,
@@ -157,6 +158,12 @@
     this.metrics.onTargetLeaving();
   }
 
+  /** Tells the peers before the callers of the lost requests can return. */
+  private onLosses(losses: readonly TargetLoss[]): void {
+    this.metrics.onTargetLost();
+    this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
+  }
+
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config);
     this.applyLimits();
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -54,6 +54,11 @@
     labelNames: ['notice'],
     registers: [this.registry],
   });
+  private readonly targetLosses = new Counter({
+    name: 'applebend_gateway_target_losses_total',
+    help: 'Targets that were lost while they ran requests of this instance',
+    registers: [this.registry],
+  });
   private readonly requestSeconds = new Histogram({
     name: 'applebend_gateway_request_seconds',
     help: 'Time from arrival to the end of the answer',
@@ -99,6 +104,10 @@
     this.targetNotices.inc({notice: 'paused'});
   }
 
+  onTargetLost(): void {
+    this.targetLosses.inc();
+  }
+
   onOverloaded(): void {
     this.overloaded.inc();
   }
--- a/packages/gateway/src/lib/peers/aggregate_exchange.ts
+++ b/packages/gateway/src/lib/peers/aggregate_exchange.ts
@@ -7,7 +7,7 @@
 } from './aggregate_message.js';
 import {MESSAGE_ORDER} from './message_order.js';
 import {NoticeOutbox} from './notice_outbox.js';
-import {applyNotice} from './target_notice.js';
+import {applyNotice, noticesForStart} from './notice.js';
 import {UsageCounters} from './usage_counters.js';
 import {MESSAGE_KIND} from './wire_rows.js';
 
@@ -20,7 +20,7 @@
 import type {PeerDirectory} from './peer_directory.js';
 import type {PlacementRow, UsageRow} from './peer_message.js';
 import type {PeerSocket} from './peer_socket.js';
-import type {TargetNotice} from './target_notice.js';
+import type {Notice} from './notice.js';
 import type {AggregateMessage, AggregateScope} from './aggregate_message.js';
 
 /**
@@ -121,7 +121,7 @@
   }
 
   /** Passes on what an instance of the own group tells of a target. */
-  onGroupNotice(notice: TargetNotice, nowMs: number): void {
+  onGroupNotice(notice: Notice, nowMs: number): void {
     if (this.isRelay) this.outboxes.group.notices.add(notice, nowMs);
   }
 
@@ -263,11 +263,10 @@
     return !this.isRelay && message.instance === this.groupRelay(nowMs);
   }
 
-  /** Tells a relay that started which targets departed before. */
-  private repeatDepartures(nowMs: number): void {
-    const {targets} = this.options.state;
-    for (const departure of targets.recentDepartures(nowMs)) {
-      this.onGroupNotice({kind: 'departure', departure}, nowMs);
+  /** Tells a relay that started what it cannot have heard. */
+  private onRelayStarted(nowMs: number): void {
+    for (const notice of noticesForStart(this.options.state, nowMs)) {
+      this.onGroupNotice(notice, nowMs);
     }
   }
 
@@ -279,9 +278,9 @@
       rest.usage.add(row);
     });
     if (order === MESSAGE_ORDER.stale) return;
-    if (order === MESSAGE_ORDER.started) this.repeatDepartures(nowMs);
+    if (order === MESSAGE_ORDER.started) this.onRelayStarted(nowMs);
     for (const notice of message.notices) {
-      applyNotice(notice, state.targets, nowMs);
+      applyNotice(notice, state, nowMs);
       if (this.isRelay) rest.notices.add(notice, nowMs);
     }
     for (const row of message.placements) {
--- /dev/null
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -0,0 +1,133 @@
+import {DEPARTURE_KIND} from '@applebend/routing';
+
+import type {
+  Departure,
+  DepartureKind,
+  Quarantine,
+  TargetLoss,
+} from '@applebend/routing';
+import type {FleetState} from '../state/fleet_state.js';
+
+/** What an instance tells its peers of a target or of a request. @public */
+export type Notice =
+  | {readonly kind: 'departure'; readonly departure: Departure}
+  | {
+      readonly kind: 'pause';
+      readonly target: string;
+      /** Milliseconds for which the target wants no requests. */
+      readonly pauseMs: number;
+    }
+  | {readonly kind: 'loss'; readonly loss: TargetLoss}
+  | {readonly kind: 'quarantine'; readonly quarantine: Quarantine};
+
+/** The state that notices change. @public */
+export type NoticedState = Pick<FleetState, 'targets' | 'crashGuard'>;
+
+/** Applies what a peer tells. @public */
+export function applyNotice(
+  notice: Notice,
+  {targets, crashGuard}: NoticedState,
+  nowMs: number
+): void {
+  switch (notice.kind) {
+    case 'departure':
+      targets.onDeparture(notice.departure, nowMs);
+      return;
+    case 'pause':
+      targets.onPeerPause(notice.target, notice.pauseMs, nowMs);
+      return;
+    case 'loss':
+      crashGuard.onPeerLoss(notice.loss);
+      return;
+    case 'quarantine':
+      crashGuard.onQuarantine(notice.quarantine);
+  }
+}
+
+/** What a peer that starts has to be told. @public */
+export function noticesForStart(
+  {targets, crashGuard}: NoticedState,
+  nowMs: number
+): Notice[] {
+  const notices: Notice[] = [];
+  for (const departure of targets.recentDepartures(nowMs)) {
+    notices.push({kind: 'departure', departure});
+  }
+  for (const quarantine of crashGuard.quarantines()) {
+    notices.push({kind: 'quarantine', quarantine});
+  }
+  return notices;
+}
+
+/** First element of a notice in a message. */
+const NOTICE_CODE = {
+  leaving: 1,
+  removed: 2,
+  pause: 3,
+  loss: 4,
+  quarantine: 5,
+} as const;
+
+/** A notice as it stands in a message. @public */
+export type WireNotice =
+  | [code: number, target: string, startedAtMs: number, storeEra: number]
+  | [code: number, target: string, pauseMs: number]
+  | [code: number, target: string, seenAtMs: number, fingerprint: string]
+  | [code: number, fingerprint: string, leftMs: number, losses: number];
+
+/** @public */
+export function encodeNotice(notice: Notice): WireNotice {
+  switch (notice.kind) {
+    case 'departure': {
+      const {kind, target, storeEra} = notice.departure;
+      return [NOTICE_CODE[kind], target.id, target.startedAtMs, storeEra];
+    }
+    case 'pause':
+      return [NOTICE_CODE.pause, notice.target, Math.round(notice.pauseMs)];
+    case 'loss': {
+      const {target, seenAtMs, fingerprint} = notice.loss;
+      return [NOTICE_CODE.loss, target, Math.round(seenAtMs), fingerprint];
+    }
+    case 'quarantine': {
+      const {fingerprint, leftMs, losses} = notice.quarantine;
+      return [NOTICE_CODE.quarantine, fingerprint, Math.round(leftMs), losses];
+    }
+  }
+}
+
+/** Decodes the elements after the code; undefined if they are malformed. */
+type NoticeDecoder = (
+  name: string,
+  value: number,
+  extra: unknown
+) => Notice | undefined;
+
+const decodeDeparture =
+  (kind: DepartureKind): NoticeDecoder =>
+  (id, startedAtMs, storeEra) => {
+    if (typeof storeEra !== 'number') return undefined;
+    const departure = {kind, target: {id, startedAtMs}, storeEra};
+    return {kind: 'departure', departure};
+  };
+
+const DECODERS: Readonly<Record<number, NoticeDecoder>> = {
+  [NOTICE_CODE.leaving]: decodeDeparture(DEPARTURE_KIND.leaving),
+  [NOTICE_CODE.removed]: decodeDeparture(DEPARTURE_KIND.removed),
+  [NOTICE_CODE.pause]: (target, pauseMs) => ({kind: 'pause', target, pauseMs}),
+  [NOTICE_CODE.loss]: (target, seenAtMs, fingerprint) => {
+    if (typeof fingerprint !== 'string') return undefined;
+    return {kind: 'loss', loss: {fingerprint, target, seenAtMs}};
+  },
+  [NOTICE_CODE.quarantine]: (fingerprint, leftMs, losses) => {
+    if (typeof losses !== 'number') return undefined;
+    return {kind: 'quarantine', quarantine: {fingerprint, losses, leftMs}};
+  },
+};
+
+/** Returns undefined if the notice is malformed or of an unknown kind. @public */
+export function decodeNotice(wire: readonly unknown[]): Notice | undefined {
+  const [code, name, value, extra] = wire;
+  if (typeof code !== 'number' || typeof name !== 'string') return undefined;
+  if (typeof value !== 'number') return undefined;
+  return DECODERS[code]?.(name, value, extra);
+}
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -1,26 +1,27 @@
-import type {Departure} from '@applebend/routing';
-import type {TargetNotice} from './target_notice.js';
+import type {Notice} from './notice.js';
 
-/** A departure is sent again for this long, because a message may be lost. */
+/** A notice is sent again for this long, because a message may be lost. */
 const REPEAT_MS = 2000;
-/** Time between two messages with the same departure. */
+/** Time between two messages with the same notice. */
 const REPEAT_INTERVAL_MS = 200;
+/** Bounds a message; further notices follow in the next one. */
+const MAX_NOTICES = 60;
 
-interface RepeatedDeparture {
-  readonly departure: Departure;
+/** A pause is a hint only and over soon, so it is sent once. */
+type PauseNotice = Extract<Notice, {kind: 'pause'}>;
+type RepeatedNotice = Exclude<Notice, PauseNotice>;
+
+interface Repetition {
+  readonly notice: RepeatedNotice;
   readonly untilMs: number;
+  readonly sentAtMs: number;
 }
 
-/**
- * The notices that the next messages to some peers carry. A departure is sent
- * several times, a pause once: it is a hint only and over soon.
- *
- * @public
- */
+/** The notices that the next messages to some peers carry. @public */
 export class NoticeOutbox {
-  private readonly departures = new Map<string, RepeatedDeparture>();
-  private pauses: TargetNotice[] = [];
-  private sentAtMs = -Infinity;
+  /** Those sent first come first. */
+  private readonly repeated = new Map<string, Repetition>();
+  private pauses: Notice[] = [];
 
   private constructor() {}
 
@@ -28,35 +29,55 @@
     return new NoticeOutbox();
   }
 
-  add(notice: TargetNotice, nowMs: number): void {
+  add(notice: Notice, nowMs: number): void {
     if (notice.kind === 'pause') {
       this.pauses.push(notice);
       return;
     }
-    const {kind, target} = notice.departure;
-    const key = `${kind} ${target.id} ${target.startedAtMs}`;
-    const {departure} = notice;
-    if (!this.departures.has(key)) this.sentAtMs = -Infinity;
-    this.departures.set(key, {departure, untilMs: nowMs + REPEAT_MS});
+    const key = keyOf(notice);
+    const sentAtMs = this.repeated.get(key)?.sentAtMs ?? -Infinity;
+    const untilMs = nowMs + REPEAT_MS;
+    this.repeated.set(key, {notice, untilMs, sentAtMs});
   }
 
   /** Returns whether the next message has notices to carry. */
   isDue(nowMs: number): boolean {
     if (this.pauses.length > 0) return true;
-    const isInterval = nowMs - this.sentAtMs >= REPEAT_INTERVAL_MS;
-    return isInterval && this.departures.size > 0;
+    for (const {sentAtMs} of this.repeated.values()) {
+      if (nowMs - sentAtMs >= REPEAT_INTERVAL_MS) return true;
+    }
+    return false;
   }
 
   /** Returns the notices for the next message. */
-  take(nowMs: number): TargetNotice[] {
+  take(nowMs: number): Notice[] {
     const notices = this.pauses;
     this.pauses = [];
-    if (nowMs - this.sentAtMs < REPEAT_INTERVAL_MS) return notices;
-    this.sentAtMs = nowMs;
-    for (const [key, {departure, untilMs}] of this.departures) {
-      if (nowMs > untilMs) this.departures.delete(key);
-      else notices.push({kind: 'departure', departure});
+    for (const [key, repetition] of [...this.repeated]) {
+      if (notices.length >= MAX_NOTICES) break;
+      const {notice, untilMs, sentAtMs} = repetition;
+      if (nowMs - sentAtMs < REPEAT_INTERVAL_MS) continue;
+      this.repeated.delete(key);
+      if (nowMs > untilMs && sentAtMs > -Infinity) continue;
+      notices.push(notice);
+      this.repeated.set(key, {notice, untilMs, sentAtMs: nowMs});
     }
     return notices;
   }
 }
+
+const KEYS: {
+  readonly [K in RepeatedNotice['kind']]: (
+    notice: Extract<Notice, {kind: K}>
+  ) => string;
+} = {
+  departure: ({departure: {kind, target}}) =>
+    `${kind} ${target.id} ${target.startedAtMs}`,
+  loss: ({loss: {fingerprint, target}}) => `loss ${fingerprint} ${target}`,
+  quarantine: ({quarantine: {fingerprint}}) => `quarantine ${fingerprint}`,
+};
+
+function keyOf(notice: RepeatedNotice): string {
+  const key = KEYS[notice.kind] as (notice: RepeatedNotice) => string;
+  return key(notice);
+}
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -7,7 +7,7 @@
 import {fetchConfigRecord} from './config_transfer.js';
 import {ConfirmationExchange} from './confirmation_exchange.js';
 import {AggregateExchange} from './aggregate_exchange.js';
-import {applyNotice} from './target_notice.js';
+import {applyNotice, noticesForStart} from './notice.js';
 import {UsageCounters} from './usage_counters.js';
 import {MESSAGE_KIND} from './wire_rows.js';
 
@@ -22,7 +22,7 @@
 } from '../ports.js';
 import type {FleetState} from '../state/fleet_state.js';
 import type {PeerDatagram, PlacementRow, UsageRow} from './peer_message.js';
-import type {TargetNotice} from './target_notice.js';
+import type {Notice} from './notice.js';
 
 /** A message is sent at least this often. */
 const HEARTBEAT_INTERVAL_MS = 250;
@@ -180,12 +180,22 @@
     state.sharesOf(row.pool).add(row.customer, row, clock.monotonicMs());
   }
 
-  /** Tells all peers of a target. */
-  announce(notice: TargetNotice): void {
+  /** Tells all peers, with the next message. */
+  announce(notice: Notice): void {
+    this.addNotice(notice);
+    this.scheduleSend();
+  }
+
+  /** Tells all peers at once. */
+  announceNow(notices: readonly Notice[]): void {
+    for (const notice of notices) this.addNotice(notice);
+    this.send();
+  }
+
+  private addNotice(notice: Notice): void {
     const nowMs = this.options.clock.monotonicMs();
     this.notices.add(notice, nowMs);
     this.aggregates.onGroupNotice(notice, nowMs);
-    this.scheduleSend();
   }
 
   private onHeartbeat(): void {
@@ -243,7 +253,7 @@
     source.onPeerState(message);
     if (order === MESSAGE_ORDER.started) this.onPeerStarted(nowMs);
     for (const notice of message.notices) {
-      applyNotice(notice, state.targets, nowMs);
+      applyNotice(notice, state, nowMs);
       this.aggregates.onGroupNotice(notice, nowMs);
     }
     for (const row of message.placements) {
@@ -253,14 +263,13 @@
   }
 
   /**
-   * Tells a peer that started what is held here and which targets departed; it
-   * lets no key in before it has heard a peer.
+   * Tells a peer that started what is held here; it lets no key in before it has
+   * heard a peer.
    */
   private onPeerStarted(nowMs: number): void {
-    const {targets} = this.options.state;
     this.scheduleSend();
-    for (const departure of targets.recentDepartures(nowMs)) {
-      this.notices.add({kind: 'departure', departure}, nowMs);
+    for (const notice of noticesForStart(this.options.state, nowMs)) {
+      this.notices.add(notice, nowMs);
     }
   }
 
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -193,6 +193,21 @@
   });
 });
 
+test('losses that two groups observe quarantine a request in all groups', async () => {
+  await withFleet(27, async fleet => {
+    const lose = (instance: Instance, target: string) => {
+      const loss = {fingerprint: 'f', target, seenAtMs: systemClock.wallMs()};
+      instance.state.crashGuard.onPeerLoss(loss);
+      instance.exchange.announceNow([{kind: 'loss', loss}]);
+    };
+    lose(fleet[0], 't-1');
+    lose(fleet[26], 't-2');
+    await waitUntil('all refuse the request', () =>
+      fleet.every(({state}) => state.crashGuard.quarantineLeftMs('f') > 0)
+    );
+  });
+});
+
 test('few instances read the store for the fleet, others if they cannot', async () => {
   await withFleet(27, async fleet => {
     const reads = () => fleet.reduce((n, {source}) => n + source.reads, 0);
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -55,6 +55,14 @@
         kind: fc.constant('pause' as const),
         target: id,
         pauseMs: count,
+      }),
+      fc.record({
+        kind: fc.constant('loss' as const),
+        loss: fc.record({fingerprint: id, target: id, seenAtMs: count}),
+      }),
+      fc.record({
+        kind: fc.constant('quarantine' as const),
+        quarantine: fc.record({fingerprint: id, losses: count, leftMs: count}),
       })
     ),
     {maxLength: 4}
--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -1,10 +1,10 @@
 import {ENGINE_POOL} from '@applebend/routing';
 import {unpack} from 'msgpackr';
-import {decodeNotice, encodeNotice} from './target_notice.js';
+import {decodeNotice, encodeNotice} from './notice.js';
 
 import type {LoadRow} from '../state/load_totals.js';
 import type {PlacementRow, UsageRow} from './peer_message.js';
-import type {TargetNotice, WireNotice} from './target_notice.js';
+import type {Notice, WireNotice} from './notice.js';
 
 /**
  * The first element of each message: its type and format version. Messages are
@@ -43,7 +43,7 @@
   /** Totals since the sender's start, of customers whose totals changed. */
   readonly usage: readonly UsageRow[];
   readonly placements: readonly PlacementRow[];
-  readonly notices: readonly TargetNotice[];
+  readonly notices: readonly Notice[];
 }
 
 /** The same rows as they stand in a message. @public */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -4,6 +4,8 @@
   FleetRetryBudget,
   OverloadGuard,
 } from '@applebend/routing';
+import {systemClock} from '@applebend/utils';
+import {CrashGuard} from '../crash/crash_guard.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
 
@@ -22,6 +24,7 @@
   readonly peerLoads = PeerLoadTotals.create();
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
+  readonly crashGuard: CrashGuard;
   private readonly shares = new Map<string, CustomerShares>();
   private readonly budgets = new Map<string, FleetRetryBudget>();
   private current: FleetConfig | undefined;
@@ -42,6 +45,7 @@
     inspector: TargetInspector,
     private readonly log: Logger
   ) {
+    this.crashGuard = CrashGuard.create(log, systemClock);
     const {isFleetBootstrap} = settings;
     this.targets = TargetDirectory.create(
       this.peerLoads,
