A quarantine survives a restart of all instances

Cause: quarantines were kept in the memory of instances only. Change: an instance that observed one of the losses saves the quarantine in the store, one record for each fingerprint; an instance that starts reads them once, besides what its peers tell it. At the first start of a fleet nothing is read.

Ruled out: records in the topic of the instances, which needs no further read but wakes each instance for each quarantine.

--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -8,12 +8,18 @@
 /** Called with the losses of one target that this instance observed. @public */
 export type LossListener = (losses: readonly TargetLoss[]) => void;
 
+/** Called with a quarantine to which this instance contributed a loss. @public */
+export type QuarantineListener = (quarantine: Quarantine) => void;
+
 /** A check of a target, and the requests that it lost meanwhile. */
 interface PendingCheck {
   readonly ended: Promise<void>;
   readonly fingerprints: Set<string>;
 }
 
+/** Bounds the memory. */
+const MAX_OBSERVED = 20_000;
+
 const QUARANTINE = {
   firstQuarantineMs: 10 * 60_000,
   maxQuarantineMs: 24 * 60 * 60_000,
@@ -30,7 +36,10 @@
   private readonly tracker = CrashTracker.create(QUARANTINE);
   /** Checks in progress, by target. */
   private readonly checks = new Map<string, PendingCheck>();
+  /** Fingerprints of which this instance observed a loss. */
+  private readonly observed = new Set<string>();
   onLosses: LossListener = () => undefined;
+  onQuarantined: QuarantineListener = () => undefined;
 
   private constructor(
     private readonly log: Logger,
@@ -117,7 +126,10 @@
       target: key,
       seenAtMs,
     }));
-    for (const loss of losses) this.record(loss);
+    for (const loss of losses) {
+      this.addObserved(loss.fingerprint);
+      this.record(loss);
+    }
     this.onLosses(losses);
   }
 
@@ -125,9 +137,15 @@
     const {fingerprint} = loss;
     const {nowMs} = this;
     if (!this.tracker.onLoss(loss, nowMs)) return;
-    const leftMs = this.tracker.quarantineLeftMs(fingerprint, nowMs);
-    if (leftMs === 0) return;
-    this.log.warn('request quarantined', {fingerprint, leftMs});
+    const quarantine = this.tracker.quarantineOf(fingerprint, nowMs);
+    if (quarantine === undefined) return;
+    this.log.warn('request quarantined', {...quarantine});
+    if (this.observed.has(fingerprint)) this.onQuarantined(quarantine);
+  }
+
+  private addObserved(fingerprint: string): void {
+    if (this.observed.size >= MAX_OBSERVED) this.observed.clear();
+    this.observed.add(fingerprint);
   }
 }
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -12,7 +12,7 @@
 import {TargetAgent} from './upstream/target_agent.js';
 
 import type http from 'node:http';
-import type {FleetConfig, TargetLoss} from '@applebend/routing';
+import type {FleetConfig, Quarantine, TargetLoss} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
@@ -75,7 +75,10 @@
       source: stateSource,
       incarnation: random.int(1, 0x7fffffff),
     });
-    this.state.crashGuard.onLosses = losses => this.onLosses(losses);
+    const {crashGuard} = this.state;
+    crashGuard.onLosses = losses => this.onLosses(losses);
+    crashGuard.onQuarantined = quarantine =>
+      stateSource.saveQuarantine(quarantine);
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
     this.exchangeDeps = {
       state: this.state,
@@ -121,6 +124,7 @@
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
+      onQuarantines: quarantines => this.onQuarantines(quarantines),
       onPeers: peers => this.peers.addListedPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       hasReader: () => this.peers.hasReader,
@@ -164,6 +168,11 @@
     this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
   }
 
+  private onQuarantines(quarantines: readonly Quarantine[]): void {
+    const {crashGuard} = this.state;
+    for (const quarantine of quarantines) crashGuard.onQuarantine(quarantine);
+  }
+
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config);
     this.applyLimits();
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -63,6 +63,7 @@
     return {storeEra: 0, configVersion: 7, targetList};
   }
   onPeerState(): void {}
+  saveQuarantine(): void {}
   configRecord(): undefined {
     return undefined;
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -7,6 +7,7 @@
   FleetConfig,
   Prompt,
   PrefixBlock,
+  Quarantine,
   Target,
   TargetList,
 } from '@applebend/routing';
@@ -101,6 +102,8 @@
    * passed before stay known.
    */
   onPeers(peers: readonly PeerInfo[]): void;
+  /** Called with the quarantines that were saved before this start. */
+  onQuarantines(quarantines: readonly Quarantine[]): void;
   /** Whether to request a confirmation from the parent before a read. */
   usesPeerConfirmations(): boolean;
   /** Whether there is a parent that reads the store for this instance. */
@@ -180,6 +183,8 @@
    */
   configAgeMs(): number;
   heldState(): HeldState;
+  /** Saves a quarantine, so that it survives a restart of all instances. */
+  saveQuarantine(quarantine: Quarantine): void;
   /** The record of the configuration that this instance holds, for peers. */
   configRecord(): Buffer | undefined;
   /**
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -114,12 +114,16 @@
 
   /** The fingerprints that are in quarantine now. */
   quarantines(nowMs: number): Quarantine[] {
-    const current: Quarantine[] = [];
-    for (const [fingerprint, {losses}] of this.quarantined) {
-      const leftMs = this.quarantineLeftMs(fingerprint, nowMs);
-      if (leftMs > 0) current.push({fingerprint, losses, leftMs});
-    }
-    return current;
+    const fingerprints = [...this.quarantined.keys()];
+    return fingerprints.flatMap(hash => this.quarantineOf(hash, nowMs) ?? []);
+  }
+
+  /** Returns undefined if a fingerprint is not in quarantine now. */
+  quarantineOf(fingerprint: string, nowMs: number): Quarantine | undefined {
+    const leftMs = this.quarantineLeftMs(fingerprint, nowMs);
+    const history = this.quarantined.get(fingerprint);
+    if (leftMs === 0 || history === undefined) return undefined;
+    return {fingerprint, losses: history.losses, leftMs};
   }
 
   /** Whether this target was recently lost while it ran the fingerprint. */
