A stream that breaks is resumed only at the software version that began it

The registration's version was not decoded, so the target that takes over was chosen among all of the service. Class: a retry takes the targets of a service for equal in every respect.

Change: a target has a software version; once the head of a stream has been forwarded, only targets of that version are candidates for its retries. Without one the stream is cut, as before without any other target. 'target registered' names the version. Where the head was not forwarded, any target may still take over, as nothing has been written. Stall timeout moves beside the failover timeout.

--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -19,6 +19,7 @@
   host: '127.0.0.1',
   port,
   failureDomain: 'hall-a',
+  softwareVersion: 'v1',
   slots: 4,
   state: 'ready',
   startedAtMs: 1,
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,4 +1,4 @@
-import {RETRY_SAFETY} from '@applebend/routing';
+import {RETRY_SAFETY, stallTimeoutMs} from '@applebend/routing';
 import {RequestCrashes} from '../crash/request_crashes.js';
 import {attemptFailure, EXECUTION} from '../errors.js';
 import {TargetCall} from '../upstream/target_call.js';
@@ -27,9 +27,6 @@
 
 /** A request is not sent with less time left until its deadline. */
 const MIN_LEFT_TO_SEND_MS = 5;
-/** Multiple of the target gap between events that counts as a stall. */
-const STALL_FACTOR = 3;
-const MIN_STALL_TIMEOUT_MS = 1000;
 
 /** Handles one checked request, from admission to its outcome. @public */
 export class Exchange {
@@ -37,6 +34,8 @@
   private readonly ending: ExchangeEnding;
   private readonly crashes: RequestCrashes;
   private target: Target | undefined;
+  /** The software version that began the stream, once it has begun. */
+  private streamVersion: string | undefined;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
   private stream: StreamRelay | undefined;
@@ -98,16 +97,19 @@
   private get placementInput(): PlacementInput {
     const {context, deps, attempts} = this;
     const {state, random} = deps;
-    return {context, state, tried: attempts.tried, nowMs: this.nowMs, random};
+    const {tried} = attempts;
+    const {streamVersion: softwareVersion, nowMs} = this;
+    return {context, state, softwareVersion, tried, nowMs, random};
   }
 
   private admit(): void {
-    const {context, deps, placementInput} = this;
+    const {context, deps} = this;
     const {quarantineLeftMs} = this.crashes;
     if (quarantineLeftMs > 0) {
       this.ending.refuse('quarantined', quarantineLeftMs / 1000);
       return;
     }
+    const {placementInput} = this;
     const decision = decideRequest(placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
     if (decision === undefined) {
@@ -210,11 +212,9 @@
   private relayStream(response: TargetResponse): void {
     const {route} = this.context;
     const {state} = this.deps;
+    this.streamVersion ??= this.target?.softwareVersion;
     this.stream ??= StreamRelay.create(this.inbound.res, {
-      stallTimeoutMs: Math.max(
-        MIN_STALL_TIMEOUT_MS,
-        STALL_FACTOR * route.eventGapTargetMs
-      ),
+      stallTimeoutMs: stallTimeoutMs(route.eventGapTargetMs),
       onDone: () => {
         this.onServed();
         this.ending.end('answered', STATUS.ok);
--- a/packages/gateway/src/lib/front/placement.ts
+++ b/packages/gateway/src/lib/front/placement.ts
@@ -20,6 +20,8 @@
 export interface PlacementInput {
   readonly context: RequestContext;
   readonly state: FleetState;
+  /** The only software version that may run it; undefined if any may. */
+  readonly softwareVersion: string | undefined;
   /** Ids of targets that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
   /** Monotonic milliseconds. */
@@ -72,8 +74,9 @@
 }
 
 function candidatesOf(input: PlacementInput): Candidate[] {
-  const {context, state, tried, nowMs, random} = input;
+  const {context, state, softwareVersion, tried, nowMs, random} = input;
   return candidatesFor(state.targets.readyTargets(context.service), {
+    softwareVersion,
     prompt: context.prompt,
     failureDomain: state.settings.failureDomain,
     tried,
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -35,6 +35,7 @@
   host: '127.0.0.1',
   port: 9000 + index,
   failureDomain: 'hall-a',
+  softwareVersion: 'v1',
   slots: SLOTS,
   state: 'ready',
   startedAtMs: 1,
@@ -89,6 +90,7 @@
     const decision = decideRequest({
       context,
       state,
+      softwareVersion: undefined,
       tried: new Set(),
       nowMs,
       random: () => random.uniform(),
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -91,8 +91,15 @@
   if (typeof storeEra !== 'number') return undefined;
   if (typeof restoredBefore !== 'number') return undefined;
   if (typeof targetsAgeMs !== 'number') return undefined;
-  const targets = Array.isArray(list) ? (list as Target[]) : undefined;
+  const targets = Array.isArray(list)
+    ? (list as Target[]).map(withVersion)
+    : undefined;
   const newest = {configVersion, targetsKey, targets};
   const origin = {storeEra, restoredBefore, targetsAgeMs};
   return {nonce, state: {...newest, ...origin}};
 }
+
+/** Older instances send targets without a software version. */
+function withVersion(target: Target): Target {
+  return {...target, softwareVersion: target.softwareVersion ?? ''};
+}
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -37,6 +37,7 @@
   host: '127.0.0.1',
   port: 9,
   failureDomain: 'hall-a',
+  softwareVersion: 'v1',
   slots: 32,
   state: 'ready',
   startedAtMs: 1,
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -185,6 +185,7 @@
       this.log.info('target registered', {
         target: target.id,
         service: target.service,
+        version: target.softwareVersion,
         state: target.state,
       });
       const model = this.firstEventModelOf(target.service);
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -20,6 +20,8 @@
 export interface CandidateNeeds {
   readonly prompt: Prompt | undefined;
   readonly failureDomain: string;
+  /** The only software version that may run it; undefined if any may. */
+  readonly softwareVersion: string | undefined;
   /** Ids of targets that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
   /** Monotonic milliseconds. */
@@ -39,16 +41,23 @@
   records: readonly TargetRecord[],
   needs: CandidateNeeds
 ): Candidate[] {
-  const {tried, nowMs} = needs;
-  const allowed = records.filter(
-    ({target, pause}) => !tried.has(target.id) && pause.isUsable(nowMs)
-  );
+  const {nowMs} = needs;
+  const allowed = records.filter(record => isAllowed(record, needs));
   const healthy = allowed.filter(({health}) => health.isUsable(nowMs));
   const idle = healthy.filter(record => nowMs >= record.peerPauseEndsAtMs);
   const chosen = [idle, healthy, allowed].find(list => list.length > 0) ?? [];
   return chosen.map(record => candidateOf(record, needs));
 }
 
+function isAllowed(
+  {target, pause}: TargetRecord,
+  {tried, nowMs, softwareVersion}: CandidateNeeds
+): boolean {
+  if (tried.has(target.id) || !pause.isUsable(nowMs)) return false;
+  if (softwareVersion === undefined) return true;
+  return target.softwareVersion === softwareVersion;
+}
+
 /**
  * When the first of some paused targets may get requests again, in monotonic
  * milliseconds; undefined if none is paused.
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -86,3 +86,4 @@
 export {FleetRetryBudget} from './lib/retry/fleet_retry_budget.js';
 export type {RetryBudgetOptions} from './lib/retry/fleet_retry_budget.js';
 export {failoverTimeoutMs} from './lib/retry/failover_timeout.js';
+export {stallTimeoutMs} from './lib/retry/stall_timeout.js';
--- a/packages/routing/src/lib/config/target.ts
+++ b/packages/routing/src/lib/config/target.ts
@@ -15,6 +15,8 @@
   readonly host: string;
   readonly port: number;
   readonly failureDomain: string;
+  /** Version of its software; versions have no order. */
+  readonly softwareVersion: string;
   /** Number of requests that it works on at once. */
   readonly slots: number;
   readonly state: TargetState;
--- a/packages/routing/src/testing/store_restore.model.test.ts
+++ b/packages/routing/src/testing/store_restore.model.test.ts
@@ -198,6 +198,7 @@
     host: '127.0.0.1',
     port: 9,
     failureDomain: 'hall-a',
+    softwareVersion: 'v1',
     slots: 4,
     state,
     startedAtMs: 1,
