A stream that a caller takes up goes on only at the version that began it

Nothing read which attempt had begun the stream, and no instance knew where another one had sent it.

A request that goes on with a stream runs only at that version; no target of it is no target. If the attempt is unknown, it runs anywhere while the service has had one version for two minutes, and is refused (503, not run) otherwise. A peer that starts is told the versions of each service, also those that are gone by then.

Ruled out: asking the peers at the take-up, since the instance that began the stream is often the one that is gone; noting the version at the first event, which needs a second datagram.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -12,6 +12,7 @@
 import {STATUS} from './responses.js';
 import {secondsUntilResumed} from './pause_advice.js';
 import {StreamRelay} from './stream_relay.js';
+import {versionNeedOf} from './stream_version.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 
 import type {Placement, Target} from '@applebend/routing';
@@ -109,6 +110,12 @@
       this.ending.refuse('quarantined', quarantineLeftMs / 1000);
       return;
     }
+    const need = versionNeedOf(context, deps.state, this.nowMs);
+    if (need.kind === 'unknown') {
+      this.ending.refuse('version_unknown', RETRY_AFTER_S);
+      return;
+    }
+    if (need.kind === 'exact') this.streamVersion = need.version;
     const {placementInput} = this;
     const decision = decideRequest(placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,6 +3,7 @@
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
+import {streamKeyOf} from './front/stream_version.js';
 import {LoopMonitor} from './loop_monitor.js';
 import {GatewayMetrics} from './metrics/gateway_metrics.js';
 import {startMetricsServer} from './metrics/metrics_server.js';
@@ -16,6 +17,7 @@
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
+import type {RequestContext} from './front/request_context.js';
 import type {TargetRecord} from './state/target_record.js';
 import type {
   GatewaySettings,
@@ -86,8 +88,10 @@
       agent: TargetAgent.create(),
       clock: systemClock,
       random: () => random.uniform(),
-      onPlaced: (target, context, isCacheMiss) =>
-        this.peers.onPlaced(target, context.prompt, isCacheMiss),
+      onPlaced: (target, context, isCacheMiss) => {
+        this.noteStream(target, context);
+        this.peers.onPlaced(target, context.prompt, isCacheMiss);
+      },
       onUsage: usage => {
         this.peers.onUsage(usage);
         this.usageLog.onUsage(usage);
@@ -142,6 +146,16 @@
     log.info('started');
   }
 
+  /** Notes for all instances at which software version a stream begins. */
+  private noteStream(targetId: string, context: RequestContext): void {
+    const {targets, streamVersions} = this.state;
+    const attempt = streamKeyOf(context);
+    const version = targets.get(targetId)?.target.softwareVersion;
+    if (attempt === undefined || version === undefined) return;
+    streamVersions.add(attempt, version, systemClock.monotonicMs());
+    this.peers.announce({kind: 'streams', version, attempts: [attempt]});
+  }
+
   /** Applies what a target says of itself, and tells the peers. */
   private onTargetSignals(
     record: TargetRecord,
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -1,9 +1,11 @@
 import {DEPARTURE_KIND} from '@applebend/routing';
 
 import type {
+  AttemptKey,
   Departure,
   DepartureKind,
   Quarantine,
+  SeenVersion,
   TargetLoss,
 } from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
@@ -18,15 +20,25 @@
       readonly pauseMs: number;
     }
   | {readonly kind: 'loss'; readonly loss: TargetLoss}
-  | {readonly kind: 'quarantine'; readonly quarantine: Quarantine};
+  | {readonly kind: 'quarantine'; readonly quarantine: Quarantine}
+  | {readonly kind: 'version'; readonly seen: SeenVersion}
+  | {
+      readonly kind: 'streams';
+      /** Software version to which the attempts were sent. */
+      readonly version: string;
+      readonly attempts: readonly AttemptKey[];
+    };
 
 /** The state that notices change. @public */
-export type NoticedState = Pick<FleetState, 'targets' | 'crashGuard'>;
+export type NoticedState = Pick<
+  FleetState,
+  'targets' | 'crashGuard' | 'streamVersions'
+>;
 
 /** Applies what a peer tells. @public */
 export function applyNotice(
   notice: Notice,
-  {targets, crashGuard}: NoticedState,
+  {targets, crashGuard, streamVersions}: NoticedState,
   nowMs: number
 ): void {
   switch (notice.kind) {
@@ -41,6 +53,14 @@
       return;
     case 'quarantine':
       crashGuard.onQuarantine(notice.quarantine);
+      return;
+    case 'version':
+      targets.versions.add(notice.seen, nowMs);
+      return;
+    case 'streams':
+      for (const attempt of notice.attempts) {
+        streamVersions.add(attempt, notice.version, nowMs);
+      }
   }
 }
 
@@ -53,6 +73,9 @@
   for (const departure of targets.recentDepartures(nowMs)) {
     notices.push({kind: 'departure', departure});
   }
+  for (const seen of targets.versions.recent(nowMs)) {
+    notices.push({kind: 'version', seen});
+  }
   for (const quarantine of crashGuard.quarantines()) {
     notices.push({kind: 'quarantine', quarantine});
   }
@@ -66,6 +89,8 @@
   pause: 3,
   loss: 4,
   quarantine: 5,
+  version: 6,
+  streams: 7,
 } as const;
 
 /** A notice as it stands in a message. @public */
@@ -73,7 +98,9 @@
   | [code: number, target: string, startedAtMs: number, storeEra: number]
   | [code: number, target: string, pauseMs: number]
   | [code: number, target: string, seenAtMs: number, fingerprint: string]
-  | [code: number, fingerprint: string, leftMs: number, losses: number];
+  | [code: number, fingerprint: string, leftMs: number, losses: number]
+  | [code: number, service: string, ageMs: number, version: string]
+  | [code: number, version: string, count: number, attempts: AttemptKey[]];
 
 /** @public */
 export function encodeNotice(notice: Notice): WireNotice {
@@ -92,6 +119,14 @@
       const {fingerprint, leftMs, losses} = notice.quarantine;
       return [NOTICE_CODE.quarantine, fingerprint, Math.round(leftMs), losses];
     }
+    case 'version': {
+      const {service, version, ageMs} = notice.seen;
+      return [NOTICE_CODE.version, service, Math.round(ageMs), version];
+    }
+    case 'streams': {
+      const {version, attempts} = notice;
+      return [NOTICE_CODE.streams, version, attempts.length, [...attempts]];
+    }
   }
 }
 
@@ -122,6 +157,15 @@
     if (typeof losses !== 'number') return undefined;
     return {kind: 'quarantine', quarantine: {fingerprint, losses, leftMs}};
   },
+  [NOTICE_CODE.version]: (service, ageMs, version) => {
+    if (typeof version !== 'string') return undefined;
+    return {kind: 'version', seen: {service, version, ageMs}};
+  },
+  [NOTICE_CODE.streams]: (version, _count, attempts) => {
+    if (!Array.isArray(attempts)) return undefined;
+    const keys = attempts.filter(key => typeof key === 'number');
+    return {kind: 'streams', version, attempts: keys};
+  },
 };
 
 /** Returns undefined if the notice is malformed or of an unknown kind. @public */
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -1,3 +1,4 @@
+import type {AttemptKey} from '@applebend/routing';
 import type {Notice} from './notice.js';
 
 /** A notice is sent again for this long, because a message may be lost. */
@@ -7,9 +8,12 @@
 /** Bounds a message; further notices follow in the next one. */
 const MAX_NOTICES = 60;
 
-/** A pause is a hint only and over soon, so it is sent once. */
-type PauseNotice = Extract<Notice, {kind: 'pause'}>;
-type RepeatedNotice = Exclude<Notice, PauseNotice>;
+/** Bounds a message; further attempts follow in the next one. */
+const MAX_ATTEMPTS = 400;
+
+/** A pause is over soon, and there are too many streams to repeat them. */
+type SentOnce = Extract<Notice, {kind: 'pause' | 'streams'}>;
+type RepeatedNotice = Exclude<Notice, SentOnce>;
 
 interface Repetition {
   readonly notice: RepeatedNotice;
@@ -22,6 +26,8 @@
   /** Those sent first come first. */
   private readonly repeated = new Map<string, Repetition>();
   private pauses: Notice[] = [];
+  /** Attempts whose software version is to be sent, by version. */
+  private readonly attempts = new Map<string, AttemptKey[]>();
 
   private constructor() {}
 
@@ -34,6 +40,13 @@
       this.pauses.push(notice);
       return;
     }
+    if (notice.kind === 'streams') {
+      const {version, attempts} = notice;
+      const waiting = this.attempts.get(version) ?? [];
+      waiting.push(...attempts);
+      this.attempts.set(version, waiting);
+      return;
+    }
     const key = keyOf(notice);
     const sentAtMs = this.repeated.get(key)?.sentAtMs ?? -Infinity;
     const untilMs = nowMs + REPEAT_MS;
@@ -42,7 +55,7 @@
 
   /** Returns whether the next message has notices to carry. */
   isDue(nowMs: number): boolean {
-    if (this.pauses.length > 0) return true;
+    if (this.pauses.length > 0 || this.attempts.size > 0) return true;
     for (const {sentAtMs} of this.repeated.values()) {
       if (nowMs - sentAtMs >= REPEAT_INTERVAL_MS) return true;
     }
@@ -51,7 +64,7 @@
 
   /** Returns the notices for the next message. */
   take(nowMs: number): Notice[] {
-    const notices = this.pauses;
+    const notices = [...this.pauses, ...this.takeAttempts()];
     this.pauses = [];
     for (const [key, repetition] of [...this.repeated]) {
       if (notices.length >= MAX_NOTICES) break;
@@ -64,6 +77,16 @@
     }
     return notices;
   }
+
+  private takeAttempts(): Notice[] {
+    const notices: Notice[] = [];
+    for (const [version, waiting] of this.attempts) {
+      const attempts = waiting.splice(0, MAX_ATTEMPTS);
+      if (waiting.length === 0) this.attempts.delete(version);
+      notices.push({kind: 'streams', version, attempts});
+    }
+    return notices;
+  }
 }
 
 const KEYS: {
@@ -75,6 +98,7 @@
     `${kind} ${target.id} ${target.startedAtMs}`,
   loss: ({loss: {fingerprint, target}}) => `loss ${fingerprint} ${target}`,
   quarantine: ({quarantine: {fingerprint}}) => `quarantine ${fingerprint}`,
+  version: ({seen: {service, version}}) => `version ${service} ${version}`,
 };
 
 function keyOf(notice: RepeatedNotice): string {
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -210,6 +210,22 @@
   });
 });
 
+test('all groups know at which version each stream was begun', async () => {
+  await withFleet(27, async fleet => {
+    fleet.forEach((instance, index) => {
+      const version = `v${index}`;
+      const nowMs = systemClock.monotonicMs();
+      instance.state.streamVersions.add(index, version, nowMs);
+      instance.exchange.announce({kind: 'streams', version, attempts: [index]});
+    });
+    await waitUntil('all know all streams', () =>
+      fleet.every(({state}) =>
+        fleet.every((_, i) => state.streamVersions.versionOf(i) === `v${i}`)
+      )
+    );
+  });
+});
+
 test('few instances read the store for the fleet, others if they cannot', async () => {
   await withFleet(27, async fleet => {
     const reads = () => fleet.reduce((n, {source}) => n + source.reads, 0);
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -63,6 +63,15 @@
       fc.record({
         kind: fc.constant('quarantine' as const),
         quarantine: fc.record({fingerprint: id, losses: count, leftMs: count}),
+      }),
+      fc.record({
+        kind: fc.constant('version' as const),
+        seen: fc.record({service: id, version: id, ageMs: count}),
+      }),
+      fc.record({
+        kind: fc.constant('streams' as const),
+        version: id,
+        attempts: fc.array(fc.maxSafeNat(), {maxLength: 5}),
       })
     ),
     {maxLength: 4}
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -27,6 +27,11 @@
   readonly prompt: Prompt | undefined;
   /** Id of the last event of the stream that the caller has received. */
   readonly lastEventId: string | undefined;
+  /**
+   * Id of the caller's attempt that brought the first event of that stream, or
+   * undefined if the caller did not name it.
+   */
+  readonly firstAttemptId: string | undefined;
 }
 
 /** The input for the headers of a request to a target. @public */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -3,6 +3,7 @@
   ENGINE_POOL,
   FleetRetryBudget,
   OverloadGuard,
+  StreamVersions,
 } from '@applebend/routing';
 import {systemClock} from '@applebend/utils';
 import {CrashGuard} from '../crash/crash_guard.js';
@@ -25,6 +26,8 @@
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
   readonly crashGuard: CrashGuard;
+  /** The software versions at which streams of all instances were begun. */
+  readonly streamVersions = StreamVersions.create();
   private readonly shares = new Map<string, CustomerShares>();
   private readonly budgets = new Map<string, FleetRetryBudget>();
   private current: FleetConfig | undefined;
@@ -142,6 +145,7 @@
     if (config.version <= currentVersion) return;
     this.current = config;
     this.targets.onConfig(config);
+    this.streamVersions.setLongestStreamMs(config.routes.longestTimeoutMs);
     const {version, routes} = config;
     this.log.info('configuration in force', {version, routes: routes.size});
   }
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -1,6 +1,7 @@
 import {
   DEPARTURE_KIND,
   FirstEventModel,
+  ServiceVersions,
   isExcessivePause,
   TARGET_STATE,
   TargetDepartures,
@@ -33,6 +34,8 @@
   private byService = new Map<string, TargetRecord[]>();
   private readonly models = new Map<string, FirstEventModel>();
   private readonly departures = TargetDepartures.create();
+  /** The software versions of each service. */
+  readonly versions = ServiceVersions.create();
   private config: FleetConfig | undefined;
   private loaded = false;
   /** Era of the store in which the present targets were read. */
@@ -115,6 +118,8 @@
     const records = new Map<string, TargetRecord>();
     for (const target of this.departures.apply(list, nowMs)) {
       records.set(target.id, this.recordFor(target));
+      const {service, softwareVersion: version} = target;
+      this.versions.add({service, version, ageMs: 0}, nowMs);
     }
     for (const id of this.records.keys()) {
       if (!records.has(id)) this.log.info('target removed', {target: id});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -87,3 +87,7 @@
 export type {RetryBudgetOptions} from './lib/retry/fleet_retry_budget.js';
 export {failoverTimeoutMs} from './lib/retry/failover_timeout.js';
 export {stallTimeoutMs} from './lib/retry/stall_timeout.js';
+export {ServiceVersions} from './lib/versions/service_versions.js';
+export type {SeenVersion} from './lib/versions/service_versions.js';
+export {attemptKeyOf, StreamVersions} from './lib/versions/stream_versions.js';
+export type {AttemptKey} from './lib/versions/stream_versions.js';
--- a/packages/routing/src/lib/config/route_table.ts
+++ b/packages/routing/src/lib/config/route_table.ts
@@ -10,7 +10,9 @@
   private constructor(
     private readonly hosts: ReadonlyMap<string, ReadonlyMap<string, Route>>,
     /** Number of routes. */
-    readonly size: number
+    readonly size: number,
+    /** The longest timeout of all routes; 0 without any. */
+    readonly longestTimeoutMs: number
   ) {}
 
   static create(routes: readonly Route[]): RouteTable {
@@ -21,7 +23,8 @@
       prefixes.set(route.pathPrefix, route);
       hosts.set(host, prefixes);
     }
-    return new RouteTable(hosts, routes.length);
+    const timeouts = routes.map(({timeoutMs}) => timeoutMs);
+    return new RouteTable(hosts, routes.length, Math.max(0, ...timeouts));
   }
 
   /**
