Responses to own calls are read up to a limit, by one function

What callers would see: an instance that asks an engine for its cached blocks reads whatever comes for a second, 167 MB in the test, and may run out of memory. Cause: platform's httpCall had no limit; config_transfer and http_json each had one of their own. Class: a reader that trusts the other side to end.

--- a/packages/externals/src/lib/http_json.ts
+++ b/packages/externals/src/lib/http_json.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {fail, errorMessage, ok} from '@applebend/utils';
+import {fail, errorMessage, ok, readAll} from '@applebend/utils';
 
 import type {Result} from '@applebend/utils';
 
@@ -32,7 +32,7 @@
   readonly localAddress?: string | undefined;
 }
 
-/** Reading stops above this size; what was read is then parsed. */
+/** A longer response cannot be read. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 const agent = new http.Agent({keepAlive: true, maxSockets: 16});
 
@@ -80,14 +80,6 @@
 }
 
 async function readJson(res: http.IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of res) {
-    const bytes = chunk as Buffer;
-    size += bytes.length;
-    if (size > MAX_RESPONSE_BYTES) break;
-    chunks.push(bytes);
-  }
-  const text = Buffer.concat(chunks).toString('utf8');
+  const text = (await readAll(res, MAX_RESPONSE_BYTES)).toString('utf8');
   return text === '' ? undefined : JSON.parse(text);
 }
--- a/packages/gateway/src/lib/peers/config_transfer.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {errorMessage} from '@applebend/utils';
+import {errorMessage, readAll} from '@applebend/utils';
 import {listenOn} from '../listen.js';
 
 import type {Logger} from '@applebend/telemetry';
@@ -58,18 +58,11 @@
 function get(options: http.RequestOptions): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
     const req = http.get(options, res => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      res.on('data', (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > MAX_RECORD_BYTES) req.destroy();
-        else chunks.push(chunk);
-      });
-      res.on('error', reject);
-      res.on('end', () => {
-        const isOk = res.statusCode === STATUS_OK;
-        resolve(isOk ? Buffer.concat(chunks) : undefined);
-      });
+      const isOk = res.statusCode === STATUS_OK;
+      readAll(res, MAX_RECORD_BYTES).then(
+        record => resolve(isOk ? record : undefined),
+        reject
+      );
     });
     req.on('error', reject);
   });
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -9,6 +9,7 @@
 export {hash32, sha256Hex} from './lib/hash.js';
 export {Mailbox} from './lib/mailbox.js';
 export {Random} from './lib/random.js';
+export {readAll} from './lib/read_all.js';
 export {fail, ok} from './lib/result.js';
 export type {Result} from './lib/result.js';
 export {sleep} from './lib/sleep.js';
