A stream whose event has no end is cut at 1 MB

What callers would see: an engine that sends bytes without an end of an event fills the memory of its instance until the caller's deadline, with a copy of all of it for each chunk; a stream that can be resumed was saved by its stall timeout. Cause: the splitter kept an incomplete event of any length. Now such a stream counts as broken and is resumed where that is allowed.

--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -83,6 +83,10 @@
   private onData(from: http.IncomingMessage, chunk: Buffer): void {
     if (from !== this.upstream) return;
     const events = this.splitter.push(chunk);
+    if (this.splitter.isOverLimit) {
+      this.fail('event too long');
+      return;
+    }
     if (events === undefined) return;
     // A comment or a part of an event keeps no stalled stream alive.
     if (events.hasData) this.stallTimer?.refresh();
--- a/packages/gateway/src/lib/upstream/event_splitter.ts
+++ b/packages/gateway/src/lib/upstream/event_splitter.ts
@@ -6,6 +6,8 @@
   readonly hasData: boolean;
 }
 
+/** A longer event is none that an engine sends. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 const EVENT_END = '\n\n';
 const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
 const DATA_LINE = /(?:^|\n)data:/;
@@ -31,6 +33,11 @@
     return this.partialEvent.length > 0;
   }
 
+  /** Whether the incomplete event is longer than any that engines send. */
+  get isOverLimit(): boolean {
+    return this.partialEvent.length > MAX_EVENT_BYTES;
+  }
+
   /** Adds bytes; returns the events that they complete, or undefined. */
   push(chunk: Buffer): CompleteEvents | undefined {
     const all =
