The body of a refusal is drained up to a limit

What callers would see: an engine that turns a request away with a body without an end keeps its instance reading for good, at the speed of the link. Cause: the body was drained so that the connection can be used again, without a limit. Class as before. Now 64 KB or a second end the connection.

--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import {EXECUTION, attemptFailure} from '../errors.js';
+import {drainBody} from './drain_body.js';
 
 import type {Socket} from 'node:net';
 import type {Target} from '@applebend/routing';
@@ -152,7 +153,7 @@
     }
     if (head.notExecuted || status === STATUS_MISDIRECTED) {
       const kind = notRunKind(head);
-      res.resume();
+      drainBody(res);
       this.fail(kind, `not run by the target: status ${status}`);
       return;
     }
