Informational responses without an end break the request

What callers would see: an engine that sends 1xx responses without an end keeps its instance parsing them until the caller's deadline. Cause: Node reports each one, and nothing counted them.

--- a/apps/daemon/src/lib/entry/target_connection.ts
+++ b/apps/daemon/src/lib/entry/target_connection.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import net from 'node:net';
-import {fail, errorMessage, ok} from '@applebend/utils';
+import {fail, errorMessage, limitInformation, ok} from '@applebend/utils';
 
 import type {Result} from '@applebend/utils';
 import type {TargetAddress} from '../membership/target_directory.js';
@@ -97,6 +97,7 @@
       createConnection: () => socket,
       signal,
     });
+    limitInformation(req);
     socket.setTimeout(stallTimeoutMs, () => {
       failure = 'stalled';
       socket.destroy();
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import {limitInformation} from '@applebend/utils';
 import {EXECUTION, attemptFailure} from '../errors.js';
 import {drainBody} from './drain_body.js';
 
@@ -90,6 +91,7 @@
       headers,
       agent,
     });
+    limitInformation(this.req);
     this.req.on('socket', socket => this.onSocket(socket));
     this.req.on('response', res => this.onHead(res));
     this.req.on('error', err => this.onError(err));
