--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,4 +1,4 @@
-import {RETRY_SAFETY, stallTimeoutMs} from '@applebend/routing';
+import {RETRY_SAFETY} from '@applebend/routing';
 import {RequestCrashes} from '../crash/request_crashes.js';
 import {attemptFailure, EXECUTION} from '../errors.js';
 import {TargetCall} from '../upstream/target_call.js';
@@ -6,12 +6,10 @@
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
 import {decideRequest, findPlacement} from './placement.js';
-import {BufferedRelay} from './buffered_relay.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {requestContent} from './request_content.js';
-import {STATUS} from './responses.js';
 import {secondsUntilResumed} from './pause_advice.js';
-import {StreamRelay} from './stream_relay.js';
+import {ResponseRelay} from './response_relay.js';
 import {versionNeedOf} from './stream_version.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 
@@ -39,7 +37,7 @@
   private streamVersion: string | undefined;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
-  private stream: StreamRelay | undefined;
+  private readonly relay: ResponseRelay;
   private deadlineTimer: NodeJS.Timeout | undefined;
 
   private constructor(
@@ -60,6 +58,12 @@
       this.crashes,
       () => this.onEnded()
     );
+    this.relay = ResponseRelay.create(inbound.res, context.route, deps.state, {
+      onDone: status => this.onForwarded(status),
+      onAborted: message =>
+        this.onFailure(attemptFailure('reset', EXECUTION.unknown, message)),
+      onStall: () => this.onSilence(),
+    });
   }
 
   /** Starts an exchange, which ends by itself. */
@@ -178,7 +182,7 @@
     return targetCallOptions(context, inbound, deps, {
       target,
       leftMs: this.leftMs,
-      resumeAfter: this.stream?.lastEventId,
+      resumeAfter: this.relay.lastEventId,
       predictedMs,
       canFailOver: this.isIdempotent && !this.attempts.isLastAttempt,
     });
@@ -186,51 +190,21 @@
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
   private onResponse(response: TargetResponse): void {
-    const {route} = this.context;
     const {status} = response;
-    if (route.streaming && status < 300) {
-      this.relayStream(response);
-      return;
-    }
-    if (status >= 500 && this.isIdempotent && this.tryAcquireRetry(true)) {
+    if (this.relay.isStream(response)) {
+      this.streamVersion ??= this.target?.softwareVersion;
+    } else if (
+      status >= 500 &&
+      this.isIdempotent &&
+      this.tryAcquireRetry(true)
+    ) {
       response.res.destroy();
       this.endRunning();
       this.attempts.onExecuted();
       this.retry();
       return;
     }
-    BufferedRelay.create(
-      response,
-      this.inbound.res,
-      this.deps.state.closesConnections,
-      {
-        onDone: () => {
-          if (status < 500) this.onServed();
-          this.ending.end('answered', status);
-        },
-        onAborted: () =>
-          this.onFailure(
-            attemptFailure('reset', EXECUTION.unknown, 'response ended early')
-          ),
-      }
-    );
-  }
-
-  private relayStream(response: TargetResponse): void {
-    const {route} = this.context;
-    const {state} = this.deps;
-    this.streamVersion ??= this.target?.softwareVersion;
-    this.stream ??= StreamRelay.create(this.inbound.res, {
-      stallTimeoutMs: stallTimeoutMs(route.eventGapTargetMs),
-      onDone: () => {
-        this.onServed();
-        this.ending.end('answered', STATUS.ok);
-      },
-      onAborted: message =>
-        this.onFailure(attemptFailure('reset', EXECUTION.unknown, message)),
-      onStall: () => this.onSilence(),
-    });
-    this.stream.attach(response, state.closesConnections);
+    this.relay.forward(response);
   }
 
   /**
@@ -252,9 +226,12 @@
     this.send(placement);
   }
 
-  private onServed(): void {
-    this.feedback?.onServed();
-    this.crashes.onServed();
+  private onForwarded(status: number): void {
+    if (status < 500) {
+      this.feedback?.onServed();
+      this.crashes.onServed();
+    }
+    this.ending.end('answered', status);
   }
 
   private recordFailure(failure: AttemptFailure): void {
@@ -344,6 +321,6 @@
 
   private endRunning(): void {
     this.feedback?.end();
-    this.stream?.detach();
+    this.relay.detach();
   }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/front/response_relay.ts
@@ -0,0 +1,83 @@
+import {stallTimeoutMs} from '@applebend/routing';
+import {BufferedRelay} from './buffered_relay.js';
+import {StreamRelay} from './stream_relay.js';
+
+import type http from 'node:http';
+import type {Route} from '@applebend/routing';
+import type {FleetState} from '../state/fleet_state.js';
+import type {TargetResponse} from '../upstream/target_call.js';
+
+/** What became of a forwarded response. @public */
+export interface ResponseRelayEvents {
+  /** Called when the response is complete and forwarded. */
+  onDone(status: number): void;
+  /** Called if the response, or the stream, ends early. */
+  onAborted(message: string): void;
+  /** Called when a stream has stalled; it stays attached. */
+  onStall(): void;
+}
+
+/**
+ * Forwards the responses of targets to one request: a stream event by event, and
+ * over several targets if it is resumed; any other response in one piece.
+ *
+ * @public
+ */
+export class ResponseRelay {
+  private stream: StreamRelay | undefined;
+
+  private constructor(
+    private readonly res: http.ServerResponse,
+    private readonly route: Route,
+    private readonly state: FleetState,
+    private readonly events: ResponseRelayEvents
+  ) {}
+
+  static create(
+    res: http.ServerResponse,
+    route: Route,
+    state: FleetState,
+    events: ResponseRelayEvents
+  ): ResponseRelay {
+    return new ResponseRelay(res, route, state, events);
+  }
+
+  /** Id of the last event that was forwarded. */
+  get lastEventId(): string | undefined {
+    return this.stream?.lastEventId;
+  }
+
+  isStream({status}: TargetResponse): boolean {
+    return this.route.streaming && status < 300;
+  }
+
+  forward(response: TargetResponse): void {
+    if (this.isStream(response)) this.forwardStream(response);
+    else this.forwardBody(response);
+  }
+
+  /** Stops reading a stream; a new response may go on with it. */
+  detach(): void {
+    this.stream?.detach();
+  }
+
+  private forwardStream(response: TargetResponse): void {
+    const {events, route} = this;
+    const {status} = response;
+    this.stream ??= StreamRelay.create(this.res, {
+      stallTimeoutMs: stallTimeoutMs(route.eventGapTargetMs),
+      onDone: () => events.onDone(status),
+      onAborted: message => events.onAborted(message),
+      onStall: () => events.onStall(),
+    });
+    this.stream.attach(response, this.state.closesConnections);
+  }
+
+  private forwardBody(response: TargetResponse): void {
+    const {events, state} = this;
+    BufferedRelay.create(response, this.res, state.closesConnections, {
+      onDone: () => events.onDone(response.status),
+      onAborted: () => events.onAborted('response ended early'),
+    });
+  }
+}
