A loss under a stream that had moved on counts half

Cause: of the requests that run on a lost target all get the same loss. Now one that had received a part of its stream from that target counts half: a request that crashes targets does so when it begins, or makes no progress where it is resumed. Four losses quarantine a stream that moves on each time, two any other request, as before.

--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -14,7 +14,8 @@
 /** A check of a target, and the requests that it lost meanwhile. */
 interface PendingCheck {
   readonly ended: Promise<void>;
-  readonly fingerprints: Set<string>;
+  /** Fingerprints, and whether the target had begun to respond with a stream. */
+  readonly running: Map<string, boolean>;
 }
 
 /** Bounds the memory. */
@@ -74,11 +75,19 @@
   /**
    * Called when the connection of a request broke. Resolves when it is known
    * whether the target is lost.
+   *
+   * @param hasProgressed - whether a part of a stream had arrived from it
    */
-  onReset(target: Target, fingerprint: string): Promise<void> {
+  onReset(
+    target: Target,
+    fingerprint: string,
+    hasProgressed: boolean
+  ): Promise<void> {
     const key = incarnationOf(target);
     const pending = this.checks.get(key) ?? this.startCheck(target, key);
-    pending.fingerprints.add(fingerprint);
+    // Of two copies of a request, the one that got less far is suspected more.
+    const hasOther = pending.running.get(fingerprint) ?? true;
+    pending.running.set(fingerprint, hasOther && hasProgressed);
     return pending.ended;
   }
 
@@ -102,9 +111,9 @@
   }
 
   private startCheck(target: Target, key: string): PendingCheck {
-    const fingerprints = new Set<string>();
-    const ended = this.check(target, key, fingerprints);
-    const pending = {ended, fingerprints};
+    const running = new Map<string, boolean>();
+    const ended = this.check(target, key, running);
+    const pending = {ended, running};
     this.checks.set(key, pending);
     return pending;
   }
@@ -112,19 +121,20 @@
   private async check(
     target: Target,
     key: string,
-    fingerprints: ReadonlySet<string>
+    running: ReadonlyMap<string, boolean>
   ): Promise<void> {
     const isLost = await this.isLost(target);
     this.checks.delete(key);
     if (!isLost) return;
     const {id, service} = target;
-    const running = [...fingerprints];
-    this.log.warn('target lost', {target: id, service, running});
+    const requests = [...running.keys()];
+    this.log.warn('target lost', {target: id, service, running: requests});
     const seenAtMs = this.clock.wallMs();
-    const losses = running.map(fingerprint => ({
+    const losses = [...running].map(([fingerprint, hasProgressed]) => ({
       fingerprint,
       target: key,
       seenAtMs,
+      hasProgressed,
     }));
     for (const loss of losses) {
       this.addObserved(loss.fingerprint);
--- a/packages/gateway/src/lib/crash/request_crashes.ts
+++ b/packages/gateway/src/lib/crash/request_crashes.ts
@@ -36,9 +36,11 @@
   /**
    * Called when the connection to a target broke. Resolves when it is known
    * whether the target is lost.
+   *
+   * @param hasProgressed - whether a part of a stream had arrived from it
    */
-  onReset(target: Target): Promise<void> {
-    return this.guard.onReset(target, this.fingerprint);
+  onReset(target: Target, hasProgressed: boolean): Promise<void> {
+    return this.guard.onReset(target, this.fingerprint, hasProgressed);
   }
 
   onServed(): void {
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -33,6 +33,8 @@
   private readonly ending: ExchangeEnding;
   private readonly crashes: RequestCrashes;
   private target: Target | undefined;
+  /** Id of the last event that was forwarded before the present attempt. */
+  private resumedAfter: string | undefined;
   /** The software version that began the stream, once it has begun. */
   private streamVersion: string | undefined;
   private call: TargetCall | undefined;
@@ -159,6 +161,7 @@
     }
     this.ending.notePlacement(candidate);
     this.target = record.target;
+    this.resumedAfter = this.relay.lastEventId;
     this.attempts.onSend(candidate.id);
     const feedback = AttemptFeedback.create(record, candidate, context, deps);
     this.feedback = feedback;
@@ -182,7 +185,7 @@
     return targetCallOptions(context, inbound, deps, {
       target,
       leftMs: this.leftMs,
-      resumeAfter: this.relay.lastEventId,
+      resumeAfter: this.resumedAfter,
       predictedMs,
       canFailOver: this.isIdempotent && !this.attempts.isLastAttempt,
     });
@@ -249,7 +252,10 @@
 
   /** A request that crashed its target may be one that crashes all of them. */
   private async onReset(failure: AttemptFailure): Promise<void> {
-    if (this.target !== undefined) await this.crashes.onReset(this.target);
+    const hasProgressed = this.relay.lastEventId !== this.resumedAfter;
+    if (this.target !== undefined) {
+      await this.crashes.onReset(this.target, hasProgressed);
+    }
     if (!this.ending.hasEnded) this.retryOrGiveUp(failure);
   }
 
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -97,7 +97,13 @@
 export type WireNotice =
   | [code: number, target: string, startedAtMs: number, storeEra: number]
   | [code: number, target: string, pauseMs: number]
-  | [code: number, target: string, seenAtMs: number, fingerprint: string]
+  | [
+      code: number,
+      target: string,
+      seenAtMs: number,
+      fingerprint: string,
+      hasProgressed: boolean,
+    ]
   | [code: number, fingerprint: string, leftMs: number, losses: number]
   | [code: number, service: string, ageMs: number, version: string]
   | [code: number, version: string, count: number, attempts: AttemptKey[]];
@@ -112,8 +118,14 @@
     case 'pause':
       return [NOTICE_CODE.pause, notice.target, Math.round(notice.pauseMs)];
     case 'loss': {
-      const {target, seenAtMs, fingerprint} = notice.loss;
-      return [NOTICE_CODE.loss, target, Math.round(seenAtMs), fingerprint];
+      const {
+        target,
+        seenAtMs,
+        fingerprint,
+        hasProgressed = false,
+      } = notice.loss;
+      const atMs = Math.round(seenAtMs);
+      return [NOTICE_CODE.loss, target, atMs, fingerprint, hasProgressed];
     }
     case 'quarantine': {
       const {fingerprint, leftMs, losses} = notice.quarantine;
@@ -134,7 +146,8 @@
 type NoticeDecoder = (
   name: string,
   value: number,
-  extra: unknown
+  extra: unknown,
+  isSet: boolean
 ) => Notice | undefined;
 
 const decodeDeparture =
@@ -149,9 +162,10 @@
   [NOTICE_CODE.leaving]: decodeDeparture(DEPARTURE_KIND.leaving),
   [NOTICE_CODE.removed]: decodeDeparture(DEPARTURE_KIND.removed),
   [NOTICE_CODE.pause]: (target, pauseMs) => ({kind: 'pause', target, pauseMs}),
-  [NOTICE_CODE.loss]: (target, seenAtMs, fingerprint) => {
+  [NOTICE_CODE.loss]: (target, seenAtMs, fingerprint, hasProgressed) => {
     if (typeof fingerprint !== 'string') return undefined;
-    return {kind: 'loss', loss: {fingerprint, target, seenAtMs}};
+    const loss = {fingerprint, target, seenAtMs, hasProgressed};
+    return {kind: 'loss', loss};
   },
   [NOTICE_CODE.quarantine]: (fingerprint, leftMs, losses) => {
     if (typeof losses !== 'number') return undefined;
@@ -170,8 +184,8 @@
 
 /** Returns undefined if the notice is malformed or of an unknown kind. @public */
 export function decodeNotice(wire: readonly unknown[]): Notice | undefined {
-  const [code, name, value, extra] = wire;
+  const [code, name, value, extra, flag] = wire;
   if (typeof code !== 'number' || typeof name !== 'string') return undefined;
   if (typeof value !== 'number') return undefined;
-  return DECODERS[code]?.(name, value, extra);
+  return DECODERS[code]?.(name, value, extra, flag === true);
 }
--- a/packages/routing/src/lib/crash/crash_tracker.test.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.test.ts
@@ -62,6 +62,18 @@
   ]);
 });
 
+test('a stream that moved on at each lost target is quarantined after four', () => {
+  const tracker = CrashTracker.create();
+  const lose = (target: string) => {
+    const loss = {fingerprint: 'f', target, seenAtMs: 0, hasProgressed: true};
+    tracker.onLoss(loss, 0);
+  };
+  for (const target of ['t1', 't2', 't3']) lose(target);
+  assert.equal(tracker.statusOf('f', 0), 'suspect');
+  lose('t4');
+  assert.equal(tracker.statusOf('f', 0), 'quarantined');
+});
+
 test('many suspects evict no quarantine', () => {
   const tracker = CrashTracker.create();
   for (const target of ['t1', 't2']) {
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -23,12 +23,14 @@
   readonly target: string;
   /** When the loss was observed, by the wall clock of the observer. */
   readonly seenAtMs: number;
+  /** Whether the target had already responded with a part of a stream. */
+  readonly hasProgressed?: boolean;
 }
 
 /** A fingerprint that must not run for some time. @public */
 export interface Quarantine {
   readonly fingerprint: string;
-  /** Number of targets that were lost under it. */
+  /** Number of targets that were lost under it; some count half. */
   readonly losses: number;
   /** Milliseconds until one copy may be tried again. */
   readonly leftMs: number;
@@ -50,7 +52,7 @@
 }
 
 interface LossHistory {
-  /** Number of different losses. */
+  /** Number of different losses; some count half. */
   losses: number;
   /** The latest loss of each target. */
   readonly lastLosses: Map<string, RecordedLoss>;
@@ -59,6 +61,8 @@
 }
 
 const LOSSES_TO_QUARANTINE = 2;
+/** A request that crashes targets rarely gets that far. */
+const LOSS_AFTER_PROGRESS = 0.5;
 /** Each quarantine of a fingerprint lasts this many times the one before. */
 const QUARANTINE_GROWTH = 4;
 /** Bounds the memory; the fingerprints recorded first are evicted first. */
@@ -73,7 +77,8 @@
 
 /**
  * Counts, per request fingerprint, the losses of targets that were running the
- * request. Two losses put the fingerprint in quarantine. After a quarantine it
+ * request. Two losses put the fingerprint in quarantine; a loss after a part of
+ * a stream counts half, since a harmless stream may be cut more than once. After a quarantine it
  * is a suspect again, and the next loss begins a longer one.
  *
  * @public
@@ -136,11 +141,12 @@
    * Records a loss. Several reports of the same loss count once. Returns whether
    * the report is news.
    */
-  onLoss({fingerprint, target, seenAtMs}: TargetLoss, nowMs: number): boolean {
+  onLoss(loss: TargetLoss, nowMs: number): boolean {
+    const {fingerprint, target, seenAtMs, hasProgressed = false} = loss;
     const history = this.historyOf(fingerprint) ?? createHistory();
     const known = history.lastLosses.get(target);
     if (known !== undefined && isSameLoss(known, seenAtMs)) return false;
-    history.losses += 1;
+    history.losses += hasProgressed ? LOSS_AFTER_PROGRESS : 1;
     history.lastLosses.set(target, {seenAtMs, recordedAtMs: nowMs});
     this.cleared.delete(fingerprint);
     if (history.losses < LOSSES_TO_QUARANTINE) {
@@ -189,7 +195,7 @@
 
   private quarantineMs(losses: number): number {
     const {firstQuarantineMs, maxQuarantineMs} = this.options;
-    const earlier = losses - LOSSES_TO_QUARANTINE;
+    const earlier = Math.floor(losses - LOSSES_TO_QUARANTINE);
     const quarantineMs = firstQuarantineMs * QUARANTINE_GROWTH ** earlier;
     return Math.min(maxQuarantineMs, quarantineMs);
   }
