--- a/apps/cli/src/lib/commands/log_commands.ts
+++ b/apps/cli/src/lib/commands/log_commands.ts
@@ -16,7 +16,7 @@
 
 /** Shows the log lines that explain a request. @public */
 export const explainCommand: Command = {
-  usage: 'explain REQUEST-ID FILE...',
+  usage: 'explain REQUEST-ID|FINGERPRINT FILE...',
   summary: "one request's story out of the instances' logs",
   requiredArgs: ['REQUEST-ID', 'FILE'],
   lastArgRepeats: true,
--- a/apps/cli/src/lib/explain_request.test.ts
+++ b/apps/cli/src/lib/explain_request.test.ts
@@ -68,3 +68,29 @@
     ]
   );
 });
+
+test('a quarantined request is explained by the targets that were lost under it', () => {
+  const logLines = [
+    lineAt(10, 'target lost', {target: 't-1', running: ['f', 'g']}),
+    lineAt(11, 'target lost', {target: 't-2', running: ['g']}),
+    lineAt(12, 'target lost', {target: 't-3', running: ['f']}),
+    lineAt(12, 'request quarantined', {fingerprint: 'f', losses: 2}),
+    lineAt(30, 'request ended', {
+      attemptId: 'a',
+      fingerprint: 'f',
+      outcome: 'quarantined',
+      elapsedMs: 1,
+    }),
+  ].flatMap(line => parseLogLine(line) ?? []);
+  const expected = [
+    ['target lost', 't-1'],
+    ['target lost', 't-3'],
+    ['request quarantined', undefined],
+    ['request ended', undefined],
+  ];
+  for (const id of ['a', 'f']) {
+    const lines = explainRequest(id, logLines);
+    const shown = lines.map(({event, fields}) => [event, fields['target']]);
+    assert.deepEqual(shown, expected);
+  }
+});
--- a/apps/cli/src/lib/explain_request.ts
+++ b/apps/cli/src/lib/explain_request.ts
@@ -18,8 +18,10 @@
   'refused',
   'request_failed',
 ]);
-/** Fields that may contain the id of a request. */
-const ID_FIELDS = ['attemptId', 'requestId'] as const;
+/** Fields that may contain the id of a request, or its fingerprint. */
+const ID_FIELDS = ['attemptId', 'requestId', 'fingerprint'] as const;
+/** Field with the fingerprints of the requests that a lost target was running. */
+const RUNNING_FIELD = 'running';
 
 /** Parses a line of a log file; undefined if it is not a log line. @public */
 export function parseLogLine(line: string): LogLine | undefined {
@@ -47,7 +49,10 @@
  * Returns the lines that name a request, together with the state changes on the
  * same instances from shortly before it to its end, in order of time. Changes
  * of targets that the request did not use are left out, except those of its
- * service if it was sent to none.
+ * service if it was sent to none. What any instance logged about the request's
+ * fingerprint is included, such as targets that were lost under it.
+ *
+ * @param requestId - id of an attempt, or a fingerprint
  *
  * @public
  */
@@ -55,21 +60,20 @@
   requestId: string,
   logLines: readonly LogLine[]
 ): LogLine[] {
-  const ownLines = logLines.filter(logLine =>
-    mentionsRequest(logLine, requestId)
-  );
-  if (ownLines.length === 0) return [];
-  const targets = new Set(ownLines.map(({fields}) => fields['target']));
-  const unplaced = ownLines.filter(
+  const namedLines = logLines.filter(line => mentionsRequest(line, requestId));
+  if (namedLines.length === 0) return [];
+  const ownLines = new Set(withFingerprintLines(namedLines, logLines));
+  const targets = new Set(namedLines.map(({fields}) => fields['target']));
+  const unplaced = namedLines.filter(
     ({fields}) => fields['target'] === undefined
   );
   const services = new Set(unplaced.map(({fields}) => fields['service']));
-  const instances = new Set(ownLines.map(({instance}) => instance));
-  const fromMs = Math.min(...ownLines.map(arrivalTimeMs)) - LOOKBACK_MS;
-  const toMs = Math.max(...ownLines.map(({timeMs}) => timeMs));
+  const instances = new Set(namedLines.map(({instance}) => instance));
+  const fromMs = Math.min(...namedLines.map(arrivalTimeMs)) - LOOKBACK_MS;
+  const toMs = Math.max(...namedLines.map(({timeMs}) => timeMs));
   const stateChanges = logLines.filter(logLine => {
     const {timeMs, event, instance, fields} = logLine;
-    if (REQUEST_EVENTS.has(event)) return false;
+    if (REQUEST_EVENTS.has(event) || ownLines.has(logLine)) return false;
     if (timeMs < fromMs || timeMs > toMs) return false;
     if (!instances.has(instance)) return false;
     const {target, service} = fields;
@@ -89,8 +93,27 @@
   return [time, instance, event, ...formattedFields].join('  ');
 }
 
-function mentionsRequest({fields}: LogLine, requestId: string): boolean {
-  return ID_FIELDS.some(name => fields[name] === requestId);
+/** Adds the lines that name a fingerprint of the given ones. */
+function withFingerprintLines(
+  namedLines: readonly LogLine[],
+  logLines: readonly LogLine[]
+): LogLine[] {
+  const fingerprints = new Set<string>();
+  for (const {fields} of namedLines) {
+    const {fingerprint} = fields;
+    if (typeof fingerprint === 'string') fingerprints.add(fingerprint);
+  }
+  const named = new Set(namedLines);
+  return logLines.filter(logLine => {
+    if (named.has(logLine)) return true;
+    return [...fingerprints].some(hash => mentionsRequest(logLine, hash));
+  });
+}
+
+function mentionsRequest({fields}: LogLine, id: string): boolean {
+  if (ID_FIELDS.some(name => fields[name] === id)) return true;
+  const running = fields[RUNNING_FIELD];
+  return Array.isArray(running) && running.includes(id);
 }
 
 /** When the request arrived, or the time of the line without `elapsedMs`. */
