A late aggregate of a former incarnation or relay does not count

What callers would see: for up to half a second the load of a whole group as it was before its relay restarted, and so requests placed by it. Cause: PeerTable had the rejection of late datagrams, AggregateTable only that of the same incarnation. Both use SenderSequence now.

--- a/packages/gateway/src/lib/peers/aggregate_table.test.ts
+++ b/packages/gateway/src/lib/peers/aggregate_table.test.ts
@@ -106,3 +106,31 @@
   }
   assert.equal(total, 600);
 });
+
+test('a late aggregate of a former incarnation does not replace the newer one', () => {
+  const loads = LoadTotals.create();
+  const table = AggregateTable.create(loads);
+  const send = (change: Partial<AggregateMessage>, running: number) => {
+    const message = aggregate({...change, loads: rowsOf([running])});
+    return table.onAggregate(message, 0, ignore);
+  };
+  assert.equal(send({incarnation: 9, sequence: 40}, 7), 'started');
+  assert.equal(send({incarnation: 2, sequence: 1}, 1), 'started');
+  assert.equal(send({incarnation: 9, sequence: 41}, 8), 'stale');
+  assert.equal(loads.of('s').running, 1);
+});
+
+test('a relay that takes its role back is heard, but not what it sent before', () => {
+  const loads = LoadTotals.create();
+  const table = AggregateTable.create(loads);
+  const send = (instance: string, sequence: number, running: number) => {
+    const message = aggregate({instance, sequence, loads: rowsOf([running])});
+    return table.onAggregate(message, 0, ignore);
+  };
+  send('a', 40, 5);
+  send('b', 1, 3);
+  assert.equal(send('a', 39, 6), 'stale');
+  assert.equal(loads.of('s').running, 3);
+  assert.equal(send('a', 41, 4), 'started');
+  assert.equal(loads.of('s').running, 4);
+});
--- a/packages/gateway/src/lib/peers/aggregate_table.ts
+++ b/packages/gateway/src/lib/peers/aggregate_table.ts
@@ -1,4 +1,5 @@
 import {MESSAGE_ORDER} from './message_order.js';
+import {SenderSequence} from './sender_sequence.js';
 import {UsageReceiver} from './usage_counters.js';
 
 import type {LoadRow, LoadTotals} from '../state/load_totals.js';
@@ -15,6 +16,8 @@
   /** The rows that are counted now, by target. */
   readonly rows: Map<string, LoadRow>;
   readonly usage: UsageReceiver;
+  /** The messages of each instance that was the group's relay. */
+  readonly sequences: Map<string, SenderSequence>;
 }
 
 /** The latest aggregates of other groups, received from relays. @public */
@@ -40,19 +43,22 @@
   ): MessageOrder {
     const key = keyOf(message);
     const known = this.records.get(key);
+    const {instance, incarnation, sequence} = message;
+    const sequences = known?.sequences ?? new Map<string, SenderSequence>();
+    const sender = sequences.get(instance) ?? SenderSequence.create();
+    sequences.set(instance, sender);
+    if (!sender.accept(incarnation, sequence)) return MESSAGE_ORDER.stale;
     const isSameIncarnation =
-      known?.message.instance === message.instance &&
-      known.message.incarnation === message.incarnation;
-    if (isSameIncarnation && message.sequence <= known.message.sequence) {
-      return MESSAGE_ORDER.stale;
-    }
+      known?.message.instance === instance &&
+      known.message.incarnation === incarnation;
     // The totals of a relay run from its own start, so the first ones of a new
     // relay include usage that the former one sent.
     const usage = isSameIncarnation ? known.usage : UsageReceiver.create(false);
     for (const row of usage.increments(message.usage)) onUsage(row);
     const rows = known?.rows ?? new Map<string, LoadRow>();
     this.updateRows(rows, message);
-    this.records.set(key, {message, receivedAtMs: nowMs, rows, usage});
+    const receivedAtMs = nowMs;
+    this.records.set(key, {message, receivedAtMs, rows, usage, sequences});
     return isSameIncarnation ? MESSAGE_ORDER.newer : MESSAGE_ORDER.started;
   }
 
--- a/packages/gateway/src/lib/peers/peer_table.ts
+++ b/packages/gateway/src/lib/peers/peer_table.ts
@@ -1,4 +1,5 @@
 import {MESSAGE_ORDER} from './message_order.js';
+import {SenderSequence} from './sender_sequence.js';
 import {UsageReceiver} from './usage_counters.js';
 
 import type {LoadTotals} from '../state/load_totals.js';
@@ -19,8 +20,7 @@
   readonly message: PeerDatagram;
   readonly receivedAtMs: number;
   readonly usage: UsageReceiver;
-  /** Incarnations that this one replaced; their late messages do not count. */
-  readonly formerIncarnations: ReadonlySet<number>;
+  readonly sequence: SenderSequence;
 }
 
 /** The latest message of each peer in this instance's group. @public */
@@ -45,7 +45,8 @@
     onUsage: (row: UsageRow) => void
   ): MessageOrder {
     const known = this.peers.get(message.instance);
-    if (known !== undefined && isStale(message, known)) {
+    const sequence = known?.sequence ?? SenderSequence.create();
+    if (!sequence.accept(message.incarnation, message.sequence)) {
       return MESSAGE_ORDER.stale;
     }
     const isSameIncarnation =
@@ -59,7 +60,7 @@
       message,
       receivedAtMs: nowMs,
       usage,
-      formerIncarnations: formerIncarnations(message, known),
+      sequence,
     });
     return isSameIncarnation ? MESSAGE_ORDER.newer : MESSAGE_ORDER.started;
   }
@@ -85,20 +86,3 @@
     return accepting;
   }
 }
-
-function isStale(message: PeerDatagram, known: PeerRecord): boolean {
-  const {incarnation, sequence} = message;
-  if (known.formerIncarnations.has(incarnation)) return true;
-  if (known.message.incarnation !== incarnation) return false;
-  return sequence <= known.message.sequence;
-}
-
-function formerIncarnations(
-  {incarnation}: PeerDatagram,
-  known: PeerRecord | undefined
-): ReadonlySet<number> {
-  if (known === undefined) return new Set();
-  const former = known.message.incarnation;
-  if (former === incarnation) return known.formerIncarnations;
-  return new Set([...known.formerIncarnations, former]);
-}
