--- a/apps/standins/src/lib/model_engine.ts
+++ b/apps/standins/src/lib/model_engine.ts
@@ -2,10 +2,14 @@
 import {z} from 'zod';
 import {sha256Hex} from '@applebend/utils';
 import {EngineBatch, tokenAt} from './engine_batch.js';
+import {recordOf, textOf, usageOf, writeEnd, writeToken} from './generation.js';
+import {LaggingLoad} from './lagging_load.js';
+import {PromptCache} from './prompt_cache.js';
 import {StandInServer} from './stand_in_server.js';
 
 import type {ServerResponse} from 'node:http';
 import type {EngineSpeed, Job} from './engine_batch.js';
+import type {EngineRecord, Generation} from './generation.js';
 import type {
   StandInResponse,
   ServerOptions,
@@ -25,23 +29,10 @@
   readonly onCrash: () => void;
 }
 
-/** One run of a request. @public */
-export interface EngineRecord {
-  /** The `user` field of the request. */
-  readonly tag: string;
-  /** The text produced so far. */
-  readonly answer: string;
-  /** Whether all tokens were produced. */
-  readonly ended: boolean;
-}
-
 /** A prompt that contains this text crashes the engine. @public */
 export const CRASH_MARKER = 'please-crash';
 
 const BYTES_PER_TOKEN = 4;
-const MAX_CACHED_PREFIXES = 64;
-/** Fraction of the prefill that a cached prefix saves. */
-const CACHED_FRACTION = 0.8;
 const DEFAULT_OUTPUT_TOKENS = 64;
 
 const callSchema = z.looseObject({
@@ -51,17 +42,6 @@
   user: z.string().default(''),
 });
 
-/** A completion in progress, or one that can still be resumed. */
-interface Generation {
-  readonly job: Job;
-  readonly tag: string;
-  readonly id: string;
-  /** The open stream, or undefined if no caller is connected. */
-  res: ServerResponse | undefined;
-  done: boolean;
-  cancelled: boolean;
-}
-
 /**
  * A stand-in for a model engine with the OpenAI chat format. The output
  * length in tokens is taken from `out=N` in the prompt, up to `max_tokens`.
@@ -73,12 +53,13 @@
   private readonly batch: EngineBatch;
   private readonly generations = new Map<string, Generation>();
   private readonly endedRecords: EngineRecord[] = [];
-  private readonly cachedPrefixes = new Map<string, true>();
-  private loadSamples: {atMs: number; running: number; waiting: number}[] = [];
+  private readonly promptCache = PromptCache.create();
+  private readonly reportedLoad: LaggingLoad;
   private standIn!: StandInServer;
 
   private constructor(private readonly options: ModelEngineOptions) {
     this.batch = EngineBatch.create(options.speed);
+    this.reportedLoad = LaggingLoad.create(options.reportLagMs);
   }
 
   static async create(options: ModelEngineOptions): Promise<ModelEngine> {
@@ -120,7 +101,10 @@
   ): Promise<StandInResponse | undefined> {
     const {pathname, searchParams} = request.url;
     if (pathname === '/v1/chat/completions') return this.chat(request);
-    if (pathname === '/load') return {status: 200, body: this.loadReport()};
+    if (pathname === '/load') {
+      const load = this.reportedLoad.report(this, Date.now());
+      return {status: 200, body: load};
+    }
     if (pathname === '/now') {
       const {running, waiting} = this;
       return {status: 200, body: {running, waiting}};
@@ -199,20 +183,9 @@
     return generation;
   }
 
-  /**
-   * Returns the prefill time and puts the prompt's prefix, its first 64
-   * characters, into the cache.
-   */
   private prefillMs(prompt: string, inputTokens: number): number {
-    const prefix = prompt.slice(0, 64);
-    const cached = this.cachedPrefixes.delete(prefix);
-    this.cachedPrefixes.set(prefix, true);
-    for (const oldest of this.cachedPrefixes.keys()) {
-      if (this.cachedPrefixes.size <= MAX_CACHED_PREFIXES) break;
-      this.cachedPrefixes.delete(oldest);
-    }
-    const fraction = cached ? 1 - CACHED_FRACTION : 1;
-    return inputTokens * fraction * this.options.speed.prefillPerTokenMs;
+    const {prefillPerTokenMs} = this.options.speed;
+    return inputTokens * this.promptCache.use(prompt) * prefillPerTokenMs;
   }
 
   /**
@@ -228,7 +201,6 @@
     return new Promise(resolve => {
       generation.job.onDone = () => {
         this.finish(generation);
-        const {inputTokens, outputTokens} = generation.job;
         const message = {role: 'assistant', content: textOf(generation)};
         resolve({
           status: 200,
@@ -236,10 +208,7 @@
           body: {
             id: generation.id,
             choices: [{index: 0, message, finish_reason: 'stop'}],
-            usage: {
-              prompt_tokens: inputTokens,
-              completion_tokens: outputTokens,
-            },
+            usage: usageOf(generation),
           },
         });
       };
@@ -271,7 +240,7 @@
       writeToken(generation.id, request.res, tokenAt(generation.job.seed, i));
     }
     this.attach(generation, request.res);
-    if (generation.done) this.writeEnd(generation);
+    if (generation.done) writeEnd(generation);
     return undefined;
   }
 
@@ -288,18 +257,7 @@
   private onDone(generation: Generation): void {
     if (this.standIn.faults.stallStreams) return;
     this.finish(generation);
-    this.writeEnd(generation);
-  }
-
-  private writeEnd(generation: Generation): void {
-    const {id, res, job} = generation;
-    if (res === undefined) return;
-    const usage = {
-      prompt_tokens: job.inputTokens,
-      completion_tokens: job.outputTokens,
-    };
-    res.write(`data: ${JSON.stringify({id, choices: [], usage})}\n\n`);
-    res.end('data: [DONE]\n\n');
+    writeEnd(generation);
   }
 
   private finish(generation: Generation): void {
@@ -318,33 +276,4 @@
     this.generations.delete(generation.id);
     this.endedRecords.push(recordOf(generation, false));
   }
-
-  private loadReport(): {running: number; waiting: number} {
-    const nowMs = Date.now();
-    this.loadSamples.push({
-      atMs: nowMs,
-      running: this.running,
-      waiting: this.waiting,
-    });
-    const reportedAtMs = nowMs - this.options.reportLagMs;
-    while ((this.loadSamples[1]?.atMs ?? Infinity) <= reportedAtMs) {
-      this.loadSamples.shift();
-    }
-    const {running, waiting} = this.loadSamples[0] ?? {running: 0, waiting: 0};
-    return {running, waiting};
-  }
-}
-
-function writeToken(id: string, res: ServerResponse, content: string): void {
-  const chunk = {id, choices: [{index: 0, delta: {content}}]};
-  res.write(`data: ${JSON.stringify(chunk)}\n\n`);
-}
-
-function textOf(generation: Generation): string {
-  const {seed, produced} = generation.job;
-  return Array.from({length: produced}, (_, i) => tokenAt(seed, i)).join('');
-}
-
-function recordOf(generation: Generation, ended: boolean): EngineRecord {
-  return {tag: generation.tag, answer: textOf(generation), ended};
 }
