A peer that starts is told single losses, too

Change: besides quarantines an instance that starts hears the losses of the last two minutes that led to none, 200 at most. Ruled out: that whoever is quarantined by a peer's report tells all others, which is a message for each instance and quarantine.

--- a/packages/gateway/src/lib/crash/crash_guard.model.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.model.test.ts
@@ -86,6 +86,7 @@
         for (const quarantine of other.quarantines()) {
           guard.onQuarantine(quarantine);
         }
+        for (const loss of other.suspectedLosses()) guard.onPeerLoss(loss);
       }
       this.guards[index] = guard;
     }
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -72,6 +72,11 @@
     return this.tracker.quarantines(this.nowMs);
   }
 
+  /** Losses that led to no quarantine yet, for peers that start. */
+  suspectedLosses(): TargetLoss[] {
+    return this.tracker.suspectedLosses(this.nowMs);
+  }
+
   /**
    * Called when the connection of a request broke. Resolves when it is known
    * whether the target is lost.
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -79,6 +79,9 @@
   for (const quarantine of crashGuard.quarantines()) {
     notices.push({kind: 'quarantine', quarantine});
   }
+  for (const loss of crashGuard.suspectedLosses()) {
+    notices.push({kind: 'loss', loss});
+  }
   return notices;
 }
 
--- a/packages/routing/src/lib/crash/crash_tracker.test.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.test.ts
@@ -74,6 +74,19 @@
   assert.equal(tracker.statusOf('f', 0), 'quarantined');
 });
 
+test('recent losses of suspects can be passed on', () => {
+  const tracker = CrashTracker.create();
+  const loss = {
+    fingerprint: 'f',
+    target: 't1',
+    seenAtMs: 5,
+    hasProgressed: true,
+  };
+  tracker.onLoss(loss, 0);
+  assert.deepEqual(tracker.suspectedLosses(1000), [loss]);
+  assert.deepEqual(tracker.suspectedLosses(600_000), []);
+});
+
 test('many suspects evict no quarantine', () => {
   const tracker = CrashTracker.create();
   for (const target of ['t1', 't2']) {
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -49,6 +49,7 @@
   readonly seenAtMs: number;
   /** When the report arrived, by this instance's monotonic clock. */
   readonly recordedAtMs: number;
+  readonly hasProgressed: boolean;
 }
 
 interface LossHistory {
@@ -67,6 +68,9 @@
 const QUARANTINE_GROWTH = 4;
 /** Bounds the memory; the fingerprints recorded first are evicted first. */
 const MAX_FINGERPRINTS = 20_000;
+/** Losses that are passed on to an instance that starts. */
+const RECENT_MS = 120_000;
+const MAX_RECENT = 200;
 /** Reports about one target within this time are about the same loss. */
 const SAME_LOSS_MS = 10_000;
 
@@ -131,6 +135,19 @@
     return {fingerprint, losses: history.losses, leftMs};
   }
 
+  /** The losses of the last minutes that led to no quarantine. */
+  suspectedLosses(nowMs: number): TargetLoss[] {
+    const recent: TargetLoss[] = [];
+    for (const [fingerprint, {lastLosses}] of this.suspects) {
+      for (const [target, loss] of lastLosses) {
+        const {seenAtMs, recordedAtMs, hasProgressed} = loss;
+        if (nowMs - recordedAtMs > RECENT_MS) continue;
+        recent.push({fingerprint, target, seenAtMs, hasProgressed});
+      }
+    }
+    return recent.slice(-MAX_RECENT);
+  }
+
   /** Whether this target was recently lost while it ran the fingerprint. */
   hasRecentLossOn(fingerprint: string, target: string, nowMs: number): boolean {
     const known = this.historyOf(fingerprint)?.lastLosses.get(target);
@@ -147,7 +164,8 @@
     const known = history.lastLosses.get(target);
     if (known !== undefined && isSameLoss(known, seenAtMs)) return false;
     history.losses += hasProgressed ? LOSS_AFTER_PROGRESS : 1;
-    history.lastLosses.set(target, {seenAtMs, recordedAtMs: nowMs});
+    const recorded = {seenAtMs, recordedAtMs: nowMs, hasProgressed};
+    history.lastLosses.set(target, recorded);
     this.cleared.delete(fingerprint);
     if (history.losses < LOSSES_TO_QUARANTINE) {
       addBounded(this.suspects, fingerprint, history);
