Losses of a suspect are forgotten after ten minutes

And from the first crash on, each body was hashed for good. Cause: suspects were never forgotten. Change: the owner of a tracker sets how long a loss counts (gateway: ten minutes; the product's own fleet, which replays its log: for good).

--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -21,7 +21,8 @@
 /** Bounds the memory. */
 const MAX_OBSERVED = 20_000;
 
-const QUARANTINE = {
+const TRACKER_OPTIONS = {
+  suspicionMs: 10 * 60_000,
   firstQuarantineMs: 10 * 60_000,
   maxQuarantineMs: 24 * 60 * 60_000,
 } as const;
@@ -34,7 +35,7 @@
  * @public
  */
 export class CrashGuard {
-  private readonly tracker = CrashTracker.create(QUARANTINE);
+  private readonly tracker = CrashTracker.create(TRACKER_OPTIONS);
   /** Checks in progress, by target. */
   private readonly checks = new Map<string, PendingCheck>();
   /** Fingerprints of which this instance observed a loss. */
@@ -59,7 +60,7 @@
 
   /** Whether no request is suspected of anything. */
   get isEmpty(): boolean {
-    return this.tracker.isEmpty;
+    return this.tracker.isEmpty(this.nowMs);
   }
 
   /** Milliseconds until a request may run; 0 if it may run now. */
--- a/packages/routing/src/lib/crash/crash_tracker.test.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.test.ts
@@ -31,6 +31,7 @@
 
 test('a quarantine that is over leaves a suspect, and the next is longer', () => {
   const tracker = CrashTracker.create({
+    suspicionMs: 1e9,
     firstQuarantineMs: 1000,
     maxQuarantineMs: 5000,
   });
@@ -50,6 +51,7 @@
 
 test('a quarantine that was imposed elsewhere is in force, and no loss ends it', () => {
   const tracker = CrashTracker.create({
+    suspicionMs: 1e9,
     firstQuarantineMs: 1000,
     maxQuarantineMs: 5000,
   });
@@ -87,6 +89,25 @@
   assert.deepEqual(tracker.suspectedLosses(600_000), []);
 });
 
+test('losses far apart in time make no quarantine', () => {
+  const tracker = CrashTracker.create({
+    suspicionMs: 1000,
+    firstQuarantineMs: 1000,
+    maxQuarantineMs: 5000,
+  });
+  const loseAt = (target: string, nowMs: number) =>
+    tracker.onLoss({fingerprint: 'f', target, seenAtMs: nowMs}, nowMs);
+  loseAt('t1', 0);
+  assert.equal(tracker.isEmpty(500), false);
+  assert.equal(tracker.isEmpty(2000), true);
+  loseAt('t2', 2000);
+  assert.equal(tracker.statusOf('f', 2000), 'suspect');
+  loseAt('t3', 2500);
+  assert.equal(tracker.statusOf('f', 2500), 'quarantined');
+  assert.equal(tracker.isEmpty(8000), false);
+  assert.equal(tracker.isEmpty(9000), true);
+});
+
 test('many suspects evict no quarantine', () => {
   const tracker = CrashTracker.create();
   for (const target of ['t1', 't2']) {
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -36,8 +36,10 @@
   readonly leftMs: number;
 }
 
-/** How long a quarantine lasts; by default it is permanent. @public */
+/** How long what is known is in force; by default for good. @public */
 export interface CrashTrackerOptions {
+  /** Milliseconds after which the losses of a suspect no longer count. */
+  readonly suspicionMs: number;
   /** Milliseconds of the first quarantine of a fingerprint. */
   readonly firstQuarantineMs: number;
   /** Limit for the later ones, each of which is longer than the one before. */
@@ -59,6 +61,8 @@
   readonly lastLosses: Map<string, RecordedLoss>;
   /** By this instance's monotonic clock. */
   quarantinedUntilMs: number;
+  /** When it no longer counts, by the same clock. */
+  forgottenAtMs: number;
 }
 
 const LOSSES_TO_QUARANTINE = 2;
@@ -74,7 +78,11 @@
 /** Reports about one target within this time are about the same loss. */
 const SAME_LOSS_MS = 10_000;
 
+/** Least time between two searches for what no longer counts. */
+const FORGET_INTERVAL_MS = 1000;
+
 const PERMANENT: CrashTrackerOptions = {
+  suspicionMs: Infinity,
   firstQuarantineMs: Infinity,
   maxQuarantineMs: Infinity,
 };
@@ -83,7 +91,8 @@
  * Counts, per request fingerprint, the losses of targets that were running the
  * request. Two losses put the fingerprint in quarantine; a loss after a part of
  * a stream counts half, since a harmless stream may be cut more than once. After a quarantine it
- * is a suspect again, and the next loss begins a longer one.
+ * is a suspect again, and the next loss begins a longer one. The owner sets when
+ * losses and quarantines are forgotten.
  *
  * @public
  */
@@ -93,6 +102,7 @@
   /** Fingerprints that are, or once were, in quarantine. */
   private readonly quarantined = new Map<string, LossHistory>();
   private readonly cleared = new Set<string>();
+  private forgotAtMs = -Infinity;
 
   private constructor(private readonly options: CrashTrackerOptions) {}
 
@@ -100,8 +110,9 @@
     return new CrashTracker(options);
   }
 
-  /** Whether no loss is known that has not been cleared. */
-  get isEmpty(): boolean {
+  /** Whether no loss is known that still counts. */
+  isEmpty(nowMs: number): boolean {
+    this.forgetOld(nowMs);
     return this.suspects.size + this.quarantined.size === 0;
   }
 
@@ -160,12 +171,14 @@
    */
   onLoss(loss: TargetLoss, nowMs: number): boolean {
     const {fingerprint, target, seenAtMs, hasProgressed = false} = loss;
+    this.forgetOld(nowMs);
     const history = this.historyOf(fingerprint) ?? createHistory();
     const known = history.lastLosses.get(target);
     if (known !== undefined && isSameLoss(known, seenAtMs)) return false;
     history.losses += hasProgressed ? LOSS_AFTER_PROGRESS : 1;
     const recorded = {seenAtMs, recordedAtMs: nowMs, hasProgressed};
     history.lastLosses.set(target, recorded);
+    history.forgottenAtMs = nowMs + this.options.suspicionMs;
     this.cleared.delete(fingerprint);
     if (history.losses < LOSSES_TO_QUARANTINE) {
       addBounded(this.suspects, fingerprint, history);
@@ -207,10 +220,22 @@
   }
 
   private addQuarantined(fingerprint: string, history: LossHistory): void {
+    const {maxQuarantineMs} = this.options;
+    history.forgottenAtMs = history.quarantinedUntilMs + maxQuarantineMs;
     this.suspects.delete(fingerprint);
     addBounded(this.quarantined, fingerprint, history);
   }
 
+  private forgetOld(nowMs: number): void {
+    if (nowMs - this.forgotAtMs < FORGET_INTERVAL_MS) return;
+    this.forgotAtMs = nowMs;
+    for (const histories of [this.suspects, this.quarantined]) {
+      for (const [fingerprint, {forgottenAtMs}] of histories) {
+        if (nowMs >= forgottenAtMs) histories.delete(fingerprint);
+      }
+    }
+  }
+
   private quarantineMs(losses: number): number {
     const {firstQuarantineMs, maxQuarantineMs} = this.options;
     const earlier = Math.floor(losses - LOSSES_TO_QUARANTINE);
@@ -220,7 +245,12 @@
 }
 
 function createHistory(): LossHistory {
-  return {losses: 0, lastLosses: new Map(), quarantinedUntilMs: -Infinity};
+  return {
+    losses: 0,
+    lastLosses: new Map(),
+    quarantinedUntilMs: -Infinity,
+    forgottenAtMs: -Infinity,
+  };
 }
 
 function isSameLoss(known: RecordedLoss, seenAtMs: number): boolean {
