--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -14,7 +14,7 @@
 /** A check of a target, and the requests that it lost meanwhile. */
 interface PendingCheck {
   readonly ended: Promise<void>;
-  /** Fingerprints, and whether the target had begun to respond with a stream. */
+  /** Fingerprints, and whether a part of a stream had arrived. */
   readonly running: Map<string, boolean>;
 }
 
@@ -92,8 +92,8 @@
     const key = incarnationOf(target);
     const pending = this.checks.get(key) ?? this.startCheck(target, key);
     // Of two copies of a request, the one that got less far is suspected more.
-    const hasOther = pending.running.get(fingerprint) ?? true;
-    pending.running.set(fingerprint, hasOther && hasProgressed);
+    const haveCopies = pending.running.get(fingerprint) ?? true;
+    pending.running.set(fingerprint, haveCopies && hasProgressed);
     return pending.ended;
   }
 
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -32,6 +32,7 @@
   private readonly attempts: AttemptTracker;
   private readonly ending: ExchangeEnding;
   private readonly crashes: RequestCrashes;
+  /** The target of the present or last attempt. */
   private target: Target | undefined;
   /** Id of the last event that was forwarded before the present attempt. */
   private resumedAfter: string | undefined;
@@ -142,9 +143,11 @@
   /** Refuses at once, also if all targets of the service are paused. */
   private refuseWithoutTarget(): void {
     const resumedInS = this.secondsUntilResumed();
-    if (resumedInS === undefined)
+    if (resumedInS === undefined) {
       this.ending.refuse('no_target', RETRY_AFTER_S);
-    else this.ending.refuse('targets_paused', resumedInS);
+      return;
+    }
+    this.ending.refuse('targets_paused', resumedInS);
   }
 
   private secondsUntilResumed(): number | undefined {
--- a/packages/gateway/src/lib/peers/aggregate_exchange.ts
+++ b/packages/gateway/src/lib/peers/aggregate_exchange.ts
@@ -120,7 +120,7 @@
     if (this.isRelay && row.isCacheMiss) addPlacement(this.outboxes.group, row);
   }
 
-  /** Passes on what an instance of the own group tells of a target. */
+  /** Passes on what an instance of the own group tells its peers. */
   onGroupNotice(notice: Notice, nowMs: number): void {
     if (this.isRelay) this.outboxes.group.notices.add(notice, nowMs);
   }
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -10,7 +10,7 @@
 } from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
 
-/** What an instance tells its peers of a target or of a request. @public */
+/** What an instance tells its peers of a target, a request or streams. @public */
 export type Notice =
   | {readonly kind: 'departure'; readonly departure: Departure}
   | {
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -7,7 +7,6 @@
 const REPEAT_INTERVAL_MS = 200;
 /** Bounds a message; further notices follow in the next one. */
 const MAX_NOTICES = 60;
-
 /** Bounds a message; further attempts follow in the next one. */
 const MAX_ATTEMPTS = 400;
 
--- a/packages/routing/src/lib/config/route_table.ts
+++ b/packages/routing/src/lib/config/route_table.ts
@@ -23,8 +23,11 @@
       prefixes.set(route.pathPrefix, route);
       hosts.set(host, prefixes);
     }
-    const timeouts = routes.map(({timeoutMs}) => timeoutMs);
-    return new RouteTable(hosts, routes.length, Math.max(0, ...timeouts));
+    const longestTimeoutMs = routes.reduce(
+      (longestMs, {timeoutMs}) => Math.max(longestMs, timeoutMs),
+      0
+    );
+    return new RouteTable(hosts, routes.length, longestTimeoutMs);
   }
 
   /**
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -72,12 +72,11 @@
 const QUARANTINE_GROWTH = 4;
 /** Bounds the memory; the fingerprints recorded first are evicted first. */
 const MAX_FINGERPRINTS = 20_000;
-/** Losses that are passed on to an instance that starts. */
+/** Age and number of the losses that are passed on to a peer that starts. */
 const RECENT_MS = 120_000;
 const MAX_RECENT = 200;
 /** Reports about one target within this time are about the same loss. */
 const SAME_LOSS_MS = 10_000;
-
 /** Least time between two searches for what no longer counts. */
 const FORGET_INTERVAL_MS = 1000;
 
