--- a/apps/daemon/src/lib/entry/admission.ts
+++ b/apps/daemon/src/lib/entry/admission.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import {
   classifyRequest,
   estimateInputTokens,
@@ -7,7 +6,13 @@
   SERVICE_KIND,
 } from '@applebend/core';
 import {CHAT_COMPLETIONS_PATH, parseChatCall} from '@applebend/externals';
-import {fail, hash32, ok, sha256Hex} from '@applebend/utils';
+import {
+  fail,
+  hash32,
+  ok,
+  requestFingerprint,
+  sha256Hex,
+} from '@applebend/utils';
 import {notRun} from './refusals.js';
 
 import type {
@@ -65,7 +70,6 @@
 const BEARER_PREFIX = 'Bearer ';
 const MAX_KEY_LENGTH = 256;
 const MAX_DEADLINE_MS = 3_600_000;
-const FINGERPRINT_BYTES = 8;
 /** 16 bits suffice to distinguish the prompt prefixes of one cell. */
 const AFFINITY_MASK = 0xffff;
 
@@ -91,15 +95,13 @@
   if (!key.ok) return key;
   const deadline = deadlineOf(caller, cls.value);
   if (!deadline.ok) return deadline;
-  const fingerprint = fingerprintOf(
-    [
-      customer.value.name,
-      caller.req.method,
-      routed.value.serviceName,
-      routed.value.targetPath,
-      body.value.toString('latin1'),
-    ].join('\u0000')
-  );
+  const fingerprint = requestFingerprint([
+    customer.value.name,
+    caller.req.method ?? '',
+    routed.value.serviceName,
+    routed.value.targetPath,
+    body.value.toString('latin1'),
+  ]);
   return ok({
     caller,
     customer: customer.value,
@@ -121,12 +123,6 @@
   });
 }
 
-/** Returns a short hash that equal requests share. */
-function fingerprintOf(text: string): string {
-  const hash = createHash('sha256').update(text, 'latin1').digest();
-  return hash.subarray(0, FINGERPRINT_BYTES).toString('base64url');
-}
-
 function authenticate(
   caller: Caller,
   options: AdmissionOptions
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -150,7 +150,7 @@
   name: string,
   value: number,
   extra: unknown,
-  isSet: boolean
+  flag: boolean
 ) => Notice | undefined;
 
 const decodeDeparture =
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -88,19 +88,22 @@
   }
 }
 
-const KEYS: {
-  readonly [K in RepeatedNotice['kind']]: (
-    notice: Extract<Notice, {kind: K}>
-  ) => string;
-} = {
-  departure: ({departure: {kind, target}}) =>
-    `${kind} ${target.id} ${target.startedAtMs}`,
-  loss: ({loss: {fingerprint, target}}) => `loss ${fingerprint} ${target}`,
-  quarantine: ({quarantine: {fingerprint}}) => `quarantine ${fingerprint}`,
-  version: ({seen: {service, version}}) => `version ${service} ${version}`,
-};
-
+/** Notices with the same key say the same. */
 function keyOf(notice: RepeatedNotice): string {
-  const key = KEYS[notice.kind] as (notice: RepeatedNotice) => string;
-  return key(notice);
+  switch (notice.kind) {
+    case 'departure': {
+      const {kind, target} = notice.departure;
+      return `${kind} ${target.id} ${target.startedAtMs}`;
+    }
+    case 'loss': {
+      const {fingerprint, target} = notice.loss;
+      return `loss ${fingerprint} ${target}`;
+    }
+    case 'quarantine':
+      return `quarantine ${notice.quarantine.fingerprint}`;
+    case 'version': {
+      const {service, version} = notice.seen;
+      return `version ${service} ${version}`;
+    }
+  }
 }
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -89,9 +89,9 @@
 /**
  * Counts, per request fingerprint, the losses of targets that were running the
  * request. Two losses put the fingerprint in quarantine; a loss after a part of
- * a stream counts half, since a harmless stream may be cut more than once. After a quarantine it
- * is a suspect again, and the next loss begins a longer one. The owner sets when
- * losses and quarantines are forgotten.
+ * a stream counts half, since a harmless stream may be cut more than once. After
+ * a quarantine it is a suspect again, and the next loss begins a longer one. The
+ * owner sets when losses and quarantines are forgotten.
  *
  * @public
  */
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -6,7 +6,7 @@
 export {BusyMeter} from './lib/busy_meter.js';
 export {systemClock} from './lib/clock.js';
 export type {Clock} from './lib/clock.js';
-export {hash32, sha256Hex} from './lib/hash.js';
+export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
 export {limitInformation} from './lib/limit_information.js';
 export {Mailbox} from './lib/mailbox.js';
 export {Random} from './lib/random.js';
