--- a/packages/gateway/src/lib/crash/crash_guard.model.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.model.test.ts
@@ -6,9 +6,10 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
+import {sampleTarget} from '../../testing/sample_target.js';
 import {CrashGuard} from './crash_guard.js';
 
-import type {Quarantine, Target, TargetLoss} from '@applebend/routing';
+import type {Quarantine, TargetLoss} from '@applebend/routing';
 
 const RUNS = Number(process.env['APPLEBEND_FUZZ_RUNS'] ?? 300);
 const SEED = Number(process.env['APPLEBEND_FUZZ_SEED'] ?? 20261204);
@@ -68,9 +69,9 @@
     const guard = this.guards[index];
     for (let sent = 0; sent < attempts; sent++) {
       if (guard.quarantineLeftMs(POISON) > 0) return;
-      const target = {id: `t-${this.crashTimesMs.length}`, startedAtMs: 1};
+      const target = sampleTarget({id: `t-${this.crashTimesMs.length}`});
       this.crashTimesMs.push(this.clock.nowMs);
-      await guard.onReset(target as Target, POISON, false);
+      await guard.onReset(target, POISON, false);
     }
   }
 
--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -2,6 +2,7 @@
 import net from 'node:net';
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
+import {sampleTarget} from '../../testing/sample_target.js';
 import {CrashGuard} from './crash_guard.js';
 import {RequestCrashes} from './request_crashes.js';
 import {fingerprintOf} from './request_fingerprint.js';
@@ -13,18 +14,7 @@
 
 const log = Logger.create(LOG_LEVEL.error, {});
 
-const targetAt = (id: string, port = 9): Target => ({
-  id,
-  service: 'app',
-  host: '127.0.0.1',
-  port,
-  failureDomain: 'hall-a',
-  softwareVersion: 'v1',
-  slots: 4,
-  state: 'ready',
-  startedAtMs: 1,
-  registeredAt: 1,
-});
+const targetAt = (id: string, port = 9) => sampleTarget({id, port});
 
 const CONTENT: RequestContent = {
   method: 'POST',
--- a/packages/gateway/src/lib/front/attempt_feedback.test.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {FirstEventModel} from '@applebend/routing';
+import {sampleTarget} from '../../testing/sample_target.js';
 import {EXECUTION, attemptFailure} from '../errors.js';
 import {PeerLoadTotals} from '../state/load_totals.js';
 import {TargetRecord} from '../state/target_record.js';
@@ -16,18 +17,7 @@
 /** A target, and attempts at it at a time that the test sets. */
 function createTarget() {
   const record = TargetRecord.create(
-    {
-      id: 't-1',
-      service: 'app',
-      host: '127.0.0.1',
-      port: 9,
-      failureDomain: 'hall-a',
-      softwareVersion: 'v1',
-      slots: 4,
-      state: 'ready',
-      startedAtMs: 1,
-      registeredAt: 1,
-    },
+    sampleTarget(),
     FirstEventModel.create(),
     PeerLoadTotals.create()
   );
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -8,10 +8,11 @@
 import {ENGINE_POOL, fairnessWindows, UsageRecorder} from '@applebend/routing';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {Random} from '@applebend/utils';
+import {sampleTarget} from '../../testing/sample_target.js';
 import {FleetState} from '../state/fleet_state.js';
 import {weightedCostOf, decideRequest} from './placement.js';
 
-import type {Target, UsageTimeline} from '@applebend/routing';
+import type {UsageTimeline} from '@applebend/routing';
 import type {GatewaySettings, StateSource} from '../ports.js';
 import type {RequestContext} from './request_context.js';
 
@@ -29,18 +30,13 @@
 /** Length of the windows in which customers are compared. */
 const WINDOW_S = 6;
 
-const target = (index: number): Target => ({
-  id: `app-${index}`,
-  service: SERVICE,
-  host: '127.0.0.1',
-  port: 9000 + index,
-  failureDomain: 'hall-a',
-  softwareVersion: 'v1',
-  slots: SLOTS,
-  state: 'ready',
-  startedAtMs: 1,
-  registeredAt: 1,
-});
+const target = (index: number) =>
+  sampleTarget({
+    id: `app-${index}`,
+    service: SERVICE,
+    port: 9000 + index,
+    slots: SLOTS,
+  });
 
 function createState(): FleetState {
   const settings = {
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -3,10 +3,11 @@
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {systemClock} from '@applebend/utils';
+import {sampleTarget} from '../../testing/sample_target.js';
 import {FleetState} from '../state/fleet_state.js';
 import {PeerExchange} from './peer_exchange.js';
 
-import type {LoadHandle, Target} from '@applebend/routing';
+import type {LoadHandle} from '@applebend/routing';
 import type {
   GatewaySettings,
   PeerInfo,
@@ -31,18 +32,7 @@
   }
 }
 
-const TARGET: Target = {
-  id: 't-1',
-  service: 'llm',
-  host: '127.0.0.1',
-  port: 9,
-  failureDomain: 'hall-a',
-  softwareVersion: 'v1',
-  slots: 32,
-  state: 'ready',
-  startedAtMs: 1,
-  registeredAt: 1,
-};
+const TARGET = sampleTarget({service: 'llm', slots: 32});
 
 const TARGET_LIST = {targets: [TARGET], storeEra: 0, restoredBefore: 0};
 
--- a/packages/routing/src/lib/crash/crash_tracker.test.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.test.ts
@@ -2,6 +2,18 @@
 import {test} from 'node:test';
 import {CrashTracker} from './crash_tracker.js';
 
+/** A tracker whose quarantines end, and losses under the fingerprint `f`. */
+function createTracker(suspicionMs: number) {
+  const tracker = CrashTracker.create({
+    suspicionMs,
+    firstQuarantineMs: 1000,
+    maxQuarantineMs: 5000,
+  });
+  const loseAt = (target: string, nowMs: number) =>
+    tracker.onLoss({fingerprint: 'f', target, seenAtMs: nowMs}, nowMs);
+  return {tracker, loseAt};
+}
+
 test('repeated and late reports of one loss count once', () => {
   const tracker = CrashTracker.create();
   const loss = {fingerprint: 'f', target: 't1', seenAtMs: 1000};
@@ -30,13 +42,7 @@
 });
 
 test('a quarantine that is over leaves a suspect, and the next is longer', () => {
-  const tracker = CrashTracker.create({
-    suspicionMs: 1e9,
-    firstQuarantineMs: 1000,
-    maxQuarantineMs: 5000,
-  });
-  const loseAt = (target: string, nowMs: number) =>
-    tracker.onLoss({fingerprint: 'f', target, seenAtMs: nowMs}, nowMs);
+  const {tracker, loseAt} = createTracker(1e9);
   loseAt('t1', 0);
   loseAt('t2', 0);
   assert.equal(tracker.statusOf('f', 999), 'quarantined');
@@ -50,11 +56,7 @@
 });
 
 test('a quarantine that was imposed elsewhere is in force, and no loss ends it', () => {
-  const tracker = CrashTracker.create({
-    suspicionMs: 1e9,
-    firstQuarantineMs: 1000,
-    maxQuarantineMs: 5000,
-  });
+  const {tracker} = createTracker(1e9);
   const quarantine = {fingerprint: 'f', losses: 3, leftMs: 4000};
   assert.equal(tracker.onQuarantine(quarantine, 0), true);
   assert.equal(tracker.onQuarantine(quarantine, 10), false);
@@ -90,13 +92,7 @@
 });
 
 test('losses far apart in time make no quarantine', () => {
-  const tracker = CrashTracker.create({
-    suspicionMs: 1000,
-    firstQuarantineMs: 1000,
-    maxQuarantineMs: 5000,
-  });
-  const loseAt = (target: string, nowMs: number) =>
-    tracker.onLoss({fingerprint: 'f', target, seenAtMs: nowMs}, nowMs);
+  const {tracker, loseAt} = createTracker(1000);
   loseAt('t1', 0);
   assert.equal(tracker.isEmpty(500), false);
   assert.equal(tracker.isEmpty(2000), true);
