The log of a lost target names the blocks it ran and for how long

The logs named the requests by fingerprint only, so they could not tell whether the requests that were running shared a block of their prompts, nor how long each had been writing. 'target lost' has both now: 'writingMs' for each request and 'blocks' with how many had each shared block. Whether a stream had progressed follows from the same time; no decision changes.

--- a/packages/gateway/src/lib/crash/crash_guard.model.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.model.test.ts
@@ -71,7 +71,8 @@
       if (guard.quarantineLeftMs(POISON) > 0) return;
       const target = sampleTarget({id: `t-${this.crashTimesMs.length}`});
       this.crashTimesMs.push(this.clock.nowMs);
-      await guard.onReset(target, POISON, false);
+      const run = {fingerprint: POISON, blocks: [], writingMs: undefined};
+      await guard.onReset(target, run);
     }
   }
 
--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -10,6 +10,7 @@
 
 import type {Target, TargetLoss} from '@applebend/routing';
 import type {AddressInfo} from 'node:net';
+import type {BrokenRun} from './crash_guard.js';
 import type {RequestContent} from './request_fingerprint.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
@@ -24,6 +25,13 @@
   body: Buffer.from('body'),
 };
 
+/** A run without blocks whose connection broke. */
+const runOf = (fingerprint: string, writingMs?: number): BrokenRun => ({
+  fingerprint,
+  blocks: [],
+  writingMs,
+});
+
 /** A guard, its clock, and the losses that it reported. */
 function createGuard(isLost: (target: Target) => Promise<boolean>) {
   const clock = {nowMs: 0, monotonicMs: () => clock.nowMs, wallMs: () => 1e12};
@@ -41,7 +49,7 @@
   });
   const target = targetAt('t-1');
   await Promise.all(
-    ['f', 'g', 'f'].map(hash => guard.onReset(target, hash, false))
+    ['f', 'g', 'f'].map(hash => guard.onReset(target, runOf(hash)))
   );
   assert.equal(checks, 1);
   const fingerprints = reported.map(losses => losses.map(l => l.fingerprint));
@@ -50,8 +58,8 @@
 
 test('a quarantine ends, and a completed run clears the request', async () => {
   const {guard, clock} = createGuard(() => Promise.resolve(true));
-  await guard.onReset(targetAt('t-1'), 'f', false);
-  await guard.onReset(targetAt('t-2'), 'f', false);
+  await guard.onReset(targetAt('t-1'), runOf('f'));
+  await guard.onReset(targetAt('t-2'), runOf('f'));
   const leftMs = guard.quarantineLeftMs('f');
   assert.ok(leftMs > 60_000);
   clock.nowMs += leftMs;
@@ -62,10 +70,10 @@
 
 test('a stream that moved on at two lost targets may go on at a third', async () => {
   const {guard, reported} = createGuard(() => Promise.resolve(true));
-  await guard.onReset(targetAt('t-1'), 'f', true);
-  await guard.onReset(targetAt('t-2'), 'f', true);
+  await guard.onReset(targetAt('t-1'), runOf('f', 1000));
+  await guard.onReset(targetAt('t-2'), runOf('f', 1000));
   assert.equal(guard.quarantineLeftMs('f'), 0);
-  await guard.onReset(targetAt('t-3'), 'f', false);
+  await guard.onReset(targetAt('t-3'), runOf('f'));
   assert.ok(guard.quarantineLeftMs('f') > 0);
   const progress = reported.flat().map(loss => loss.hasProgressed);
   assert.deepEqual(progress, [true, true, false]);
@@ -73,7 +81,7 @@
 
 test('a target that is alive is no loss', async () => {
   const {guard, reported} = createGuard(() => Promise.resolve(false));
-  await guard.onReset(targetAt('t-1'), 'f', false);
+  await guard.onReset(targetAt('t-1'), runOf('f'));
   assert.equal(guard.isEmpty, true);
   assert.deepEqual(reported, []);
 });
@@ -109,7 +117,7 @@
   const crashes = RequestCrashes.create(guard, CONTENT);
   assert.equal(crashes.quarantineLeftMs, 0);
   assert.equal(crashes.knownFingerprint, undefined);
-  await guard.onReset(targetAt('t-1'), 'f', false);
+  await guard.onReset(targetAt('t-1'), runOf('f'));
   assert.equal(crashes.quarantineLeftMs, 0);
   assert.equal(crashes.knownFingerprint, fingerprintOf(CONTENT));
 });
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -11,11 +11,23 @@
 /** Called with a quarantine to which this instance contributed a loss. @public */
 export type QuarantineListener = (quarantine: Quarantine) => void;
 
+/** A request that a target was running when its connection broke. @public */
+export interface BrokenRun {
+  readonly fingerprint: string;
+  /** Ids of the blocks of its prompt that other requests may have, too. */
+  readonly blocks: readonly string[];
+  /**
+   * Milliseconds since the first event from that target; undefined if none had
+   * arrived.
+   */
+  readonly writingMs: number | undefined;
+}
+
 /** A check of a target, and the requests that it lost meanwhile. */
 interface PendingCheck {
   readonly ended: Promise<void>;
-  /** Fingerprints, and whether a part of a stream had arrived. */
-  readonly running: Map<string, boolean>;
+  /** By fingerprint. */
+  readonly running: Map<string, BrokenRun>;
 }
 
 /** Bounds the memory. */
@@ -81,19 +93,14 @@
   /**
    * Called when the connection of a request broke. Resolves when it is known
    * whether the target is lost.
-   *
-   * @param hasProgressed - whether a part of a stream had arrived from it
    */
-  onReset(
-    target: Target,
-    fingerprint: string,
-    hasProgressed: boolean
-  ): Promise<void> {
+  onReset(target: Target, run: BrokenRun): Promise<void> {
     const key = incarnationOf(target);
     const pending = this.checks.get(key) ?? this.startCheck(target, key);
+    const copy = pending.running.get(run.fingerprint);
     // Of two copies of a request, the one that got less far is suspected more.
-    const haveCopies = pending.running.get(fingerprint) ?? true;
-    pending.running.set(fingerprint, haveCopies && hasProgressed);
+    const isFirst = copy === undefined || isBehind(run, copy);
+    if (isFirst) pending.running.set(run.fingerprint, run);
     return pending.ended;
   }
 
@@ -117,7 +124,7 @@
   }
 
   private startCheck(target: Target, key: string): PendingCheck {
-    const running = new Map<string, boolean>();
+    const running = new Map<string, BrokenRun>();
     const ended = this.check(target, key, running);
     const pending = {ended, running};
     this.checks.set(key, pending);
@@ -127,20 +134,26 @@
   private async check(
     target: Target,
     key: string,
-    running: ReadonlyMap<string, boolean>
+    running: ReadonlyMap<string, BrokenRun>
   ): Promise<void> {
     const isLost = await this.isLost(target);
     this.checks.delete(key);
     if (!isLost) return;
     const {id, service} = target;
-    const requests = [...running.keys()];
-    this.log.warn('target lost', {target: id, service, running: requests});
+    const runs = [...running.values()];
+    this.log.warn('target lost', {
+      target: id,
+      service,
+      running: [...running.keys()],
+      writingMs: runs.map(run => run.writingMs ?? null),
+      blocks: blockCounts(runs),
+    });
     const seenAtMs = this.clock.wallMs();
-    const losses = [...running].map(([fingerprint, hasProgressed]) => ({
+    const losses = runs.map(({fingerprint, writingMs}) => ({
       fingerprint,
       target: key,
       seenAtMs,
-      hasProgressed,
+      hasProgressed: writingMs !== undefined,
     }));
     for (const loss of losses) {
       this.addObserved(loss.fingerprint);
@@ -165,6 +178,19 @@
   }
 }
 
+function isBehind(run: BrokenRun, other: BrokenRun): boolean {
+  return (run.writingMs ?? -1) < (other.writingMs ?? -1);
+}
+
+/** How many of the requests have each block. */
+function blockCounts(runs: readonly BrokenRun[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const block of runs.flatMap(run => run.blocks)) {
+    counts[block] = (counts[block] ?? 0) + 1;
+  }
+  return counts;
+}
+
 /** Names one incarnation of a target. */
 function incarnationOf({id, startedAtMs}: Target): string {
   return `${id} ${startedAtMs}`;
--- a/packages/gateway/src/lib/crash/request_crashes.ts
+++ b/packages/gateway/src/lib/crash/request_crashes.ts
@@ -1,6 +1,7 @@
+import {sharedBlocksOf} from '@applebend/routing';
 import {fingerprintOf} from './request_fingerprint.js';
 
-import type {Target} from '@applebend/routing';
+import type {Prompt, Target} from '@applebend/routing';
 import type {CrashGuard} from './crash_guard.js';
 import type {RequestContent} from './request_fingerprint.js';
 
@@ -12,14 +13,24 @@
  */
 export class RequestCrashes {
   private hash: string | undefined;
+  /** When the target of the present attempt began to write. */
+  private writingSinceMs: number | undefined;
 
   private constructor(
     private readonly guard: CrashGuard,
-    private readonly content: RequestContent
+    private readonly content: RequestContent,
+    /** Ids of the blocks of its prompt that other requests may have, too. */
+    private readonly blocks: readonly string[]
   ) {}
 
-  static create(guard: CrashGuard, content: RequestContent): RequestCrashes {
-    return new RequestCrashes(guard, content);
+  static create(
+    guard: CrashGuard,
+    content: RequestContent,
+    prompt?: Prompt
+  ): RequestCrashes {
+    const blocks = sharedBlocksOf(prompt?.prefixBlocks ?? []);
+    const ids = blocks.map(({id}) => id);
+    return new RequestCrashes(guard, content, ids);
   }
 
   /** The request's fingerprint; undefined if it was not needed. */
@@ -33,14 +44,25 @@
     return this.guard.quarantineLeftMs(this.fingerprint);
   }
 
+  /** Called when an attempt begins. */
+  onSend(): void {
+    this.writingSinceMs = undefined;
+  }
+
+  /** Called when events of a stream arrived. */
+  onEvents(nowMs: number): void {
+    this.writingSinceMs ??= nowMs;
+  }
+
   /**
    * Called when the connection to a target broke. Resolves when it is known
    * whether the target is lost.
-   *
-   * @param hasProgressed - whether a part of a stream had arrived from it
    */
-  onReset(target: Target, hasProgressed: boolean): Promise<void> {
-    return this.guard.onReset(target, this.fingerprint, hasProgressed);
+  onReset(target: Target, nowMs: number): Promise<void> {
+    const {fingerprint, blocks, writingSinceMs} = this;
+    const writingMs =
+      writingSinceMs === undefined ? undefined : nowMs - writingSinceMs;
+    return this.guard.onReset(target, {fingerprint, blocks, writingMs});
   }
 
   onServed(): void {
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -51,7 +51,8 @@
     this.attempts = AttemptTracker.create(context.route.maxAttempts);
     this.crashes = RequestCrashes.create(
       deps.state.crashGuard,
-      requestContent(context, inbound)
+      requestContent(context, inbound),
+      context.prompt
     );
     this.ending = ExchangeEnding.create(
       context,
@@ -65,6 +66,7 @@
       onDone: status => this.onForwarded(status),
       onAborted: message =>
         this.onFailure(attemptFailure('reset', EXECUTION.unknown, message)),
+      onEvents: () => this.crashes.onEvents(this.nowMs),
       onStall: () => this.onSilence(),
     });
   }
@@ -166,6 +168,7 @@
     this.target = record.target;
     this.resumedAfter = this.relay.lastEventId;
     this.attempts.onSend(candidate.id);
+    this.crashes.onSend();
     const feedback = AttemptFeedback.create(record, candidate, context, deps);
     this.feedback = feedback;
     const predictedMs = candidate.waitMs + candidate.prefillMs;
@@ -255,9 +258,8 @@
 
   /** A request that crashed its target may be one that crashes all of them. */
   private async onReset(failure: AttemptFailure): Promise<void> {
-    const hasProgressed = this.relay.lastEventId !== this.resumedAfter;
     if (this.target !== undefined) {
-      await this.crashes.onReset(this.target, hasProgressed);
+      await this.crashes.onReset(this.target, this.nowMs);
     }
     if (!this.ending.hasEnded) this.retryOrGiveUp(failure);
   }
--- a/packages/gateway/src/lib/front/response_relay.ts
+++ b/packages/gateway/src/lib/front/response_relay.ts
@@ -13,6 +13,8 @@
   onDone(status: number): void;
   /** Called if the response, or the stream, ends early. */
   onAborted(message: string): void;
+  /** Called when events of a stream arrived. */
+  onEvents(): void;
   /** Called when a stream has stalled; it stays attached. */
   onStall(): void;
 }
@@ -68,6 +70,7 @@
       stallTimeoutMs: stallTimeoutMs(route.eventGapTargetMs),
       onDone: () => events.onDone(status),
       onAborted: message => events.onAborted(message),
+      onEvents: () => events.onEvents(),
       onStall: () => events.onStall(),
     });
     this.stream.attach(response, this.state.closesConnections);
--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -11,6 +11,8 @@
   onDone(): void;
   /** Called if the stream ends early. */
   onAborted(message: string): void;
+  /** Called when complete events with data arrived. */
+  onEvents(): void;
   /**
    * Called when no event arrived in time, and again after each further such
    * time; the stream stays attached.
@@ -89,7 +91,10 @@
     }
     if (events === undefined) return;
     // A comment or a part of an event keeps no stalled stream alive.
-    if (events.hasData) this.stallTimer?.refresh();
+    if (events.hasData) {
+      this.stallTimer?.refresh();
+      this.options.onEvents();
+    }
     this.lastSentId = events.lastId ?? this.lastSentId;
     if (this.res.write(events.bytes)) return;
     from.pause();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -79,7 +79,11 @@
 export {FirstEventModel} from './lib/placement/first_event_model.js';
 export type {Candidate, Placement} from './lib/placement/placer.js';
 export {PrefixCache} from './lib/placement/prefix_cache.js';
-export {sessionOf, weightedTokensOf} from './lib/placement/prompt.js';
+export {
+  sessionOf,
+  sharedBlocksOf,
+  weightedTokensOf,
+} from './lib/placement/prompt.js';
 export type {PrefixBlock, Prompt} from './lib/placement/prompt.js';
 export {addLoad, LocalLoad, NO_LOAD} from './lib/placement/target_load.js';
 export type {LoadHandle, TargetLoad} from './lib/placement/target_load.js';
--- a/packages/routing/src/lib/placement/prefix_cache.ts
+++ b/packages/routing/src/lib/placement/prefix_cache.ts
@@ -1,3 +1,5 @@
+import {sharedBlocksOf} from './prompt.js';
+
 import type {PrefixBlock} from './prompt.js';
 
 /**
@@ -38,7 +40,7 @@
    * single block. The last of several blocks belongs to one request only.
    */
   hasSharedBlocks(blocks: readonly PrefixBlock[]): boolean {
-    return blocks.slice(0, -1).every(({id}) => this.blocks.has(id));
+    return sharedBlocksOf(blocks).every(({id}) => this.blocks.has(id));
   }
 
   /** Marks the blocks of a prompt as just used; evicts others if needed. */
--- a/packages/routing/src/lib/placement/prompt.ts
+++ b/packages/routing/src/lib/placement/prompt.ts
@@ -21,6 +21,15 @@
   return prompt.inputTokens + OUTPUT_WEIGHT * prompt.outputTokens;
 }
 
+/**
+ * Returns the blocks that other prompts may have, too: all but the last.
+ *
+ * @public
+ */
+export function sharedBlocksOf(blocks: readonly PrefixBlock[]): PrefixBlock[] {
+  return blocks.slice(0, -1);
+}
+
 /**
  * Returns the id of the block that identifies the prompt's session, or
  * undefined if there are no blocks. It is the last but one, or the only one.
