A block of prompts that crashes targets is put in quarantine by itself

Cause: an instance knows a request by all of its content. Requests that share a block of their prompts and nothing else have a fingerprint each: 126 losses under 123 fingerprints, no quarantine. Class: evidence is kept for the whole request where the cause is a part of it.

Change: a loss names the blocks that may be to blame; lost targets are weighed against them (BlockEvidence). A block that ran and let its target live is cleared, at all instances, so the blocks that bad requests share with sound ones stay allowed; the one that three targets have in common goes into the quarantine that requests have (same table, notices, archive, log, refusal).

Ruled out: counting blocks like requests (the first block of a route would be in quarantine after two crashes); deciding at the third loss at once (peers could not yet say what has run). Losses after progress count half for a request, which did not matter here; for a block progress of 1.5 s clears.

--- a/apps/cli/src/lib/explain_request.test.ts
+++ b/apps/cli/src/lib/explain_request.test.ts
@@ -94,3 +94,24 @@
     assert.deepEqual(shown, expected);
   }
 });
+
+test('a request refused for a block is explained by the targets lost under the block', () => {
+  const block = 'block:bad0';
+  const logLines = [
+    lineAt(10, 'target lost', {target: 't-1', blocks: {[block]: 1}}),
+    lineAt(11, 'target lost', {target: 't-2', blocks: {'block:other': 3}}),
+    lineAt(12, 'request quarantined', {fingerprint: block, losses: 3}),
+    lineAt(30, 'request ended', {
+      attemptId: 'a',
+      fingerprint: 'f',
+      quarantinedBlock: block,
+      outcome: 'quarantined',
+      elapsedMs: 1,
+    }),
+  ].flatMap(line => parseLogLine(line) ?? []);
+  for (const id of ['a', block]) {
+    const events = explainRequest(id, logLines).map(({event}) => event);
+    const expected = ['target lost', 'request quarantined', 'request ended'];
+    assert.deepEqual(events, expected);
+  }
+});
--- a/apps/cli/src/lib/explain_request.ts
+++ b/apps/cli/src/lib/explain_request.ts
@@ -18,10 +18,14 @@
   'refused',
   'request_failed',
 ]);
-/** Fields that may contain the id of a request, or its fingerprint. */
-const ID_FIELDS = ['attemptId', 'requestId', 'fingerprint'] as const;
+/** Fields with what a request may have been refused for. */
+const CAUSE_FIELDS = ['fingerprint', 'quarantinedBlock', 'block'] as const;
+/** Fields that may contain the id of a request, or such a cause. */
+const ID_FIELDS = ['attemptId', 'requestId', ...CAUSE_FIELDS] as const;
 /** Field with the fingerprints of the requests that a lost target was running. */
 const RUNNING_FIELD = 'running';
+/** Field with the number of those requests that had each block of a prompt. */
+const BLOCKS_FIELD = 'blocks';
 
 /** Parses a line of a log file; undefined if it is not a log line. @public */
 export function parseLogLine(line: string): LogLine | undefined {
@@ -50,9 +54,10 @@
  * same instances from shortly before it to its end, in order of time. Changes
  * of targets that the request did not use are left out, except those of its
  * service if it was sent to none. What any instance logged about the request's
- * fingerprint is included, such as targets that were lost under it.
+ * fingerprint, or about the block of its prompt for which it was refused, is
+ * included, such as targets that were lost under it.
  *
- * @param requestId - id of an attempt, or a fingerprint
+ * @param requestId - id of an attempt, a fingerprint, or the key of a block
  *
  * @public
  */
@@ -62,7 +67,7 @@
 ): LogLine[] {
   const namedLines = logLines.filter(line => mentionsRequest(line, requestId));
   if (namedLines.length === 0) return [];
-  const ownLines = new Set(withFingerprintLines(namedLines, logLines));
+  const ownLines = new Set(withCauseLines(namedLines, logLines));
   const targets = new Set(namedLines.map(({fields}) => fields['target']));
   const unplaced = namedLines.filter(
     ({fields}) => fields['target'] === undefined
@@ -93,27 +98,31 @@
   return [time, instance, event, ...formattedFields].join('  ');
 }
 
-/** Adds the lines that name a fingerprint of the given ones. */
-function withFingerprintLines(
+/** Adds the lines that name what requests of the given ones were refused for. */
+function withCauseLines(
   namedLines: readonly LogLine[],
   logLines: readonly LogLine[]
 ): LogLine[] {
-  const fingerprints = new Set<string>();
+  const causes = new Set<string>();
   for (const {fields} of namedLines) {
-    const {fingerprint} = fields;
-    if (typeof fingerprint === 'string') fingerprints.add(fingerprint);
+    for (const name of CAUSE_FIELDS) {
+      const cause = fields[name];
+      if (typeof cause === 'string') causes.add(cause);
+    }
   }
   const named = new Set(namedLines);
   return logLines.filter(logLine => {
     if (named.has(logLine)) return true;
-    return [...fingerprints].some(hash => mentionsRequest(logLine, hash));
+    return [...causes].some(cause => mentionsRequest(logLine, cause));
   });
 }
 
 function mentionsRequest({fields}: LogLine, id: string): boolean {
   if (ID_FIELDS.some(name => fields[name] === id)) return true;
   const running = fields[RUNNING_FIELD];
-  return Array.isArray(running) && running.includes(id);
+  if (Array.isArray(running) && running.includes(id)) return true;
+  const blocks = fields[BLOCKS_FIELD];
+  return typeof blocks === 'object' && blocks !== null && id in blocks;
 }
 
 /** When the request arrived, or the time of the line without `elapsedMs`. */
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -1,20 +1,33 @@
 import {CrashTracker} from '@applebend/routing';
 import {isTargetLost} from './target_check.js';
 
-import type {Quarantine, Target, TargetLoss} from '@applebend/routing';
+import type {
+  BlockSurvival,
+  Quarantine,
+  Target,
+  TargetLoss,
+} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
 /** Called with the losses of one target that this instance observed. @public */
 export type LossListener = (losses: readonly TargetLoss[]) => void;
 
-/** Called with a quarantine to which this instance contributed a loss. @public */
+/**
+ * Called with a quarantine to which this instance contributed a loss. It is over
+ * if no time is left.
+ *
+ * @public
+ */
 export type QuarantineListener = (quarantine: Quarantine) => void;
 
+/** Called with blocks that ran and that peers may suspect. @public */
+export type SurvivalListener = (survivals: readonly BlockSurvival[]) => void;
+
 /** A request that a target was running when its connection broke. @public */
 export interface BrokenRun {
   readonly fingerprint: string;
-  /** Ids of the blocks of its prompt that other requests may have, too. */
+  /** Keys of the blocks of its prompt that other requests may have, too. */
   readonly blocks: readonly string[];
   /**
    * Milliseconds since the first event from that target; undefined if none had
@@ -30,8 +43,12 @@
   readonly running: Map<string, BrokenRun>;
 }
 
+/** A target that has written for this long did not crash under the request. */
+export const SURVIVAL_MS = 1500;
 /** Bounds the memory. */
 const MAX_OBSERVED = 20_000;
+/** Bounds a message to peers; prompts have few blocks. */
+const MAX_BLOCKS = 16;
 
 const TRACKER_OPTIONS = {
   suspicionMs: 10 * 60_000,
@@ -42,7 +59,9 @@
 /**
  * Keeps requests that crash targets from reaching further ones. A request is
  * suspected if its connection broke and its target is lost; the peers hear of
- * each such loss, and the second one puts the request in quarantine.
+ * each such loss, and the second one puts the request in quarantine. So are the
+ * blocks of its prompt, which the peers clear that have seen them run; a block
+ * that several lost targets have in common is put in quarantine by itself.
  *
  * @public
  */
@@ -50,10 +69,11 @@
   private readonly tracker = CrashTracker.create(TRACKER_OPTIONS);
   /** Checks in progress, by target. */
   private readonly checks = new Map<string, PendingCheck>();
-  /** Fingerprints of which this instance observed a loss. */
+  /** Fingerprints and blocks of which this instance observed a loss. */
   private readonly observed = new Set<string>();
   onLosses: LossListener = () => undefined;
   onQuarantined: QuarantineListener = () => undefined;
+  onSurvivals: SurvivalListener = () => undefined;
 
   private constructor(
     private readonly log: Logger,
@@ -70,18 +90,25 @@
     return new CrashGuard(log, clock, isLost);
   }
 
-  /** Whether no request is suspected of anything. */
+  /** Whether nothing is suspected. */
   get isEmpty(): boolean {
     return this.tracker.isEmpty(this.nowMs);
   }
 
-  /** Milliseconds until a request may run; 0 if it may run now. */
-  quarantineLeftMs(fingerprint: string): number {
-    return this.tracker.quarantineLeftMs(fingerprint, this.nowMs);
+  /**
+   * Milliseconds until a request, or a prompt with a block, may run; 0 if it may
+   * run now.
+   *
+   * @param key - a fingerprint, or the key of a block
+   */
+  quarantineLeftMs(key: string): number {
+    this.quarantineBlocks();
+    return this.tracker.quarantineLeftMs(key, this.nowMs);
   }
 
-  /** The requests in quarantine, for peers that start. */
+  /** All quarantines, for peers that start. */
   quarantines(): Quarantine[] {
+    this.quarantineBlocks();
     return this.tracker.quarantines(this.nowMs);
   }
 
@@ -90,6 +117,11 @@
     return this.tracker.suspectedLosses(this.nowMs);
   }
 
+  /** When suspected blocks last ran, for peers that start. */
+  suspectSurvivals(): BlockSurvival[] {
+    return this.tracker.suspectSurvivals(this.nowMs);
+  }
+
   /**
    * Called when the connection of a request broke. Resolves when it is known
    * whether the target is lost.
@@ -108,9 +140,27 @@
     this.tracker.onCompleted(fingerprint, this.nowMs);
   }
 
+  /** Records that a target wrote on some blocks and lives on. */
+  onBlocksRan(blocks: readonly string[]): void {
+    const {nowMs} = this;
+    const released = blocks.filter(key => this.tracker.onBlockRan(key, nowMs));
+    if (released.length === 0) return;
+    for (const block of released) this.onReleased(block);
+    this.shareSurvivals(released);
+  }
+
   /** Records a loss that a peer observed. */
   onPeerLoss(loss: TargetLoss): void {
-    this.record(loss);
+    const ageMs = this.clock.wallMs() - loss.seenAtMs;
+    this.record(loss, ageMs);
+    this.shareSurvivals(loss.blocks ?? []);
+  }
+
+  /** Records that a block ran at a peer. */
+  onPeerSurvival({block, ageMs}: BlockSurvival): void {
+    if (this.tracker.onBlockRan(block, this.nowMs, ageMs, true)) {
+      this.onReleased(block);
+    }
   }
 
   /** Records a quarantine that was imposed elsewhere or before a restart. */
@@ -149,32 +199,71 @@
       blocks: blockCounts(runs),
     });
     const seenAtMs = this.clock.wallMs();
-    const losses = runs.map(({fingerprint, writingMs}) => ({
-      fingerprint,
-      target: key,
-      seenAtMs,
-      hasProgressed: writingMs !== undefined,
-    }));
+    const losses = runs.map(run => this.lossOf(run, key, seenAtMs));
     for (const loss of losses) {
-      this.addObserved(loss.fingerprint);
-      this.record(loss);
+      this.addObserved(loss);
+      this.record(loss, 0);
+      this.shareSurvivals(loss.blocks ?? []);
     }
     this.onLosses(losses);
   }
 
-  private record(loss: TargetLoss): void {
+  private lossOf(
+    {fingerprint, blocks, writingMs}: BrokenRun,
+    target: string,
+    seenAtMs: number
+  ): TargetLoss {
+    const hasProgressed = writingMs !== undefined;
+    const suspects = blocks.filter(
+      block => !this.tracker.hasJustRun(block, this.nowMs)
+    );
+    return {
+      fingerprint,
+      target,
+      seenAtMs,
+      hasProgressed,
+      blocks: suspects.slice(-MAX_BLOCKS),
+    };
+  }
+
+  private record(loss: TargetLoss, ageMs: number): void {
     const {fingerprint} = loss;
     const {nowMs} = this;
-    if (!this.tracker.onLoss(loss, nowMs)) return;
+    if (!this.tracker.onLoss(loss, nowMs, ageMs)) return;
     const quarantine = this.tracker.quarantineOf(fingerprint, nowMs);
-    if (quarantine === undefined) return;
+    if (quarantine !== undefined) this.reportQuarantine(quarantine);
+  }
+
+  /** Puts blocks in quarantine whose evidence has settled. */
+  private quarantineBlocks(): void {
+    for (const quarantine of this.tracker.quarantineBlocks(this.nowMs)) {
+      this.reportQuarantine(quarantine);
+    }
+  }
+
+  private reportQuarantine(quarantine: Quarantine): void {
     this.log.warn('request quarantined', {...quarantine});
-    if (this.observed.has(fingerprint)) this.onQuarantined(quarantine);
+    if (this.observed.has(quarantine.fingerprint)) {
+      this.onQuarantined(quarantine);
+    }
+  }
+
+  /** A block that ran does not crash targets, so its quarantine ends. */
+  private onReleased(block: string): void {
+    this.log.info('prompt block released', {block});
+    if (!this.observed.has(block)) return;
+    this.onQuarantined({fingerprint: block, losses: 1, leftMs: 0});
+  }
+
+  /** Tells the peers which of some suspected blocks have run. */
+  private shareSurvivals(blocks: readonly string[]): void {
+    const survivals = this.tracker.takeUnsharedSurvivals(blocks, this.nowMs);
+    if (survivals.length > 0) this.onSurvivals(survivals);
   }
 
-  private addObserved(fingerprint: string): void {
+  private addObserved({fingerprint, blocks = []}: TargetLoss): void {
     if (this.observed.size >= MAX_OBSERVED) this.observed.clear();
-    this.observed.add(fingerprint);
+    for (const key of [fingerprint, ...blocks]) this.observed.add(key);
   }
 }
 
--- a/packages/gateway/src/lib/crash/request_crashes.ts
+++ b/packages/gateway/src/lib/crash/request_crashes.ts
@@ -1,4 +1,5 @@
-import {sharedBlocksOf} from '@applebend/routing';
+import {blockKey, sharedBlocksOf} from '@applebend/routing';
+import {SURVIVAL_MS} from './crash_guard.js';
 import {fingerprintOf} from './request_fingerprint.js';
 
 import type {Prompt, Target} from '@applebend/routing';
@@ -15,11 +16,12 @@
   private hash: string | undefined;
   /** When the target of the present attempt began to write. */
   private writingSinceMs: number | undefined;
+  private haveBlocksRun = false;
 
   private constructor(
     private readonly guard: CrashGuard,
     private readonly content: RequestContent,
-    /** Ids of the blocks of its prompt that other requests may have, too. */
+    /** Keys of the blocks of its prompt that other requests may have, too. */
     private readonly blocks: readonly string[]
   ) {}
 
@@ -29,8 +31,8 @@
     prompt?: Prompt
   ): RequestCrashes {
     const blocks = sharedBlocksOf(prompt?.prefixBlocks ?? []);
-    const ids = blocks.map(({id}) => id);
-    return new RequestCrashes(guard, content, ids);
+    const keys = blocks.map(({id}) => blockKey(id));
+    return new RequestCrashes(guard, content, keys);
   }
 
   /** The request's fingerprint; undefined if it was not needed. */
@@ -41,17 +43,26 @@
   /** Milliseconds until the request may be sent; 0 if it may be now. */
   get quarantineLeftMs(): number {
     if (this.guard.isEmpty) return 0;
-    return this.guard.quarantineLeftMs(this.fingerprint);
+    const keys = [this.fingerprint, ...this.blocks];
+    return Math.max(...keys.map(key => this.guard.quarantineLeftMs(key)));
+  }
+
+  /** The block for which the request is refused now, if it is one. */
+  get quarantinedBlock(): string | undefined {
+    if (this.guard.isEmpty) return undefined;
+    return this.blocks.find(key => this.guard.quarantineLeftMs(key) > 0);
   }
 
   /** Called when an attempt begins. */
   onSend(): void {
     this.writingSinceMs = undefined;
+    this.haveBlocksRun = false;
   }
 
   /** Called when events of a stream arrived. */
   onEvents(nowMs: number): void {
     this.writingSinceMs ??= nowMs;
+    if (nowMs - this.writingSinceMs >= SURVIVAL_MS) this.onBlocksRan();
   }
 
   /**
@@ -59,16 +70,25 @@
    * whether the target is lost.
    */
   onReset(target: Target, nowMs: number): Promise<void> {
-    const {fingerprint, blocks, writingSinceMs} = this;
+    const {fingerprint, writingSinceMs} = this;
     const writingMs =
       writingSinceMs === undefined ? undefined : nowMs - writingSinceMs;
+    const blocks = this.haveBlocksRun ? [] : this.blocks;
     return this.guard.onReset(target, {fingerprint, blocks, writingMs});
   }
 
+  /** Called when the response was complete. */
   onServed(): void {
+    this.onBlocksRan();
     if (!this.guard.isEmpty) this.guard.onServed(this.fingerprint);
   }
 
+  private onBlocksRan(): void {
+    if (this.haveBlocksRun) return;
+    this.haveBlocksRun = true;
+    this.guard.onBlocksRan(this.blocks);
+  }
+
   private get fingerprint(): string {
     this.hash ??= fingerprintOf(this.content);
     return this.hash;
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -122,6 +122,7 @@
       service: context.service,
       customer: context.customer,
       fingerprint: crashes.knownFingerprint,
+      quarantinedBlock: crashes.quarantinedBlock,
       outcome,
       status,
       sends: attempts.sends,
--- a/packages/gateway/src/lib/front/request_log.test.ts
+++ b/packages/gateway/src/lib/front/request_log.test.ts
@@ -12,6 +12,7 @@
     service: 's',
     customer: undefined,
     fingerprint: undefined,
+    quarantinedBlock: undefined,
     outcome,
     status: 200,
     sends: 1,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -79,6 +79,8 @@
     });
     const {crashGuard} = this.state;
     crashGuard.onLosses = losses => this.onLosses(losses);
+    crashGuard.onSurvivals = survivals =>
+      this.peers.announce({kind: 'survivals', survivals});
     crashGuard.onQuarantined = quarantine =>
       stateSource.saveQuarantine(quarantine);
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -10,8 +10,11 @@
 /** Bounds a message; further attempts follow in the next one. */
 const MAX_ATTEMPTS = 400;
 
-/** A pause is over soon, and there are too many streams to repeat them. */
-type SentOnce = Extract<Notice, {kind: 'pause' | 'streams'}>;
+/**
+ * A pause is over soon, there are too many streams to repeat them, and survivals
+ * would be taken for younger than they are.
+ */
+type SentOnce = Extract<Notice, {kind: 'pause' | 'streams' | 'survivals'}>;
 type RepeatedNotice = Exclude<Notice, SentOnce>;
 
 interface Repetition {
@@ -24,7 +27,8 @@
 export class NoticeOutbox {
   /** Those sent first come first. */
   private readonly repeated = new Map<string, Repetition>();
-  private pauses: Notice[] = [];
+  /** Those that are sent once. */
+  private single: Notice[] = [];
   /** Attempts whose software version is to be sent, by version. */
   private readonly attempts = new Map<string, AttemptKey[]>();
 
@@ -35,8 +39,8 @@
   }
 
   add(notice: Notice, nowMs: number): void {
-    if (notice.kind === 'pause') {
-      this.pauses.push(notice);
+    if (notice.kind === 'pause' || notice.kind === 'survivals') {
+      this.single.push(notice);
       return;
     }
     if (notice.kind === 'streams') {
@@ -54,7 +58,7 @@
 
   /** Returns whether the next message has notices to carry. */
   isDue(nowMs: number): boolean {
-    if (this.pauses.length > 0 || this.attempts.size > 0) return true;
+    if (this.single.length > 0 || this.attempts.size > 0) return true;
     for (const {sentAtMs} of this.repeated.values()) {
       if (nowMs - sentAtMs >= REPEAT_INTERVAL_MS) return true;
     }
@@ -63,8 +67,8 @@
 
   /** Returns the notices for the next message. */
   take(nowMs: number): Notice[] {
-    const notices = [...this.pauses, ...this.takeAttempts()];
-    this.pauses = [];
+    const notices = [...this.single, ...this.takeAttempts()];
+    this.single = [];
     for (const [key, repetition] of [...this.repeated]) {
       if (notices.length >= MAX_NOTICES) break;
       const {notice, untilMs, sentAtMs} = repetition;
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -200,6 +200,36 @@
   });
 });
 
+test('losses in several groups quarantine a block in all, but none that ran', async () => {
+  await withFleet(27, async fleet => {
+    const [entry] = fleet;
+    entry.state.crashGuard.onSurvivals = survivals =>
+      entry.exchange.announce({kind: 'survivals', survivals});
+    entry.state.crashGuard.onBlocksRan(['first']);
+    for (const [index, target] of [
+      [1, 't-1'],
+      [13, 't-2'],
+      [26, 't-3'],
+    ] as const) {
+      const {state, exchange} = fleet[index];
+      const loss = {
+        fingerprint: `f${index}`,
+        target,
+        seenAtMs: systemClock.wallMs(),
+        blocks: ['first', 'bad'],
+      };
+      state.crashGuard.onPeerLoss(loss);
+      exchange.announceNow([{kind: 'loss', loss}]);
+    }
+    await waitUntil('all refuse the block', () =>
+      fleet.every(({state}) => state.crashGuard.quarantineLeftMs('bad') > 0)
+    );
+    for (const {state} of fleet) {
+      assert.equal(state.crashGuard.quarantineLeftMs('first'), 0);
+    }
+  });
+});
+
 test('all groups know at which version each stream was begun', async () => {
   await withFleet(27, async fleet => {
     fleet.forEach((instance, index) => {
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -63,12 +63,19 @@
           target: id,
           seenAtMs: count,
           hasProgressed: fc.boolean(),
+          blocks: fc.array(id, {maxLength: 4}),
         }),
       }),
       fc.record({
         kind: fc.constant('quarantine' as const),
         quarantine: fc.record({fingerprint: id, losses: count, leftMs: count}),
       }),
+      fc.record({
+        kind: fc.constant('survivals' as const),
+        survivals: fc.array(fc.record({block: id, ageMs: count}), {
+          maxLength: 5,
+        }),
+      }),
       fc.record({
         kind: fc.constant('version' as const),
         seen: fc.record({service: id, version: id, ageMs: count}),
--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -1,10 +1,11 @@
 import {ENGINE_POOL} from '@applebend/routing';
 import {unpack} from 'msgpackr';
-import {decodeNotice, encodeNotice} from './notice.js';
+import {decodeNotice, encodeNotice} from './notice_codec.js';
 
 import type {LoadRow} from '../state/load_totals.js';
 import type {PlacementRow, UsageRow} from './peer_message.js';
-import type {Notice, WireNotice} from './notice.js';
+import type {Notice} from './notice.js';
+import type {WireNotice} from './notice_codec.js';
 
 /**
  * The first element of each message: its type and format version. Messages are
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,9 +44,13 @@
 export type {
   CrashStatus,
   CrashTrackerOptions,
+} from './lib/crash/crash_tracker.js';
+export {blockKey, isBlockKey} from './lib/crash/target_loss.js';
+export type {
+  BlockSurvival,
   Quarantine,
   TargetLoss,
-} from './lib/crash/crash_tracker.js';
+} from './lib/crash/target_loss.js';
 export {fairnessWindows} from './lib/fairness/fairness_windows.js';
 export type {
   FairnessWindow,
--- a/packages/routing/src/lib/crash/crash_tracker.test.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.test.ts
@@ -85,6 +85,7 @@
     target: 't1',
     seenAtMs: 5,
     hasProgressed: true,
+    blocks: ['a'],
   };
   tracker.onLoss(loss, 0);
   assert.deepEqual(tracker.suspectedLosses(1000), [loss]);
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -1,3 +1,19 @@
+import {BlockEvidence} from './block_evidence.js';
+import {BlockSurvivals} from './block_survivals.js';
+import {evictOldest} from './evict_oldest.js';
+import {
+  createHistory,
+  HistoryTable,
+  isSameLoss,
+  SAME_LOSS_MS,
+} from './loss_history.js';
+import {QuarantineTable} from './quarantine_table.js';
+
+import type {BlockCulprit} from './block_evidence.js';
+import type {LossHistory} from './loss_history.js';
+import type {QuarantineOptions} from './quarantine_table.js';
+import type {BlockSurvival, Quarantine, TargetLoss} from './target_loss.js';
+
 /**
  * Whether requests with one fingerprint are suspected of crashing targets.
  *
@@ -17,66 +33,22 @@
 /** @public */
 export type CrashStatus = (typeof CRASH_STATUS)[keyof typeof CRASH_STATUS];
 
-/** A request that was running on a target when the target was lost. @public */
-export interface TargetLoss {
-  readonly fingerprint: string;
-  readonly target: string;
-  /** When the loss was observed, by the wall clock of the observer. */
-  readonly seenAtMs: number;
-  /** Whether the target had already responded with a part of a stream. */
-  readonly hasProgressed?: boolean;
-}
-
-/** A fingerprint that must not run for some time. @public */
-export interface Quarantine {
-  readonly fingerprint: string;
-  /** Number of targets that were lost under it; some count half. */
-  readonly losses: number;
-  /** Milliseconds until one copy may be tried again. */
-  readonly leftMs: number;
-}
-
 /** How long what is known is in force; by default for good. @public */
-export interface CrashTrackerOptions {
+export interface CrashTrackerOptions extends QuarantineOptions {
   /** Milliseconds after which the losses of a suspect no longer count. */
   readonly suspicionMs: number;
-  /** Milliseconds of the first quarantine of a fingerprint. */
-  readonly firstQuarantineMs: number;
-  /** Limit for the later ones, each of which is longer than the one before. */
-  readonly maxQuarantineMs: number;
-}
-
-interface RecordedLoss {
-  /** When the loss was observed, by the wall clock of the observer. */
-  readonly seenAtMs: number;
-  /** When the report arrived, by this instance's monotonic clock. */
-  readonly recordedAtMs: number;
-  readonly hasProgressed: boolean;
-}
-
-interface LossHistory {
-  /** Number of different losses; some count half. */
-  losses: number;
-  /** The latest loss of each target. */
-  readonly lastLosses: Map<string, RecordedLoss>;
-  /** By this instance's monotonic clock. */
-  quarantinedUntilMs: number;
-  /** When it no longer counts, by the same clock. */
-  forgottenAtMs: number;
 }
 
 const LOSSES_TO_QUARANTINE = 2;
+/** Each loss beyond these makes the quarantine of a block longer. */
+const LOSSES_OF_FIRST_BLOCK_QUARANTINE = 3;
 /** A request that crashes targets rarely gets that far. */
 const LOSS_AFTER_PROGRESS = 0.5;
-/** Each quarantine of a fingerprint lasts this many times the one before. */
-const QUARANTINE_GROWTH = 4;
-/** Bounds the memory; the fingerprints recorded first are evicted first. */
-const MAX_FINGERPRINTS = 20_000;
+/** Bounds the memory; the fingerprints cleared first are evicted first. */
+const MAX_CLEARED = 20_000;
 /** Age and number of the losses that are passed on to a peer that starts. */
 const RECENT_MS = 120_000;
 const MAX_RECENT = 200;
-/** Reports about one target within this time are about the same loss. */
-const SAME_LOSS_MS = 10_000;
 /** Least time between two searches for what no longer counts. */
 const FORGET_INTERVAL_MS = 1000;
 
@@ -93,17 +65,25 @@
  * a quarantine it is a suspect again, and the next loss begins a longer one. The
  * owner sets when losses and quarantines are forgotten.
  *
+ * Blocks of prompts are put in quarantine in the same way, by their keys, once
+ * `BlockEvidence` finds one that is to blame for losses.
+ *
  * @public
  */
 export class CrashTracker {
   /** Fingerprints with fewer losses than a quarantine takes. */
-  private readonly suspects = new Map<string, LossHistory>();
-  /** Fingerprints that are, or once were, in quarantine. */
-  private readonly quarantined = new Map<string, LossHistory>();
+  private readonly suspects = HistoryTable.create();
+  private readonly quarantined: QuarantineTable;
   private readonly cleared = new Set<string>();
+  private readonly survivals = BlockSurvivals.create();
+  private readonly evidence: BlockEvidence;
   private forgotAtMs = -Infinity;
 
-  private constructor(private readonly options: CrashTrackerOptions) {}
+  private constructor(private readonly options: CrashTrackerOptions) {
+    const {survivals} = this;
+    this.quarantined = QuarantineTable.create(options);
+    this.evidence = BlockEvidence.create(survivals, options.suspicionMs);
+  }
 
   static create(options: CrashTrackerOptions = PERMANENT): CrashTracker {
     return new CrashTracker(options);
@@ -112,7 +92,8 @@
   /** Whether no loss is known that still counts. */
   isEmpty(nowMs: number): boolean {
     this.forgetOld(nowMs);
-    return this.suspects.size + this.quarantined.size === 0;
+    if (this.suspects.size + this.quarantined.size > 0) return false;
+    return this.evidence.isEmpty;
   }
 
   statusOf(fingerprint: string, nowMs: number): CrashStatus {
@@ -125,34 +106,37 @@
       : CRASH_STATUS.fresh;
   }
 
-  /** Milliseconds until a fingerprint may run; 0 if it is not quarantined. */
-  quarantineLeftMs(fingerprint: string, nowMs: number): number {
-    const untilMs = this.quarantined.get(fingerprint)?.quarantinedUntilMs;
-    return Math.max(0, (untilMs ?? nowMs) - nowMs);
+  /**
+   * Milliseconds until a request, or a prompt with a block, may run; 0 if it is
+   * not in quarantine.
+   *
+   * @param key - a fingerprint, or the key of a block
+   */
+  quarantineLeftMs(key: string, nowMs: number): number {
+    return this.quarantined.leftMs(key, nowMs);
   }
 
-  /** The fingerprints that are in quarantine now. */
+  /** All quarantines in force. */
   quarantines(nowMs: number): Quarantine[] {
-    const fingerprints = [...this.quarantined.keys()];
-    return fingerprints.flatMap(hash => this.quarantineOf(hash, nowMs) ?? []);
+    return this.quarantined.all(nowMs);
   }
 
-  /** Returns undefined if a fingerprint is not in quarantine now. */
-  quarantineOf(fingerprint: string, nowMs: number): Quarantine | undefined {
-    const leftMs = this.quarantineLeftMs(fingerprint, nowMs);
-    const history = this.quarantined.get(fingerprint);
-    if (leftMs === 0 || history === undefined) return undefined;
-    return {fingerprint, losses: history.losses, leftMs};
+  /** Returns undefined if a fingerprint or a block is not in quarantine now. */
+  quarantineOf(key: string, nowMs: number): Quarantine | undefined {
+    return this.quarantined.of(key, nowMs);
   }
 
-  /** The losses of the last minutes that led to no quarantine. */
+  /** The losses of the last minutes that led to no quarantine of the request. */
   suspectedLosses(nowMs: number): TargetLoss[] {
     const recent: TargetLoss[] = [];
-    for (const [fingerprint, {lastLosses}] of this.suspects) {
+    for (const [fingerprint, {lastLosses}] of this.suspects.entries()) {
       for (const [target, loss] of lastLosses) {
         const {seenAtMs, recordedAtMs, hasProgressed} = loss;
         if (nowMs - recordedAtMs > RECENT_MS) continue;
-        recent.push({fingerprint, target, seenAtMs, hasProgressed});
+        const blocks = loss.blocks.filter(block =>
+          this.evidence.isSuspect(block, recordedAtMs)
+        );
+        recent.push({fingerprint, target, seenAtMs, hasProgressed, blocks});
       }
     }
     return recent.slice(-MAX_RECENT);
@@ -167,42 +151,101 @@
   /**
    * Records a loss. Several reports of the same loss count once. Returns whether
    * the report is news.
+   *
+   * @param ageMs - time since the loss
    */
-  onLoss(loss: TargetLoss, nowMs: number): boolean {
-    const {fingerprint, target, seenAtMs, hasProgressed = false} = loss;
+  onLoss(loss: TargetLoss, nowMs: number, ageMs = 0): boolean {
+    const {fingerprint, target, seenAtMs} = loss;
+    const {hasProgressed = false, blocks = []} = loss;
     this.forgetOld(nowMs);
     const history = this.historyOf(fingerprint) ?? createHistory();
     const known = history.lastLosses.get(target);
     if (known !== undefined && isSameLoss(known, seenAtMs)) return false;
     history.losses += hasProgressed ? LOSS_AFTER_PROGRESS : 1;
-    const recorded = {seenAtMs, recordedAtMs: nowMs, hasProgressed};
+    const recorded = {seenAtMs, recordedAtMs: nowMs, hasProgressed, blocks};
     history.lastLosses.set(target, recorded);
     history.forgottenAtMs = nowMs + this.options.suspicionMs;
     this.cleared.delete(fingerprint);
+    this.evidence.add(loss, nowMs, clampAge(ageMs));
     if (history.losses < LOSSES_TO_QUARANTINE) {
-      addBounded(this.suspects, fingerprint, history);
+      this.suspects.set(fingerprint, history);
       return true;
     }
-    history.quarantinedUntilMs = nowMs + this.quarantineMs(history.losses);
-    this.addQuarantined(fingerprint, history);
+    const earlier = history.losses - LOSSES_TO_QUARANTINE;
+    this.suspects.delete(fingerprint);
+    this.quarantined.start(fingerprint, history, earlier, nowMs);
     return true;
   }
 
+  /**
+   * Puts the blocks in quarantine that turned out to crash targets since the
+   * last call; returns their quarantines.
+   */
+  quarantineBlocks(nowMs: number): Quarantine[] {
+    const known = {
+      isQuarantined: (block: string) => this.quarantineLeftMs(block, nowMs) > 0,
+      wasQuarantined: (block: string) =>
+        this.quarantined.get(block) !== undefined,
+    };
+    const found: Quarantine[] = [];
+    for (;;) {
+      const culprit = this.evidence.findCulprit(nowMs, known);
+      if (culprit === undefined) return found;
+      this.quarantineBlock(culprit, nowMs);
+      const quarantine = this.quarantineOf(culprit.block, nowMs);
+      if (quarantine !== undefined) found.push(quarantine);
+    }
+  }
+
+  /** Whether a block has run so recently that no loss now is due to it. */
+  hasJustRun(block: string, nowMs: number): boolean {
+    return !this.evidence.isSuspect(block, nowMs);
+  }
+
+  /**
+   * Records that a target wrote on a block of a prompt and lives on. Returns
+   * whether that ended a quarantine.
+   *
+   * @param ageMs - time since then
+   * @param isShared - whether the peers know of it
+   */
+  onBlockRan(
+    block: string,
+    nowMs: number,
+    ageMs = 0,
+    isShared = false
+  ): boolean {
+    const atMs = nowMs - clampAge(ageMs);
+    this.survivals.add(block, atMs, isShared);
+    const history = this.quarantined.get(block);
+    if (history === undefined || history.quarantinedAtMs >= atMs) return false;
+    return this.quarantined.delete(block);
+  }
+
+  /** When those of some blocks last ran of which the peers do not know it. */
+  takeUnsharedSurvivals(
+    blocks: readonly string[],
+    nowMs: number
+  ): BlockSurvival[] {
+    return this.survivalsOf(this.survivals.takeUnshared(blocks), nowMs);
+  }
+
+  /** When the blocks that lost targets were running last ran. */
+  suspectSurvivals(nowMs: number): BlockSurvival[] {
+    return this.survivalsOf(this.evidence.blocks(), nowMs);
+  }
+
   /**
    * Records a quarantine that was imposed elsewhere, or before a restart.
    * Returns whether it is news.
    */
-  onQuarantine(
-    {fingerprint, losses, leftMs}: Quarantine,
-    nowMs: number
-  ): boolean {
-    const history = this.historyOf(fingerprint) ?? createHistory();
-    const isNews = this.quarantineLeftMs(fingerprint, nowMs) === 0;
-    const untilMs = nowMs + Math.min(leftMs, this.options.maxQuarantineMs);
-    history.losses = Math.max(history.losses, losses, LOSSES_TO_QUARANTINE);
-    history.quarantinedUntilMs = Math.max(history.quarantinedUntilMs, untilMs);
-    this.addQuarantined(fingerprint, history);
-    return isNews;
+  onQuarantine(quarantine: Quarantine, nowMs: number): boolean {
+    const {fingerprint, losses} = quarantine;
+    const known = this.historyOf(fingerprint);
+    const least = Math.max(losses, LOSSES_TO_QUARANTINE);
+    this.suspects.delete(fingerprint);
+    const imposed = {...quarantine, losses: least};
+    return this.quarantined.onImposed(imposed, known, nowMs);
   }
 
   /** Clears a fingerprint that ran to completion, unless quarantined. */
@@ -211,63 +254,42 @@
     this.suspects.delete(fingerprint);
     this.quarantined.delete(fingerprint);
     this.cleared.add(fingerprint);
-    if (this.cleared.size > MAX_FINGERPRINTS) evictOldest(this.cleared);
+    if (this.cleared.size > MAX_CLEARED) evictOldest(this.cleared);
   }
 
   private historyOf(fingerprint: string): LossHistory | undefined {
     return this.suspects.get(fingerprint) ?? this.quarantined.get(fingerprint);
   }
 
-  private addQuarantined(fingerprint: string, history: LossHistory): void {
-    const {maxQuarantineMs} = this.options;
-    history.forgottenAtMs = history.quarantinedUntilMs + maxQuarantineMs;
-    this.suspects.delete(fingerprint);
-    addBounded(this.quarantined, fingerprint, history);
+  private quarantineBlock({block, losses}: BlockCulprit, nowMs: number): void {
+    const history = this.quarantined.get(block) ?? createHistory();
+    history.losses += losses;
+    const earlier = history.losses - LOSSES_OF_FIRST_BLOCK_QUARANTINE;
+    this.quarantined.start(block, history, earlier, nowMs);
   }
 
-  private forgetOld(nowMs: number): void {
-    if (nowMs - this.forgotAtMs < FORGET_INTERVAL_MS) return;
-    this.forgotAtMs = nowMs;
-    for (const histories of [this.suspects, this.quarantined]) {
-      for (const [fingerprint, {forgottenAtMs}] of histories) {
-        if (nowMs >= forgottenAtMs) histories.delete(fingerprint);
-      }
+  private survivalsOf(
+    blocks: readonly string[],
+    nowMs: number
+  ): BlockSurvival[] {
+    const survivals: BlockSurvival[] = [];
+    for (const block of blocks) {
+      const ageMs = nowMs - this.survivals.lastAtMs(block);
+      if (ageMs <= RECENT_MS) survivals.push({block, ageMs});
     }
+    return survivals;
   }
 
-  private quarantineMs(losses: number): number {
-    const {firstQuarantineMs, maxQuarantineMs} = this.options;
-    const earlier = Math.floor(losses - LOSSES_TO_QUARANTINE);
-    const quarantineMs = firstQuarantineMs * QUARANTINE_GROWTH ** earlier;
-    return Math.min(maxQuarantineMs, quarantineMs);
+  private forgetOld(nowMs: number): void {
+    if (nowMs - this.forgotAtMs < FORGET_INTERVAL_MS) return;
+    this.forgotAtMs = nowMs;
+    this.evidence.forgetOld(nowMs);
+    this.suspects.forgetOld(nowMs);
+    this.quarantined.forgetOld(nowMs);
   }
 }
 
-function createHistory(): LossHistory {
-  return {
-    losses: 0,
-    lastLosses: new Map(),
-    quarantinedUntilMs: -Infinity,
-    forgottenAtMs: -Infinity,
-  };
-}
-
-function isSameLoss(known: RecordedLoss, seenAtMs: number): boolean {
-  return Math.abs(seenAtMs - known.seenAtMs) < SAME_LOSS_MS;
-}
-
-function addBounded(
-  histories: Map<string, LossHistory>,
-  fingerprint: string,
-  history: LossHistory
-): void {
-  histories.set(fingerprint, history);
-  if (histories.size > MAX_FINGERPRINTS) evictOldest(histories);
-}
-
-function evictOldest(collection: Map<string, unknown> | Set<string>): void {
-  for (const key of collection.keys()) {
-    collection.delete(key);
-    return;
-  }
+/** What is older than a few minutes is not told among instances. */
+function clampAge(ageMs: number): number {
+  return Math.min(RECENT_MS, Math.max(0, ageMs));
 }
