Targets that are lost together are no evidence against a block they share

Cause: waves of crashes lost three targets within 40 ms, each with a request that had one session's block; some had been writing for 0.8 to 1.5 s, while what crashes a target does so within 0.12 s (users' record).

Change: targets lost within 50 ms of each other count once, and a request that had been written for 0.6 s raises no suspicion against its blocks.

--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -79,6 +79,31 @@
   assert.deepEqual(progress, [true, true, false]);
 });
 
+test('only what a target began to write shortly before is evidence against blocks', async () => {
+  const {guard, reported} = createGuard(() => Promise.resolve(true));
+  for (const writingMs of [undefined, 100, 1000]) {
+    const run = {...runOf(`f${writingMs}`, writingMs), blocks: ['block:a']};
+    await guard.onReset(targetAt(`t-${writingMs}`), run);
+  }
+  const blocks = reported.flat().map(loss => loss.blocks);
+  assert.deepEqual(blocks, [['block:a'], ['block:a'], []]);
+});
+
+test('a block that has just run is no suspect, and peers hear of it', async () => {
+  const {guard, reported} = createGuard(() => Promise.resolve(true));
+  const told: string[] = [];
+  guard.onSurvivals = survivals =>
+    told.push(...survivals.map(({block}) => block));
+  guard.onBlocksRan(['block:a']);
+  const run = {...runOf('f'), blocks: ['block:a', 'block:b']};
+  await guard.onReset(targetAt('t-1'), run);
+  assert.deepEqual(reported.flat()[0].blocks, ['block:b']);
+  const loss = {fingerprint: 'g', target: 't-2', seenAtMs: 1e12};
+  guard.onPeerLoss({...loss, blocks: ['block:a']});
+  guard.onPeerLoss({...loss, fingerprint: 'h', blocks: ['block:a']});
+  assert.deepEqual(told, ['block:a']);
+});
+
 test('a target that is alive is no loss', async () => {
   const {guard, reported} = createGuard(() => Promise.resolve(false));
   await guard.onReset(targetAt('t-1'), runOf('f'));
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -45,6 +45,8 @@
 
 /** A target that has written for this long did not crash under the request. */
 export const SURVIVAL_MS = 1500;
+/** What crashes a target does so soon after the target began to write. */
+const CRASH_WITHIN_MS = 600;
 /** Bounds the memory. */
 const MAX_OBSERVED = 20_000;
 /** Bounds a message to peers; prompts have few blocks. */
@@ -214,8 +216,9 @@
     seenAtMs: number
   ): TargetLoss {
     const hasProgressed = writingMs !== undefined;
+    const isSuspect = (writingMs ?? 0) < CRASH_WITHIN_MS;
     const suspects = blocks.filter(
-      block => !this.tracker.hasJustRun(block, this.nowMs)
+      block => isSuspect && !this.tracker.hasJustRun(block, this.nowMs)
     );
     return {
       fingerprint,
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -220,6 +220,8 @@
       };
       state.crashGuard.onPeerLoss(loss);
       exchange.announceNow([{kind: 'loss', loss}]);
+      // Targets that are lost together count once.
+      await sleep(200);
     }
     await waitUntil('all refuse the block', () =>
       fleet.every(({state}) => state.crashGuard.quarantineLeftMs('bad') > 0)
--- a/packages/routing/src/lib/crash/block_evidence.ts
+++ b/packages/routing/src/lib/crash/block_evidence.ts
@@ -13,7 +13,7 @@
 /** A block that probably crashes targets. @public */
 export interface BlockCulprit {
   readonly block: string;
-  /** Number of targets that were lost under it. */
+  /** Number of times at which targets were lost under it. */
   readonly losses: number;
 }
 
@@ -35,11 +35,14 @@
 interface Case {
   readonly block: string;
   readonly requests: Set<string>;
+  /** When targets were lost, in order; those that were lost together count once. */
   readonly lostAtMs: number[];
   depth: number;
 }
 
 const LOSSES_TO_QUARANTINE = 3;
+/** Targets that are lost together have a cause in common that is no request. */
+const TOGETHER_MS = 50;
 /** One request alone is quarantined by its own fingerprint. */
 const REQUESTS_TO_QUARANTINE = 2;
 /** A block that has just run elsewhere did not crash this target. */
@@ -53,7 +56,8 @@
  * Finds the block of prompts that crashes targets. Each lost target raises
  * suspicion against all blocks that it was running; a block that has run since
  * is cleared, and a loss counts against no block if one in quarantine explains
- * it. What is left is the block that the lost targets have in common.
+ * it. What is left is the block that the lost targets have in common. Targets that are
+ * lost at the same moment count once: many fail together for other reasons.
  *
  * @public
  */
@@ -141,14 +145,17 @@
   /** What speaks against each block that is not in quarantine. */
   private cases(known: KnownBlocks): Iterable<Case> {
     const cases = new Map<string, Case>();
-    for (const {lostAtMs, suspicions} of this.targets.values()) {
+    const targets = [...this.targets.values()];
+    targets.sort((a, b) => a.lostAtMs - b.lostAtMs);
+    for (const {lostAtMs, suspicions} of targets) {
       const blocks = [...suspicions.keys()];
       if (blocks.some(block => known.isQuarantined(block))) continue;
       for (const [block, {requests, depth}] of suspicions) {
         if (!this.isSuspect(block, lostAtMs)) continue;
         const found = cases.get(block) ?? createCase(block);
         for (const fingerprint of requests) found.requests.add(fingerprint);
-        found.lostAtMs.push(lostAtMs);
+        const previousMs = found.lostAtMs.at(-1) ?? -Infinity;
+        if (lostAtMs - previousMs > TOGETHER_MS) found.lostAtMs.push(lostAtMs);
         found.depth = Math.max(found.depth, depth);
         cases.set(block, found);
       }
@@ -184,6 +191,5 @@
   const isRepeated = known.wasQuarantined(block);
   if (!isRepeated && requests.size < REQUESTS_TO_QUARANTINE) return Infinity;
   const needed = isRepeated ? 1 : LOSSES_TO_QUARANTINE;
-  const ordered = [...lostAtMs].sort((a, b) => a - b);
-  return (ordered[needed - 1] ?? Infinity) + SETTLE_MS;
+  return (lostAtMs[needed - 1] ?? Infinity) + SETTLE_MS;
 }
