A target gets no more from the whole fleet than the rate that it names

Cause: the header was not read. Class: what a response says of its target, as departures and pauses are.

Change: TargetSignals has the limit; TargetRateLimit is a token bucket at each instance, from which the sends of all instances are taken. They travel as usage in a pool of the target's own, over relays to all groups. A target at its rate is no candidate; if all are, the request is refused at once with the time until there is room.

Ruled out: the rate divided by the number of instances (callers are spread unevenly, so a part of a scarce rate would be unused); instances that take the next request as soon as the bucket has one (model: 12 send at once, 12 in 4 s where 11 are allowed): each leaves a random part.

--- a/packages/gateway/src/lib/front/pause_advice.ts
+++ b/packages/gateway/src/lib/front/pause_advice.ts
@@ -1,14 +1,14 @@
-import {earliestPauseEndMs} from '../upstream/candidates.js';
+import {earliestAvailableMs} from '../upstream/candidates.js';
 
 import type {ExchangeDeps} from './exchange_deps.js';
 
-/** Callers that wait for a pause to end return within this time after it. */
+/** Callers that wait for a target return within this time after it is back. */
 const PAUSE_SPREAD_MS = 300;
 
 /**
- * When to retry after the first paused target of a service may get requests
- * again, in seconds; undefined if none is paused. It is spread, so that callers
- * return in turn.
+ * When to retry after the first target of a service that is paused, or at its
+ * rate, may get requests again, in seconds; undefined if there is none. It is
+ * spread, so that callers return in turn.
  *
  * @public
  */
@@ -18,7 +18,7 @@
   nowMs: number
 ): number | undefined {
   const records = state.targets.readyTargets(service);
-  const endsAtMs = earliestPauseEndMs(records, nowMs);
-  if (endsAtMs === undefined) return undefined;
-  return (endsAtMs - nowMs + random() * PAUSE_SPREAD_MS) / 1000;
+  const availableAtMs = earliestAvailableMs(records, nowMs);
+  if (availableAtMs === undefined) return undefined;
+  return (availableAtMs - nowMs + random() * PAUSE_SPREAD_MS) / 1000;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -92,6 +92,7 @@
       random: () => random.uniform(),
       onPlaced: (target, context, isCacheMiss) => {
         this.noteStream(target, context);
+        this.countLimited(target);
         this.peers.onPlaced(target, context.prompt, isCacheMiss);
       },
       onUsage: usage => {
@@ -158,10 +159,19 @@
     this.peers.announce({kind: 'streams', version, attempts: [attempt]});
   }
 
+  /** Counts a request, for all instances, to a target that limits their rate. */
+  private countLimited(targetId: string): void {
+    const limit = this.state.targets.get(targetId)?.rateLimit;
+    const nowMs = systemClock.monotonicMs();
+    if (limit?.isInForce(nowMs) !== true) return;
+    limit.onSent(nowMs);
+    this.peers.onLimitedSend(targetId);
+  }
+
   /** Applies what a target says of itself, and tells the peers. */
   private onTargetSignals(
     record: TargetRecord,
-    {isLeaving, pauseMs}: TargetSignals
+    {isLeaving, pauseMs, limitPerS}: TargetSignals
   ): void {
     const {targets} = this.state;
     const nowMs = systemClock.monotonicMs();
@@ -171,6 +181,9 @@
       this.peers.announce({kind: 'pause', target: id, pauseMs});
       this.metrics.onTargetPaused();
     }
+    if (limitPerS !== undefined && targets.onLimit(record, limitPerS, nowMs)) {
+      this.peers.announce({kind: 'limit', target: id, limitPerS});
+    }
     if (!isLeaving) return;
     const departure = targets.onLeaving(record, nowMs);
     if (departure === undefined) return;
--- a/packages/gateway/src/lib/peers/aggregate_exchange.ts
+++ b/packages/gateway/src/lib/peers/aggregate_exchange.ts
@@ -274,7 +274,7 @@
     const {state} = this.options;
     const {rest} = this.outboxes;
     const order = this.aggregates.onAggregate(message, nowMs, row => {
-      state.sharesOf(row.pool).add(row.customer, row, nowMs);
+      state.addPeerUsage(row, nowMs);
       rest.usage.add(row);
     });
     if (order === MESSAGE_ORDER.stale) return;
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -18,6 +18,12 @@
       /** Milliseconds for which the target wants no requests. */
       readonly pauseMs: number;
     }
+  | {
+      readonly kind: 'limit';
+      readonly target: string;
+      /** Requests a second from all instances; Infinity if a limit ended. */
+      readonly limitPerS: number;
+    }
   | {readonly kind: 'loss'; readonly loss: TargetLoss}
   | {readonly kind: 'quarantine'; readonly quarantine: Quarantine}
   | {readonly kind: 'survivals'; readonly survivals: readonly BlockSurvival[]}
@@ -54,6 +60,9 @@
     case 'pause':
       targets.onPeerPause(notice.target, notice.pauseMs, nowMs);
       return;
+    case 'limit':
+      targets.onPeerLimit(notice.target, notice.limitPerS, nowMs);
+      return;
     case 'loss':
     case 'quarantine':
     case 'survivals':
@@ -95,6 +104,9 @@
   for (const seen of targets.versions.recent(nowMs)) {
     notices.push({kind: 'version', seen});
   }
+  for (const [target, limitPerS] of targets.limits(nowMs)) {
+    notices.push({kind: 'limit', target, limitPerS});
+  }
   return [...notices, ...crashNoticesForStart(crashGuard)];
 }
 
--- a/packages/gateway/src/lib/peers/notice_codec.ts
+++ b/packages/gateway/src/lib/peers/notice_codec.ts
@@ -17,12 +17,14 @@
   version: 6,
   streams: 7,
   survivals: 8,
+  limit: 9,
 } as const;
 
 /** A notice as it stands in a message. @public */
 export type WireNotice =
   | [code: number, target: string, startedAtMs: number, storeEra: number]
   | [code: number, target: string, pauseMs: number]
+  | [code: number, target: string, limitPerS: number]
   | [
       code: number,
       target: string,
@@ -50,6 +52,8 @@
     }
     case 'pause':
       return [NOTICE_CODE.pause, notice.target, Math.round(notice.pauseMs)];
+    case 'limit':
+      return [NOTICE_CODE.limit, notice.target, notice.limitPerS];
     case 'loss': {
       const {
         target,
@@ -105,6 +109,11 @@
   [NOTICE_CODE.leaving]: decodeDeparture(DEPARTURE_KIND.leaving),
   [NOTICE_CODE.removed]: decodeDeparture(DEPARTURE_KIND.removed),
   [NOTICE_CODE.pause]: (target, pauseMs) => ({kind: 'pause', target, pauseMs}),
+  [NOTICE_CODE.limit]: (target, limitPerS) => ({
+    kind: 'limit',
+    target,
+    limitPerS,
+  }),
   [NOTICE_CODE.loss]: (
     target,
     seenAtMs,
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -11,10 +11,14 @@
 const MAX_ATTEMPTS = 400;
 
 /**
- * A pause is over soon, there are too many streams to repeat them, and survivals
- * would be taken for younger than they are.
+ * A pause is over soon, a limit is named again and again, survivals would be
+ * taken for younger than they are, and there are too many streams.
  */
-type SentOnce = Extract<Notice, {kind: 'pause' | 'streams' | 'survivals'}>;
+type SentOnce = Extract<
+  Notice,
+  {kind: 'pause' | 'limit' | 'survivals' | 'streams'}
+>;
+type StreamNotice = Extract<Notice, {kind: 'streams'}>;
 type RepeatedNotice = Exclude<Notice, SentOnce>;
 
 interface Repetition {
@@ -39,17 +43,30 @@
   }
 
   add(notice: Notice, nowMs: number): void {
-    if (notice.kind === 'pause' || notice.kind === 'survivals') {
-      this.single.push(notice);
-      return;
-    }
-    if (notice.kind === 'streams') {
-      const {version, attempts} = notice;
-      const waiting = this.attempts.get(version) ?? [];
-      waiting.push(...attempts);
-      this.attempts.set(version, waiting);
-      return;
+    switch (notice.kind) {
+      case 'pause':
+      case 'limit':
+      case 'survivals':
+        this.single.push(notice);
+        return;
+      case 'streams':
+        this.addAttempts(notice);
+        return;
+      case 'departure':
+      case 'loss':
+      case 'quarantine':
+      case 'version':
+        this.repeat(notice, nowMs);
     }
+  }
+
+  private addAttempts({version, attempts}: StreamNotice): void {
+    const waiting = this.attempts.get(version) ?? [];
+    waiting.push(...attempts);
+    this.attempts.set(version, waiting);
+  }
+
+  private repeat(notice: RepeatedNotice, nowMs: number): void {
     const key = keyOf(notice);
     const sentAtMs = this.repeated.get(key)?.sentAtMs ?? -Infinity;
     const untilMs = nowMs + REPEAT_MS;
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -8,6 +8,7 @@
 import {ConfirmationExchange} from './confirmation_exchange.js';
 import {AggregateExchange} from './aggregate_exchange.js';
 import {applyNotice, noticesForStart} from './notice.js';
+import {targetPool} from '../state/target_pool.js';
 import {UsageCounters} from './usage_counters.js';
 import {MESSAGE_KIND} from './wire_rows.js';
 
@@ -175,9 +176,19 @@
   /** Adds usage at this instance. */
   onUsage(row: UsageRow): void {
     const {state, clock} = this.options;
+    this.sendUsage(row);
+    state.sharesOf(row.pool).add(row.customer, row, clock.monotonicMs());
+  }
+
+  /** Counts a request that is sent to a target that limits their rate. */
+  onLimitedSend(target: string): void {
+    const usage = {customer: '', requested: 1, admitted: 1};
+    this.sendUsage({pool: targetPool(target), ...usage});
+  }
+
+  private sendUsage(row: UsageRow): void {
     this.usage.add(row);
     this.aggregates.onGroupUsage(row);
-    state.sharesOf(row.pool).add(row.customer, row, clock.monotonicMs());
   }
 
   /** Tells all peers, with the next message. */
@@ -244,7 +255,7 @@
     const {state, clock, source} = this.options;
     const nowMs = clock.monotonicMs();
     const onUsage = (row: UsageRow) => {
-      state.sharesOf(row.pool).add(row.customer, row, nowMs);
+      state.addPeerUsage(row, nowMs);
       this.aggregates.onGroupUsage(row);
     };
     const order = this.peerTable.onMessage(message, nowMs, onUsage);
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -232,6 +232,29 @@
   });
 });
 
+test('requests to a limited target at one instance count in all groups', async () => {
+  await withFleet(27, async fleet => {
+    const sent = 30;
+    const limitPerS = 10;
+    const limits = fleet.map(({state}) => {
+      state.targets.onPeerLimit(
+        TARGET.id,
+        limitPerS,
+        systemClock.monotonicMs()
+      );
+      const record = state.targets.get(TARGET.id);
+      assert.ok(record);
+      return record.rateLimit;
+    });
+    for (let i = 0; i < sent; i++) fleet[13].exchange.onLimitedSend(TARGET.id);
+    await waitUntil('all others hold back', () => {
+      const nowMs = systemClock.monotonicMs();
+      const others = limits.filter((_, index) => index !== 13);
+      return others.every(limit => limit.availableAtMs(nowMs) > nowMs + 1000);
+    });
+  });
+});
+
 test('all groups know at which version each stream was begun', async () => {
   await withFleet(27, async fleet => {
     fleet.forEach((instance, index) => {
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -70,6 +70,11 @@
         kind: fc.constant('quarantine' as const),
         quarantine: fc.record({fingerprint: id, losses: count, leftMs: count}),
       }),
+      fc.record({
+        kind: fc.constant('limit' as const),
+        target: id,
+        limitPerS: fc.oneof(fc.constant(Infinity), count),
+      }),
       fc.record({
         kind: fc.constant('survivals' as const),
         survivals: fc.array(fc.record({block: id, ageMs: count}), {
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -54,6 +54,11 @@
   readonly isLeaving: boolean;
   /** Milliseconds for which it wants no requests; undefined if it says none. */
   readonly pauseMs: number | undefined;
+  /**
+   * Requests a second that it takes from all instances together; Infinity if it
+   * answers a request without naming any, undefined if it says nothing of it.
+   */
+  readonly limitPerS: number | undefined;
 }
 
 /** The decoded headers of a target's response. @public */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -9,10 +9,12 @@
 import {CrashGuard} from '../crash/crash_guard.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
+import {targetOfPool} from './target_pool.js';
 
 import type {FleetConfig, ShareLevels, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {GatewaySettings, StateSource, TargetInspector} from '../ports.js';
+import type {UsageRow} from '../peers/peer_message.js';
 import type {TargetSignalListener} from './target_directory.js';
 
 /**
@@ -129,6 +131,16 @@
     return shares;
   }
 
+  /** Adds usage of a peer to its pool. */
+  addPeerUsage(row: UsageRow, nowMs: number): void {
+    const target = targetOfPool(row.pool);
+    if (target === undefined) {
+      this.sharesOf(row.pool).add(row.customer, row, nowMs);
+      return;
+    }
+    this.targets.get(target)?.rateLimit.onPeersSent(row.admitted, nowMs);
+  }
+
   /** The retry budget of a service; created on first use. */
   retryBudgetOf(service: string): FleetRetryBudget {
     let budget = this.budgets.get(service);
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -183,6 +183,39 @@
     record.peerPauseEndsAtMs = Math.max(record.peerPauseEndsAtMs, endsAtMs);
   }
 
+  /**
+   * Records the rate that a target names, here or to a peer; Infinity if it names
+   * none. Returns whether the peers should hear of it.
+   */
+  onLimit(record: TargetRecord, limitPerS: number, nowMs: number): boolean {
+    const {target, rateLimit} = record;
+    const {id, service} = target;
+    if (limitPerS === Infinity) {
+      const isLifted = rateLimit.onNotNamed(nowMs);
+      if (isLifted) this.log.info('target limit lifted', {target: id, service});
+      return isLifted;
+    }
+    if (!rateLimit.isInForce(nowMs)) {
+      this.log.info('target limited', {target: id, service, limitPerS});
+    }
+    return rateLimit.onNamed(limitPerS, nowMs);
+  }
+
+  /** Records the rate that a target named to a peer; Infinity if it ended. */
+  onPeerLimit(id: string, limitPerS: number, nowMs: number): void {
+    const record = this.records.get(id);
+    if (record === undefined) return;
+    if (limitPerS === Infinity) record.rateLimit.lift();
+    else this.onLimit(record, limitPerS, nowMs);
+  }
+
+  /** The rates that targets name, by target, for peers that start. */
+  limits(nowMs: number): [target: string, limitPerS: number][] {
+    return [...this.records.values()]
+      .filter(({rateLimit}) => rateLimit.isInForce(nowMs))
+      .map(({target, rateLimit}) => [target.id, rateLimit.rate(nowMs)]);
+  }
+
   /** The updated record of a target; a new one if the target restarted. */
   private recordFor(target: Target): TargetRecord {
     const existing = this.records.get(target.id);
--- a/packages/gateway/src/lib/state/target_record.ts
+++ b/packages/gateway/src/lib/state/target_record.ts
@@ -4,6 +4,7 @@
   PrefixCache,
   TargetHealth,
   TargetPause,
+  TargetRateLimit,
 } from '@applebend/routing';
 
 import type {FirstEventModel, TargetLoad, Target} from '@applebend/routing';
@@ -21,6 +22,8 @@
   readonly health = TargetHealth.create();
   /** The pause that it asked of this instance. */
   readonly pause = TargetPause.create();
+  /** The rate that it named for all instances. */
+  readonly rateLimit = TargetRateLimit.create(Math.random);
   /** Until then, by monotonic milliseconds, it paused some peer. */
   peerPauseEndsAtMs = -Infinity;
   readonly prefixCache = PrefixCache.create(0);
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -32,7 +32,7 @@
 
 /**
  * The targets that a request may be sent to now. A target that asked for a pause
- * gets none before it is over. Ejected targets, and those that paused a peer, are
+ * gets none before it is over, and one that named a rate no more than that. Ejected targets, and those that paused a peer, are
  * left out unless there is no other: trying one is better than trying none.
  *
  * @public
@@ -50,28 +50,32 @@
 }
 
 function isAllowed(
-  {target, pause}: TargetRecord,
+  {target, pause, rateLimit}: TargetRecord,
   {tried, nowMs, softwareVersion}: CandidateNeeds
 ): boolean {
   if (tried.has(target.id) || !pause.isUsable(nowMs)) return false;
+  if (!rateLimit.isUsable(nowMs)) return false;
   if (softwareVersion === undefined) return true;
   return target.softwareVersion === softwareVersion;
 }
 
 /**
- * When the first of some paused targets may get requests again, in monotonic
- * milliseconds; undefined if none is paused.
+ * When the first of the targets that are paused, or have got all that they take
+ * for now, may get requests again, in monotonic milliseconds; undefined if there
+ * is none of these.
  *
  * @public
  */
-export function earliestPauseEndMs(
+export function earliestAvailableMs(
   records: readonly TargetRecord[],
   nowMs: number
 ): number | undefined {
-  const ends = records
-    .map(({pause}) => pause.endsAtMs)
-    .filter(endsAtMs => endsAtMs > nowMs);
-  return ends.length === 0 ? undefined : Math.min(...ends);
+  const times = records
+    .map(({pause, rateLimit}) =>
+      Math.max(pause.endsAtMs, rateLimit.availableAtMs(nowMs))
+    )
+    .filter(atMs => atMs > nowMs);
+  return times.length === 0 ? undefined : Math.min(...times);
 }
 
 function candidateOf(record: TargetRecord, needs: CandidateNeeds): Candidate {
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -40,7 +40,7 @@
 /** The outcome of a call; an aborted call reports none. @public */
 export interface TargetCallEvents {
   onResponse(response: TargetResponse): void;
-  /** Called before the outcome, if the target says anything of itself. */
+  /** Called before the outcome, with what the target says of itself. */
   onSignals(signals: TargetSignals): void;
   /**
    * Called when the head of the response is late, and again after each further
@@ -170,9 +170,7 @@
 
   /** A response with status 421 speaks for another target. */
   private reportSignals(status: number, signals: TargetSignals): void {
-    const {isLeaving, pauseMs} = signals;
-    if (status === STATUS_MISDIRECTED) return;
-    if (isLeaving || pauseMs !== undefined) this.events.onSignals(signals);
+    if (status !== STATUS_MISDIRECTED) this.events.onSignals(signals);
   }
 
   private onError(err: Error): void {
