--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -2,7 +2,7 @@
 import dgram from 'node:dgram';
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
-import {systemClock} from '@applebend/utils';
+import {sleep, systemClock} from '@applebend/utils';
 import {sampleTarget} from '../../testing/sample_target.js';
 import {FleetState} from '../state/fleet_state.js';
 import {PeerExchange} from './peer_exchange.js';
@@ -16,8 +16,6 @@
 } from '../ports.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
-const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
 /** All instances share one process, so a busy machine slows them all. */
 const WAIT_TIMEOUT_MS = 15_000;
 
