The checks of targets whose connections broke are a class of their own

No change of behaviour: CrashGuard had grown to do both, ask whether a target is lost and weigh what was lost with it. crash_guard, block_quarantine, crash_loop (30) pass.

--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -10,7 +10,7 @@
 
 import type {Target, TargetLoss} from '@applebend/routing';
 import type {AddressInfo} from 'node:net';
-import type {BrokenRun} from './crash_guard.js';
+import type {BrokenRun} from './loss_checks.js';
 import type {RequestContent} from './request_fingerprint.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -1,4 +1,5 @@
 import {CrashTracker} from '@applebend/routing';
+import {incarnationOf, LossChecks} from './loss_checks.js';
 import {isTargetLost} from './target_check.js';
 
 import type {
@@ -9,6 +10,7 @@
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
+import type {BrokenRun} from './loss_checks.js';
 
 /** Called with the losses of one target that this instance observed. @public */
 export type LossListener = (losses: readonly TargetLoss[]) => void;
@@ -24,25 +26,6 @@
 /** Called with blocks that ran and that peers may suspect. @public */
 export type SurvivalListener = (survivals: readonly BlockSurvival[]) => void;
 
-/** A request that a target was running when its connection broke. @public */
-export interface BrokenRun {
-  readonly fingerprint: string;
-  /** Keys of the blocks of its prompt that other requests may have, too. */
-  readonly blocks: readonly string[];
-  /**
-   * Milliseconds since the first event from that target; undefined if none had
-   * arrived.
-   */
-  readonly writingMs: number | undefined;
-}
-
-/** A check of a target, and the requests that it lost meanwhile. */
-interface PendingCheck {
-  readonly ended: Promise<void>;
-  /** By fingerprint. */
-  readonly running: Map<string, BrokenRun>;
-}
-
 /** A target that has written for this long did not crash under the request. */
 export const SURVIVAL_MS = 1500;
 /** What crashes a target does so soon after the target began to write. */
@@ -69,8 +52,7 @@
  */
 export class CrashGuard {
   private readonly tracker = CrashTracker.create(TRACKER_OPTIONS);
-  /** Checks in progress, by target. */
-  private readonly checks = new Map<string, PendingCheck>();
+  private readonly checks: LossChecks;
   /** Fingerprints and blocks of which this instance observed a loss. */
   private readonly observed = new Set<string>();
   onLosses: LossListener = () => undefined;
@@ -80,8 +62,12 @@
   private constructor(
     private readonly log: Logger,
     private readonly clock: Clock,
-    private readonly isLost: (target: Target) => Promise<boolean>
-  ) {}
+    isLost: (target: Target) => Promise<boolean>
+  ) {
+    this.checks = LossChecks.create(isLost, (target, runs) =>
+      this.onLost(target, runs)
+    );
+  }
 
   /** @param isLost - whether a target whose connection broke is lost */
   static create(
@@ -129,13 +115,7 @@
    * whether the target is lost.
    */
   onReset(target: Target, run: BrokenRun): Promise<void> {
-    const key = incarnationOf(target);
-    const pending = this.checks.get(key) ?? this.startCheck(target, key);
-    const copy = pending.running.get(run.fingerprint);
-    // Of two copies of a request, the one that got less far is suspected more.
-    const isFirst = copy === undefined || isBehind(run, copy);
-    if (isFirst) pending.running.set(run.fingerprint, run);
-    return pending.ended;
+    return this.checks.onReset(target, run);
   }
 
   onServed(fingerprint: string): void {
@@ -175,33 +155,17 @@
     return this.clock.monotonicMs();
   }
 
-  private startCheck(target: Target, key: string): PendingCheck {
-    const running = new Map<string, BrokenRun>();
-    const ended = this.check(target, key, running);
-    const pending = {ended, running};
-    this.checks.set(key, pending);
-    return pending;
-  }
-
-  private async check(
-    target: Target,
-    key: string,
-    running: ReadonlyMap<string, BrokenRun>
-  ): Promise<void> {
-    const isLost = await this.isLost(target);
-    this.checks.delete(key);
-    if (!isLost) return;
+  private onLost(target: Target, runs: readonly BrokenRun[]): void {
     const {id, service} = target;
-    const runs = [...running.values()];
     this.log.warn('target lost', {
       target: id,
       service,
-      running: [...running.keys()],
+      running: runs.map(run => run.fingerprint),
       writingMs: runs.map(run => run.writingMs ?? null),
       blocks: blockCounts(runs),
     });
     const seenAtMs = this.clock.wallMs();
-    const losses = runs.map(run => this.lossOf(run, key, seenAtMs));
+    const losses = runs.map(run => this.lossOf(run, target, seenAtMs));
     for (const loss of losses) {
       this.addObserved(loss);
       this.record(loss, 0);
@@ -212,7 +176,7 @@
 
   private lossOf(
     {fingerprint, blocks, writingMs}: BrokenRun,
-    target: string,
+    target: Target,
     seenAtMs: number
   ): TargetLoss {
     const hasProgressed = writingMs !== undefined;
@@ -222,7 +186,7 @@
     );
     return {
       fingerprint,
-      target,
+      target: incarnationOf(target),
       seenAtMs,
       hasProgressed,
       blocks: suspects.slice(-MAX_BLOCKS),
@@ -270,10 +234,6 @@
   }
 }
 
-function isBehind(run: BrokenRun, other: BrokenRun): boolean {
-  return (run.writingMs ?? -1) < (other.writingMs ?? -1);
-}
-
 /** How many of the requests have each block. */
 function blockCounts(runs: readonly BrokenRun[]): Record<string, number> {
   const counts: Record<string, number> = {};
@@ -282,8 +242,3 @@
   }
   return counts;
 }
-
-/** Names one incarnation of a target. */
-function incarnationOf({id, startedAtMs}: Target): string {
-  return `${id} ${startedAtMs}`;
-}
--- a/packages/gateway/src/testing/guarded_fleet.ts
+++ b/packages/gateway/src/testing/guarded_fleet.ts
@@ -4,7 +4,7 @@
 import {sampleTarget} from './sample_target.js';
 
 import type {Quarantine} from '@applebend/routing';
-import type {BrokenRun} from '../lib/crash/crash_guard.js';
+import type {BrokenRun} from '../lib/crash/loss_checks.js';
 import type {CrashNotice} from '../lib/peers/notice.js';
 
 /** What a request has in common with others. */
