Peers hear of a block that runs after they have come to suspect it

Found on reading: an instance told its peers that a block had run when it heard of a loss, but not when the block ran after that. The others could put it in quarantine for ten minutes while this one served it.

--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -104,6 +104,19 @@
   assert.deepEqual(told, ['block:a']);
 });
 
+test('peers that suspect a block hear that it runs here later', () => {
+  const {guard} = createGuard(() => Promise.resolve(true));
+  const told: string[] = [];
+  guard.onSurvivals = survivals =>
+    told.push(...survivals.map(({block}) => block));
+  const loss = {fingerprint: 'g', target: 't-2', seenAtMs: 1e12};
+  guard.onPeerLoss({...loss, blocks: ['block:a', 'block:b']});
+  assert.deepEqual(told, []);
+  guard.onBlocksRan(['block:a']);
+  guard.onBlocksRan(['block:a']);
+  assert.deepEqual(told, ['block:a']);
+});
+
 test('a target that is alive is no loss', async () => {
   const {guard, reported} = createGuard(() => Promise.resolve(false));
   await guard.onReset(targetAt('t-1'), runOf('f'));
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -125,10 +125,10 @@
   /** Records that a target wrote on some blocks and lives on. */
   onBlocksRan(blocks: readonly string[]): void {
     const {nowMs} = this;
-    const released = blocks.filter(key => this.tracker.onBlockRan(key, nowMs));
-    if (released.length === 0) return;
-    for (const block of released) this.onReleased(block);
-    this.shareSurvivals(released);
+    for (const block of blocks) {
+      if (this.tracker.onBlockRan(block, nowMs)) this.onReleased(block);
+    }
+    this.shareSurvivals(blocks);
   }
 
   /** Records a loss that a peer observed. */
@@ -222,9 +222,9 @@
     this.onQuarantined({fingerprint: block, losses: 1, leftMs: 0});
   }
 
-  /** Tells the peers which of some suspected blocks have run. */
+  /** Tells the peers which of some blocks have run that they suspect. */
   private shareSurvivals(blocks: readonly string[]): void {
-    const survivals = this.tracker.takeUnsharedSurvivals(blocks, this.nowMs);
+    const survivals = this.tracker.takeSurvivalNews(blocks, this.nowMs);
     if (survivals.length > 0) this.onSurvivals(survivals);
   }
 
--- a/packages/routing/src/lib/crash/block_evidence.ts
+++ b/packages/routing/src/lib/crash/block_evidence.ts
@@ -45,12 +45,11 @@
 const TOGETHER_MS = 50;
 /** One request alone is quarantined by its own fingerprint. */
 const REQUESTS_TO_QUARANTINE = 2;
-/** A block that has just run elsewhere did not crash this target. */
-const RECENT_SURVIVAL_MS = 1000;
 /** Time for the peers to say which blocks have run. */
 const SETTLE_MS = 250;
 /** Bounds the memory. */
 const MAX_TARGETS = 500;
+const MAX_BLOCKS = 20_000;
 
 /**
  * Finds the block of prompts that crashes targets. Each lost target raises
@@ -63,6 +62,8 @@
  */
 export class BlockEvidence {
   private readonly targets = new Map<string, LostTarget>();
+  /** When a target was last lost that was running a block, by block. */
+  private readonly lastLosses = new Map<string, number>();
   /** When losses have to be looked at; Infinity if none is new. */
   private dueAtMs = Infinity;
 
@@ -94,29 +95,33 @@
       else
         lost.suspicions.set(block, {requests: new Set([fingerprint]), depth});
     }
+    for (const block of blocks) {
+      const lastMs = this.lastLosses.get(block) ?? -Infinity;
+      this.lastLosses.set(block, Math.max(lastMs, lost.lostAtMs));
+      if (this.lastLosses.size > MAX_BLOCKS) evictOldest(this.lastLosses);
+    }
     this.targets.set(target, lost);
     if (this.targets.size > MAX_TARGETS) evictOldest(this.targets);
     this.dueAtMs = Math.min(this.dueAtMs, nowMs + SETTLE_MS);
   }
 
-  /** Whether a block may have crashed a target that was lost at some time. */
-  isSuspect(block: string, lostAtMs: number): boolean {
-    return this.survivals.lastAtMs(block) + RECENT_SURVIVAL_MS < lostAtMs;
-  }
-
   /** The blocks that lost targets were running, whether cleared or not. */
   blocks(): string[] {
-    const all = new Set<string>();
-    for (const {suspicions} of this.targets.values()) {
-      for (const block of suspicions.keys()) all.add(block);
-    }
-    return [...all];
+    return [...this.lastLosses.keys()];
+  }
+
+  /** When a target was last lost that was running a block, if ever. */
+  lastLossAtMs(block: string): number | undefined {
+    return this.lastLosses.get(block);
   }
 
   forgetOld(nowMs: number): void {
     for (const [target, {lostAtMs}] of this.targets) {
       if (nowMs - lostAtMs >= this.suspicionMs) this.targets.delete(target);
     }
+    for (const [block, lostAtMs] of this.lastLosses) {
+      if (nowMs - lostAtMs >= this.suspicionMs) this.lastLosses.delete(block);
+    }
   }
 
   /**
@@ -151,7 +156,7 @@
       const blocks = [...suspicions.keys()];
       if (blocks.some(block => known.isQuarantined(block))) continue;
       for (const [block, {requests, depth}] of suspicions) {
-        if (!this.isSuspect(block, lostAtMs)) continue;
+        if (this.survivals.clears(block, lostAtMs)) continue;
         const found = cases.get(block) ?? createCase(block);
         for (const fingerprint of requests) found.requests.add(fingerprint);
         const previousMs = found.lostAtMs.at(-1) ?? -Infinity;
--- a/packages/routing/src/lib/crash/block_survivals.ts
+++ b/packages/routing/src/lib/crash/block_survivals.ts
@@ -3,14 +3,14 @@
 interface Survival {
   /** Monotonic milliseconds. */
   readonly atMs: number;
-  /** Whether the peers know of this one, or of one shortly before. */
-  readonly isShared: boolean;
+  /** The latest one that the peers know; -Infinity if they know none. */
+  readonly sharedAtMs: number;
 }
 
 /** Bounds the memory; the blocks that ran longest ago are evicted first. */
 const MAX_BLOCKS = 20_000;
-/** A survival this soon after one that the peers know is no news to them. */
-const SAME_SURVIVAL_MS = 500;
+/** A block that ran this shortly before a loss did not cause it. */
+const RECENT_SURVIVAL_MS = 1000;
 
 /**
  * When targets last wrote on each block of prompts and lived on. A block that
@@ -33,27 +33,37 @@
     return this.survivals.get(block)?.atMs ?? -Infinity;
   }
 
+  /** Whether a block has run since a loss, or shortly before it. */
+  clears(block: string, lostAtMs: number): boolean {
+    return isCleared(this.lastAtMs(block), lostAtMs);
+  }
+
   /** @param isShared - whether the peers know of it */
   add(block: string, atMs: number, isShared: boolean): void {
     const known = this.survivals.get(block);
-    if (known !== undefined) {
-      const isSame = known.isShared && atMs - known.atMs < SAME_SURVIVAL_MS;
-      if (isSame || atMs <= known.atMs) return;
-    }
+    const sharedAtMs = Math.max(
+      known?.sharedAtMs ?? -Infinity,
+      isShared ? atMs : -Infinity
+    );
     this.survivals.delete(block);
-    this.survivals.set(block, {atMs, isShared});
+    const lastAtMs = Math.max(known?.atMs ?? -Infinity, atMs);
+    this.survivals.set(block, {atMs: lastAtMs, sharedAtMs});
     if (this.survivals.size > MAX_BLOCKS) evictOldest(this.survivals);
   }
 
-  /** Those of some blocks that the peers do not know; they do from now on. */
-  takeUnshared(blocks: readonly string[]): string[] {
-    const unshared: string[] = [];
-    for (const block of blocks) {
-      const known = this.survivals.get(block);
-      if (known === undefined || known.isShared) continue;
-      this.survivals.set(block, {...known, isShared: true});
-      unshared.push(block);
-    }
-    return unshared;
+  /**
+   * Whether the peers should hear that a block ran: they suspect it of a loss,
+   * and do not know of the latest time. They count as told afterwards.
+   */
+  takeNews(block: string, lostAtMs: number): boolean {
+    const known = this.survivals.get(block);
+    if (known === undefined || known.atMs <= known.sharedAtMs) return false;
+    if (isCleared(known.sharedAtMs, lostAtMs)) return false;
+    this.survivals.set(block, {...known, sharedAtMs: known.atMs});
+    return true;
   }
 }
+
+function isCleared(ranAtMs: number, lostAtMs: number): boolean {
+  return ranAtMs + RECENT_SURVIVAL_MS >= lostAtMs;
+}
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -133,8 +133,8 @@
       for (const [target, loss] of lastLosses) {
         const {seenAtMs, recordedAtMs, hasProgressed} = loss;
         if (nowMs - recordedAtMs > RECENT_MS) continue;
-        const blocks = loss.blocks.filter(block =>
-          this.evidence.isSuspect(block, recordedAtMs)
+        const blocks = loss.blocks.filter(
+          block => !this.survivals.clears(block, recordedAtMs)
         );
         recent.push({fingerprint, target, seenAtMs, hasProgressed, blocks});
       }
@@ -199,7 +199,7 @@
 
   /** Whether a block has run so recently that no loss now is due to it. */
   hasJustRun(block: string, nowMs: number): boolean {
-    return !this.evidence.isSuspect(block, nowMs);
+    return this.survivals.clears(block, nowMs);
   }
 
   /**
@@ -222,12 +222,16 @@
     return this.quarantined.delete(block);
   }
 
-  /** When those of some blocks last ran of which the peers do not know it. */
-  takeUnsharedSurvivals(
-    blocks: readonly string[],
-    nowMs: number
-  ): BlockSurvival[] {
-    return this.survivalsOf(this.survivals.takeUnshared(blocks), nowMs);
+  /**
+   * When those of some blocks last ran that peers suspect, as far as they do not
+   * know it. They count as told afterwards.
+   */
+  takeSurvivalNews(blocks: readonly string[], nowMs: number): BlockSurvival[] {
+    const news = blocks.filter(block => {
+      const lostAtMs = this.evidence.lastLossAtMs(block);
+      return lostAtMs !== undefined && this.survivals.takeNews(block, lostAtMs);
+    });
+    return this.survivalsOf(news, nowMs);
   }
 
   /** When the blocks that lost targets were running last ran. */
