Bounded survivals for peers that start; old losses begin no second quarantine

Found on reading. The survivals that a peer that starts is told could be more than a datagram holds. A block whose quarantine is over came into quarantine again with any other block's loss if its old losses still counted; with the times in use they do not, but nothing said so. Two cases of block_quarantine, which failed (1,000 told; quarantined at 2000).

--- a/packages/routing/src/lib/crash/block_evidence.ts
+++ b/packages/routing/src/lib/crash/block_evidence.ts
@@ -6,8 +6,8 @@
 /** What is already known of blocks, by key. @public */
 export interface KnownBlocks {
   isQuarantined(block: string): boolean;
-  /** Whether it is in quarantine, or has been. */
-  wasQuarantined(block: string): boolean;
+  /** When its latest quarantine began; undefined if there was none. */
+  quarantinedAtMs(block: string): number | undefined;
 }
 
 /** A block that probably crashes targets. @public */
@@ -55,8 +55,9 @@
  * Finds the block of prompts that crashes targets. Each lost target raises
  * suspicion against all blocks that it was running; a block that has run since
  * is cleared, and a loss counts against no block if one in quarantine explains
- * it. What is left is the block that the lost targets have in common. Targets that are
- * lost at the same moment count once: many fail together for other reasons.
+ * it. What is left is the block that the lost targets have in common. Targets
+ * that are lost at the same moment count once: many fail together for other
+ * reasons.
  *
  * @public
  */
@@ -157,6 +158,8 @@
       if (blocks.some(block => known.isQuarantined(block))) continue;
       for (const [block, {requests, depth}] of suspicions) {
         if (this.survivals.clears(block, lostAtMs)) continue;
+        const quarantinedAtMs = known.quarantinedAtMs(block) ?? -Infinity;
+        if (lostAtMs <= quarantinedAtMs) continue;
         const found = cases.get(block) ?? createCase(block);
         for (const fingerprint of requests) found.requests.add(fingerprint);
         const previousMs = found.lostAtMs.at(-1) ?? -Infinity;
@@ -193,7 +196,7 @@
   {block, requests, lostAtMs}: Case,
   known: KnownBlocks
 ): number {
-  const isRepeated = known.wasQuarantined(block);
+  const isRepeated = known.quarantinedAtMs(block) !== undefined;
   if (!isRepeated && requests.size < REQUESTS_TO_QUARANTINE) return Infinity;
   const needed = isRepeated ? 1 : LOSSES_TO_QUARANTINE;
   return (lostAtMs[needed - 1] ?? Infinity) + SETTLE_MS;
--- a/packages/routing/src/lib/crash/block_quarantine.test.ts
+++ b/packages/routing/src/lib/crash/block_quarantine.test.ts
@@ -109,6 +109,8 @@
     loseThree('t', ['a']);
     quarantinedAt(SETTLE_MS);
     assert.equal(tracker.quarantineLeftMs('a', 2000), 0);
+    lose('u1', ['b'], 1500);
+    assert.deepEqual(quarantinedAt(2000), []);
     lose('t4', ['a'], 2000);
     assert.deepEqual(quarantinedAt(2000 + SETTLE_MS), ['a']);
     assert.ok(tracker.quarantineLeftMs('a', 2000 + SETTLE_MS) > 1000);
@@ -147,6 +149,13 @@
     assert.deepEqual(tracker.suspectSurvivals(20), expected);
   });
 
+  test('a peer that starts is told a limited number of survivals', () => {
+    const blocks = Array.from({length: 1000}, (_, i) => `b${i}`);
+    lose('t1', blocks, 0);
+    for (const block of blocks) tracker.onBlockRan(block, 10);
+    assert.equal(tracker.suspectSurvivals(20).length, 200);
+  });
+
   test('keys of blocks are short and differ from fingerprints', () => {
     assert.equal(blockKey('5c1e07a2'), 'block:5c1e07a2');
     assert.ok(blockKey('x'.repeat(1000)).length < 40);
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -46,7 +46,7 @@
 const LOSS_AFTER_PROGRESS = 0.5;
 /** Bounds the memory; the fingerprints cleared first are evicted first. */
 const MAX_CLEARED = 20_000;
-/** Age and number of the losses that are passed on to a peer that starts. */
+/** Age and number of losses and survivals that a peer that starts is told. */
 const RECENT_MS = 120_000;
 const MAX_RECENT = 200;
 /** Least time between two searches for what no longer counts. */
@@ -184,8 +184,8 @@
   quarantineBlocks(nowMs: number): Quarantine[] {
     const known = {
       isQuarantined: (block: string) => this.quarantineLeftMs(block, nowMs) > 0,
-      wasQuarantined: (block: string) =>
-        this.quarantined.get(block) !== undefined,
+      quarantinedAtMs: (block: string) =>
+        this.quarantined.get(block)?.quarantinedAtMs,
     };
     const found: Quarantine[] = [];
     for (;;) {
@@ -236,7 +236,8 @@
 
   /** When the blocks that lost targets were running last ran. */
   suspectSurvivals(nowMs: number): BlockSurvival[] {
-    return this.survivalsOf(this.evidence.blocks(), nowMs);
+    const latest = this.evidence.blocks().slice(-MAX_RECENT);
+    return this.survivalsOf(latest, nowMs);
   }
 
   /**
