--- a/packages/gateway/src/lib/front/pause_advice.ts
+++ b/packages/gateway/src/lib/front/pause_advice.ts
@@ -3,7 +3,7 @@
 import type {ExchangeDeps} from './exchange_deps.js';
 
 /** Callers that wait for a target return within this time after it is back. */
-const PAUSE_SPREAD_MS = 300;
+const RETURN_SPREAD_MS = 300;
 
 /**
  * When to retry after the first target of a service that is paused, or at its
@@ -20,5 +20,5 @@
   const records = state.targets.readyTargets(service);
   const availableAtMs = earliestAvailableMs(records, nowMs);
   if (availableAtMs === undefined) return undefined;
-  return (availableAtMs - nowMs + random() * PAUSE_SPREAD_MS) / 1000;
+  return (availableAtMs - nowMs + random() * RETURN_SPREAD_MS) / 1000;
 }
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -32,8 +32,9 @@
 
 /**
  * The targets that a request may be sent to now. A target that asked for a pause
- * gets none before it is over, and one that named a rate no more than that. Ejected targets, and those that paused a peer, are
- * left out unless there is no other: trying one is better than trying none.
+ * gets none before it is over, and one that named a rate no more than that.
+ * Ejected targets, and those that paused a peer, are left out unless there is no
+ * other: trying one is better than trying none.
  *
  * @public
  */
