--- a/apps/daemon/src/lib/losses/loss_task.ts
+++ b/apps/daemon/src/lib/losses/loss_task.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {sleep} from '@applebend/utils';
+import {evictOldest, sleep} from '@applebend/utils';
 
 import type {TargetLoss} from '@applebend/core';
 import type {LogService} from '@applebend/externals';
@@ -77,17 +77,10 @@
     const key = `${loss.fingerprint} ${loss.target} ${loss.seenAtMs}`;
     if (this.losses.has(key)) return;
     this.losses.set(key, loss);
-    if (this.losses.size > MAX_KNOWN_LOSSES) this.evictOldest();
+    if (this.losses.size > MAX_KNOWN_LOSSES) evictOldest(this.losses);
     this.options.onLoss(loss);
   }
 
-  private evictOldest(): void {
-    for (const key of this.losses.keys()) {
-      this.losses.delete(key);
-      return;
-    }
-  }
-
   private async followLog(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const waitMs = this.caughtUp ? LONG_POLL_MS : 0;
--- a/packages/core/src/lib/dispatch/dispatcher_client.ts
+++ b/packages/core/src/lib/dispatch/dispatcher_client.ts
@@ -1,3 +1,4 @@
+import {evictOldest} from '@applebend/utils';
 import {match} from 'ts-pattern';
 
 import type {
@@ -301,10 +302,7 @@
     this.serviceCounters.delete(customer);
     this.serviceCounters.set(customer, service);
     if (this.serviceCounters.size <= MAX_SERVICE_COUNTERS) return;
-    for (const oldest of this.serviceCounters.keys()) {
-      this.serviceCounters.delete(oldest);
-      return;
-    }
+    evictOldest(this.serviceCounters);
   }
 
   private send(message: EntryMessage): void {
--- a/packages/gateway/src/lib/front/exchange_report.ts
+++ b/packages/gateway/src/lib/front/exchange_report.ts
@@ -23,7 +23,7 @@
   readonly customer: string | undefined;
   /** Hash of the request's content; undefined if it was not needed. */
   readonly fingerprint: string | undefined;
-  /** The block of the prompt for which it was refused, see `blockKey`. */
+  /** A block of the prompt that is in quarantine at its end, see `blockKey`. */
   readonly quarantinedBlock: string | undefined;
   /** `answered`, `caller_left`, or the kind of the gateway's response. */
   readonly outcome: string;
--- a/packages/gateway/src/lib/peers/notice_codec.ts
+++ b/packages/gateway/src/lib/peers/notice_codec.ts
@@ -36,7 +36,7 @@
   | [code: number, fingerprint: string, leftMs: number, losses: number]
   | [
       code: number,
-      instance: string,
+      empty: string,
       count: number,
       survivals: [block: string, ageMs: number][],
     ]
@@ -62,9 +62,14 @@
         hasProgressed = false,
         blocks = [],
       } = notice.loss;
-      const {loss: code} = NOTICE_CODE;
-      const atMs = Math.round(seenAtMs);
-      return [code, target, atMs, fingerprint, hasProgressed, blocks];
+      return [
+        NOTICE_CODE.loss,
+        target,
+        Math.round(seenAtMs),
+        fingerprint,
+        hasProgressed,
+        blocks,
+      ];
     }
     case 'quarantine': {
       const {fingerprint, leftMs, losses} = notice.quarantine;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -45,7 +45,7 @@
   CrashStatus,
   CrashTrackerOptions,
 } from './lib/crash/crash_tracker.js';
-export {blockKey, isBlockKey} from './lib/crash/target_loss.js';
+export {blockKey} from './lib/crash/target_loss.js';
 export type {
   BlockSurvival,
   Quarantine,
--- a/packages/routing/src/lib/crash/block_evidence.ts
+++ b/packages/routing/src/lib/crash/block_evidence.ts
@@ -1,4 +1,4 @@
-import {evictOldest} from './evict_oldest.js';
+import {evictOldest} from '@applebend/utils';
 
 import type {BlockSurvivals} from './block_survivals.js';
 import type {TargetLoss} from './target_loss.js';
@@ -95,8 +95,6 @@
       if (known !== undefined) known.requests.add(fingerprint);
       else
         lost.suspicions.set(block, {requests: new Set([fingerprint]), depth});
-    }
-    for (const block of blocks) {
       const lastMs = this.lastLosses.get(block) ?? -Infinity;
       this.lastLosses.set(block, Math.max(lastMs, lost.lostAtMs));
       if (this.lastLosses.size > MAX_BLOCKS) evictOldest(this.lastLosses);
--- a/packages/routing/src/lib/crash/block_quarantine.test.ts
+++ b/packages/routing/src/lib/crash/block_quarantine.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, test} from 'node:test';
+import {requestFingerprint} from '@applebend/utils';
 import {CrashTracker} from './crash_tracker.js';
-import {blockKey, isBlockKey} from './target_loss.js';
+import {blockKey} from './target_loss.js';
 
 const OPTIONS = {
   suspicionMs: 600_000,
@@ -160,7 +161,9 @@
     assert.equal(blockKey('5c1e07a2'), 'block:5c1e07a2');
     assert.ok(blockKey('x'.repeat(1000)).length < 40);
     assert.notEqual(blockKey('x'.repeat(1000)), blockKey('x'.repeat(999)));
-    assert.equal(isBlockKey(blockKey('a')), true);
-    assert.equal(isBlockKey('sn2DCOAb4Xs'), false);
+    // No fingerprint has a colon, and each key of a block has one.
+    assert.match(requestFingerprint(['a']), /^[\w-]{11}$/);
+    assert.doesNotMatch(blockKey('x'.repeat(1000)), /^[\w-]*$/);
+    assert.doesNotMatch(blockKey('sn2DCOAb4Xs'), /^[\w-]*$/);
   });
 });
--- a/packages/routing/src/lib/crash/block_survivals.ts
+++ b/packages/routing/src/lib/crash/block_survivals.ts
@@ -1,4 +1,4 @@
-import {evictOldest} from './evict_oldest.js';
+import {evictOldest} from '@applebend/utils';
 
 interface Survival {
   /** Monotonic milliseconds. */
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -1,6 +1,6 @@
+import {evictOldest} from '@applebend/utils';
 import {BlockEvidence} from './block_evidence.js';
 import {BlockSurvivals} from './block_survivals.js';
-import {evictOldest} from './evict_oldest.js';
 import {
   createHistory,
   HistoryTable,
@@ -250,7 +250,7 @@
     const least = Math.max(losses, LOSSES_TO_QUARANTINE);
     this.suspects.delete(fingerprint);
     const imposed = {...quarantine, losses: least};
-    return this.quarantined.onImposed(imposed, known, nowMs);
+    return this.quarantined.onImposed(imposed, nowMs, known);
   }
 
   /** Clears a fingerprint that ran to completion, unless quarantined. */
--- a/packages/routing/src/lib/crash/loss_history.ts
+++ b/packages/routing/src/lib/crash/loss_history.ts
@@ -1,4 +1,4 @@
-import {evictOldest} from './evict_oldest.js';
+import {evictOldest} from '@applebend/utils';
 
 /** One loss of a target under a request. @internal */
 export interface RecordedLoss {
--- a/packages/routing/src/lib/crash/quarantine_table.ts
+++ b/packages/routing/src/lib/crash/quarantine_table.ts
@@ -88,8 +88,8 @@
    */
   onImposed(
     {fingerprint, leftMs, losses}: Quarantine,
-    known: LossHistory = createHistory(),
-    nowMs: number
+    nowMs: number,
+    known: LossHistory = createHistory()
   ): boolean {
     const isNews = this.leftMs(fingerprint, nowMs) === 0;
     const untilMs = nowMs + Math.min(leftMs, this.options.maxQuarantineMs);
--- a/packages/routing/src/lib/crash/target_loss.ts
+++ b/packages/routing/src/lib/crash/target_loss.ts
@@ -46,8 +46,3 @@
   const name = id.length <= MAX_ID_LENGTH ? id : requestFingerprint([id]);
   return `${BLOCK_PREFIX}${name}`;
 }
-
-/** Whether a key names a block of prompts, and not a request. @public */
-export function isBlockKey(key: string): boolean {
-  return key.startsWith(BLOCK_PREFIX);
-}
