Callers refused at limited targets return in turn

Cause: with all targets of a service at the rate that they name, refused callers were told to return after the first free place and up to 0.3 s, so many came for the same place, and some were told 0.00 s.

--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -3,6 +3,7 @@
   ENGINE_POOL,
   FleetRetryBudget,
   OverloadGuard,
+  ReturnTimes,
   StreamVersions,
 } from '@applebend/routing';
 import {systemClock} from '@applebend/utils';
@@ -32,6 +33,7 @@
   readonly streamVersions = StreamVersions.create();
   private readonly shares = new Map<string, CustomerShares>();
   private readonly budgets = new Map<string, FleetRetryBudget>();
+  private readonly returnTimes = new Map<string, ReturnTimes>();
   private current: FleetConfig | undefined;
   /** Instances that accept requests, including this one. */
   instanceCount = 1;
@@ -141,6 +143,16 @@
     this.targets.get(target)?.rateLimit.onPeersSent(row.admitted, nowMs);
   }
 
+  /** When refused callers of a service return; created on first use. */
+  returnTimesOf(service: string): ReturnTimes {
+    let times = this.returnTimes.get(service);
+    if (times === undefined) {
+      times = ReturnTimes.create();
+      this.returnTimes.set(service, times);
+    }
+    return times;
+  }
+
   /** The retry budget of a service; created on first use. */
   retryBudgetOf(service: string): FleetRetryBudget {
     let budget = this.budgets.get(service);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -67,6 +67,7 @@
 export {ERA_ORDER, StoreEra} from './lib/freshness/store_era.js';
 export type {EraOrder} from './lib/freshness/store_era.js';
 export {TargetHealth} from './lib/health/target_health.js';
+export {ReturnTimes} from './lib/health/return_times.js';
 export {TargetRateLimit} from './lib/health/target_rate_limit.js';
 export {isExcessivePause, TargetPause} from './lib/health/target_pause.js';
 export {FleetLayout, relayOf} from './lib/membership/fleet_layout.js';
