--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -103,6 +103,12 @@
     this.server.closeIdleConnections();
   }
 
+  /** Closes all connections, also those of running requests. */
+  halt(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
   private refuseOverloaded(
     context: RequestContext,
     res: http.ServerResponse
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -124,6 +124,18 @@
     return this.shutdown;
   }
 
+  /**
+   * Stops as a killed process does: no request finishes and no peer is told. For
+   * tests of restarts.
+   *
+   * @internal
+   */
+  halt(): void {
+    this.front?.halt();
+    this.peers.halt();
+    this.stopParts();
+  }
+
   private async start(): Promise<void> {
     const {settings, stateSource, log} = this.ports;
     this.loop.start();
@@ -238,7 +250,7 @@
    * once all requests have ended or the grace period is nearly over.
    */
   private async drainAndStop(): Promise<void> {
-    const {log, settings, stateSource} = this.ports;
+    const {log, settings} = this.ports;
     const stoppingSinceMs = systemClock.monotonicMs();
     log.info('stopping', {active: this.front?.activeCount});
     this.state.isStopping = true;
@@ -253,15 +265,19 @@
       if (nowMs >= forcedCloseAtMs) break;
     }
     this.front?.close();
+    this.peers.stop();
+    this.stopParts();
+    this.usageLog.flush();
+    log.info('stopped', {cut: this.front?.activeCount});
+  }
+
+  private stopParts(): void {
     for (const server of this.servers) {
       server.close();
       server.closeAllConnections();
     }
     this.loop.stop();
-    stateSource.stop();
-    this.peers.stop();
+    this.ports.stateSource.stop();
     this.exchangeDeps.agent.destroy();
-    this.usageLog.flush();
-    log.info('stopped', {cut: this.front?.activeCount});
   }
 }
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -123,12 +123,18 @@
     this.scheduleSend();
   }
 
+  /** Tells the peers that this instance stops, and stops. */
   stop(): void {
+    this.send();
+    this.halt();
+  }
+
+  /** Stops without a message. */
+  halt(): void {
     clearInterval(this.heartbeat);
     clearTimeout(this.sendTimer);
     this.aggregates.stop();
     this.confirmations.stop();
-    this.send();
     this.socket.close();
   }
 
