Port RecordArchive; the archive of quarantines moves to the gateway

QuarantineArchive, its codec and its tests move to packages/gateway/src/lib/archive and run against an archive in memory; saveQuarantine and onQuarantines are removed from the state source.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,7 +1,11 @@
 /** The gateway: accepts callers' requests and forwards them to targets. */
 export {Gateway} from './lib/gateway.js';
 export type {GatewayPorts} from './lib/gateway.js';
+export {RECORD_TOPIC} from './lib/ports.js';
 export type {
+  ArchivedRecord,
+  ArchivedRecords,
+  ArchiveError,
   CallerRequest,
   GatewaySettings,
   HeaderCodec,
@@ -11,6 +15,8 @@
   ConfirmedState,
   HeldState,
   RawHeaders,
+  RecordArchive,
+  RecordTopic,
   StateSourceCallbacks,
   StateSource,
   TargetInspection,
--- a/platform/src/lib/quarantine_archive.test.ts
+++ b/packages/gateway/src/lib/archive/quarantine_archive.test.ts
@@ -2,28 +2,28 @@
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {sleep} from '@applebend/utils';
-import {StandInStore} from '../testing/stand_in_store.js';
+import {MemoryArchive} from '../../testing/memory_archive.js';
+import {RECORD_TOPIC} from '../ports.js';
 import {QuarantineArchive} from './quarantine_archive.js';
 import {decodeQuarantine, encodeQuarantine} from './quarantine_codec.js';
-import {StoreClient} from './store_client.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
-const TOPIC = 'keyed.quarantine';
+const TOPIC = RECORD_TOPIC.quarantines;
 const MINUTE_MS = 60_000;
 
-async function createArchive() {
-  const store = await StandInStore.create();
-  const client = StoreClient.create('127.0.0.1', store.port);
-  return {store, archive: QuarantineArchive.create(client, log)};
+function createArchive() {
+  const store = MemoryArchive.create();
+  return {store, archive: QuarantineArchive.create(store, log)};
 }
 
 test('what one instance saves is loaded by the next, ended and foreign records are not', async () => {
-  const {store, archive} = await createArchive();
+  const {store, archive} = createArchive();
   try {
     const saved = {fingerprint: 'f', losses: 2, leftMs: MINUTE_MS};
     await archive.save(saved);
-    store.put(TOPIC, 'ended', {losses: 2, untilMs: Date.now() - MINUTE_MS});
-    store.put(TOPIC, 'foreign', 'not a quarantine');
+    const ended = {losses: 2, untilMs: Date.now() - MINUTE_MS};
+    store.put(TOPIC, 'ended', Buffer.from(JSON.stringify(ended)));
+    store.put(TOPIC, 'foreign', Buffer.from('not a quarantine'));
     const loaded = await archive.load();
     assert.deepEqual(
       loaded.map(({fingerprint, losses}) => [fingerprint, losses]),
@@ -38,15 +38,14 @@
     assert.equal(removals[0] + removals[1], 1);
   } finally {
     archive.stop();
-    store.close();
   }
 });
 
 test('a store that is down at the start is asked again', async () => {
-  const {store, archive} = await createArchive();
+  const {store, archive} = createArchive();
   try {
     const quarantine = {fingerprint: 'f', losses: 2, leftMs: MINUTE_MS};
-    store.put(TOPIC, 'f', encodeQuarantine(quarantine, Date.now()).toString());
+    store.put(TOPIC, 'f', encodeQuarantine(quarantine, Date.now()));
     store.isDown = true;
     const loading = archive.load();
     await sleep(300);
@@ -54,7 +53,6 @@
     assert.equal((await loading).length, 1);
   } finally {
     archive.stop();
-    store.close();
   }
 });
 
--- a/platform/src/lib/quarantine_archive.ts
+++ b/packages/gateway/src/lib/archive/quarantine_archive.ts
@@ -1,12 +1,11 @@
 import {sleep, systemClock} from '@applebend/utils';
-import {TOPIC} from './platform_names.js';
+import {RECORD_TOPIC} from '../ports.js';
 import {decodeQuarantine, encodeQuarantine} from './quarantine_codec.js';
 
 import type {Quarantine} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Result} from '@applebend/utils';
-import type {KeyedRecord} from './record_codec.js';
-import type {StoreClient, StoreError} from './store_client.js';
+import type {ArchivedRecord, ArchiveError, RecordArchive} from '../ports.js';
 
 const MAX_TRIES = 5;
 const RETRY_DELAY_MS = 2000;
@@ -14,7 +13,7 @@
 const EMPTY = Buffer.alloc(0);
 
 /**
- * Keeps quarantines in the store. They are read once, at a start; later ones are
+ * Keeps quarantines in the archive. They are read once, at a start; later ones are
  * heard from peers.
  *
  * @public
@@ -23,12 +22,12 @@
   private stopped = false;
 
   private constructor(
-    private readonly store: StoreClient,
+    private readonly archive: RecordArchive,
     private readonly log: Logger
   ) {}
 
-  static create(store: StoreClient, log: Logger): QuarantineArchive {
-    return new QuarantineArchive(store, log);
+  static create(archive: RecordArchive, log: Logger): QuarantineArchive {
+    return new QuarantineArchive(archive, log);
   }
 
   stop(): void {
@@ -38,7 +37,7 @@
   /** Resolves to the quarantines in force; to none if they cannot be read. */
   async load(): Promise<Quarantine[]> {
     const newest = await this.retried('quarantines not readable', () =>
-      this.store.readNewest(TOPIC.quarantines)
+      this.archive.newest(RECORD_TOPIC.quarantines)
     );
     return newest === undefined ? [] : this.onRecords(newest.records);
   }
@@ -46,14 +45,18 @@
   async save(quarantine: Quarantine): Promise<void> {
     const value = encodeQuarantine(quarantine, systemClock.wallMs());
     await this.retried('quarantine not saved', () =>
-      this.store.put(TOPIC.quarantines, quarantine.fingerprint, value)
+      this.archive.append(
+        RECORD_TOPIC.quarantines,
+        quarantine.fingerprint,
+        value
+      )
     );
   }
 
   /** Resolves to undefined if no try succeeded; logs each failure. */
   private async retried<T>(
     failureEvent: string,
-    call: () => Promise<Result<T, StoreError>>
+    call: () => Promise<Result<T, ArchiveError>>
   ): Promise<T | undefined> {
     for (let tries = 0; tries < MAX_TRIES && !this.stopped; tries++) {
       const result = await call();
@@ -64,7 +67,7 @@
     return undefined;
   }
 
-  private onRecords(records: readonly KeyedRecord[]): Quarantine[] {
+  private onRecords(records: readonly ArchivedRecord[]): Quarantine[] {
     const wallMs = systemClock.wallMs();
     const current: Quarantine[] = [];
     const ended: string[] = [];
@@ -81,7 +84,8 @@
   private async removeOne(keys: readonly string[]): Promise<void> {
     const key = keys[Math.floor(Math.random() * keys.length)];
     if (key === undefined) return;
-    const removed = await this.store.put(TOPIC.quarantines, key, EMPTY);
+    const {archive} = this;
+    const removed = await archive.append(RECORD_TOPIC.quarantines, key, EMPTY);
     if (!removed.ok) this.log.warn('quarantine not removed', {...removed.err});
   }
 }
--- a/platform/src/lib/quarantine_codec.ts
+++ b/packages/gateway/src/lib/archive/quarantine_codec.ts
@@ -1,8 +1,7 @@
 import * as z from 'zod';
-import {parseJson} from './http_call.js';
 
 import type {Quarantine} from '@applebend/routing';
-import type {KeyedRecord} from './record_codec.js';
+import type {ArchivedRecord} from '../ports.js';
 
 const quarantineSchema = z.object({
   losses: z.number().min(1),
@@ -25,7 +24,7 @@
 
 /** Returns undefined if the record is no quarantine, or an ended one. @public */
 export function decodeQuarantine(
-  {key, value}: KeyedRecord,
+  {key, value}: ArchivedRecord,
   wallMs: number
 ): Quarantine | undefined {
   if (value === undefined) return undefined;
@@ -35,3 +34,12 @@
   const leftMs = untilMs - wallMs;
   return leftMs > 0 ? {fingerprint: key, losses, leftMs} : undefined;
 }
+
+/** Returns undefined, which meets no schema, if the value is not JSON. */
+function parseJson(value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,4 +1,5 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
+import {QuarantineArchive} from './archive/quarantine_archive.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
@@ -13,7 +14,7 @@
 import {TargetAgent} from './upstream/target_agent.js';
 
 import type http from 'node:http';
-import type {FleetConfig, Quarantine, TargetLoss} from '@applebend/routing';
+import type {FleetConfig, TargetLoss} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
@@ -22,6 +23,7 @@
 import type {
   GatewaySettings,
   HeaderCodec,
+  RecordArchive,
   StateSource,
   TargetInspector,
   TargetSignals,
@@ -31,6 +33,7 @@
 export interface GatewayPorts {
   readonly settings: GatewaySettings;
   readonly stateSource: StateSource;
+  readonly archive: RecordArchive;
   readonly codec: HeaderCodec;
   readonly inspector: TargetInspector;
   readonly log: Logger;
@@ -51,6 +54,7 @@
 export class Gateway {
   private readonly state: FleetState;
   private readonly peers: PeerExchange;
+  private readonly quarantines: QuarantineArchive;
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
@@ -61,7 +65,7 @@
   private shutdown: Promise<void> | undefined;
 
   private constructor(private readonly ports: GatewayPorts) {
-    const {settings, stateSource, codec, inspector, log} = ports;
+    const {settings, stateSource, archive, codec, inspector, log} = ports;
     this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
@@ -77,12 +81,13 @@
       source: stateSource,
       incarnation: random.int(1, 0x7fffffff),
     });
+    this.quarantines = QuarantineArchive.create(archive, log);
     const {crashGuard} = this.state;
     crashGuard.onLosses = losses => this.onLosses(losses);
     crashGuard.onSurvivals = survivals =>
       this.peers.announce({kind: 'survivals', survivals});
     crashGuard.onQuarantined = quarantine =>
-      stateSource.saveQuarantine(quarantine);
+      void this.quarantines.save(quarantine);
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
     this.exchangeDeps = {
       state: this.state,
@@ -143,7 +148,6 @@
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
-      onQuarantines: quarantines => this.onQuarantines(quarantines),
       onPeers: peers => this.peers.addListedPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       hasReader: () => this.peers.hasReader,
@@ -151,6 +155,8 @@
         this.peers.requestConfirmation(targetsKey),
       fetchConfigRecord: () => this.peers.fetchConfigRecord(),
     });
+    // When a whole fleet starts for the first time, nothing has been saved.
+    if (!settings.isFleetBootstrap) void this.loadQuarantines();
     this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
     this.applyLimits();
     this.servers.push(
@@ -209,9 +215,10 @@
     this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
   }
 
-  private onQuarantines(quarantines: readonly Quarantine[]): void {
-    const {crashGuard} = this.state;
-    for (const quarantine of quarantines) crashGuard.onQuarantine(quarantine);
+  private async loadQuarantines(): Promise<void> {
+    for (const quarantine of await this.quarantines.load()) {
+      this.state.crashGuard.onQuarantine(quarantine);
+    }
   }
 
   private onConfig(config: FleetConfig): void {
@@ -278,6 +285,7 @@
     }
     this.loop.stop();
     this.ports.stateSource.stop();
+    this.quarantines.stop();
     this.exchangeDeps.agent.destroy();
   }
 }
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -52,7 +52,6 @@
     return {storeEra: 0, configVersion: 7, targetList};
   }
   onPeerState(): void {}
-  saveQuarantine(): void {}
   configRecord(): undefined {
     return undefined;
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -7,10 +7,10 @@
   FleetConfig,
   Prompt,
   PrefixBlock,
-  Quarantine,
   Target,
   TargetList,
 } from '@applebend/routing';
+import type {Result} from '@applebend/utils';
 
 /** Alternating header names and values, as received. @public */
 export type RawHeaders = readonly string[];
@@ -112,8 +112,6 @@
    * passed before stay known.
    */
   onPeers(peers: readonly PeerInfo[]): void;
-  /** Called with the quarantines that were saved before this start. */
-  onQuarantines(quarantines: readonly Quarantine[]): void;
   /** Whether to request a confirmation from the parent before a read. */
   usesPeerConfirmations(): boolean;
   /** Whether there is a parent that reads the store for this instance. */
@@ -193,8 +191,6 @@
    */
   configAgeMs(): number;
   heldState(): HeldState;
-  /** Saves a quarantine, so that it survives a restart of all instances. */
-  saveQuarantine(quarantine: Quarantine): void;
   /** The record of the configuration that this instance holds, for peers. */
   configRecord(): Buffer | undefined;
   /**
@@ -209,6 +205,62 @@
   confirm(): Promise<ConfirmedState | undefined>;
 }
 
+/** What instances save to survive a restart of all of them. @public */
+export const RECORD_TOPIC = {
+  /** Requests that crash targets, by fingerprint. */
+  quarantines: 'quarantines',
+  /** The software versions at which streams were begun. */
+  versions: 'versions',
+} as const;
+
+/** @public */
+export type RecordTopic = (typeof RECORD_TOPIC)[keyof typeof RECORD_TOPIC];
+
+/** A record of the archive. @public */
+export interface ArchivedRecord {
+  readonly key: string;
+  /** Undefined if the key was removed. */
+  readonly value: Buffer | undefined;
+}
+
+/** Records of a topic. @public */
+export interface ArchivedRecords {
+  readonly records: readonly ArchivedRecord[];
+  /** Offset after the newest record of the topic. */
+  readonly end: number;
+}
+
+/** Why a call to the archive failed. @public */
+export type ArchiveError =
+  | {readonly kind: 'unavailable'; readonly message: string}
+  | {
+      readonly kind: 'history_gone';
+      /** The first offset whose record is retained. */
+      readonly first: number;
+    };
+
+/** Keyed topics of records that outlast the instances. @public */
+export interface RecordArchive {
+  /** Reads the newest record of each key. */
+  newest(topic: RecordTopic): Promise<Result<ArchivedRecords, ArchiveError>>;
+  /** Reads records in the order in which they were appended. */
+  read(
+    topic: RecordTopic,
+    from: number
+  ): Promise<Result<ArchivedRecords, ArchiveError>>;
+  /** Appends a record; an empty value removes the key. */
+  append(
+    topic: RecordTopic,
+    key: string,
+    value: Buffer
+  ): Promise<Result<void, ArchiveError>>;
+  /**
+   * Adds a listener that is called when the archive was restored from an older
+   * copy, which voids all offsets.
+   */
+  onRestored(listener: () => void): void;
+}
+
 /** An address to listen on. @public */
 export interface ListenAddress {
   readonly host: string;
