VersionJournal: what one instance saves of stream versions for the fleet

Cause: after a restart of all instances nobody knows at which version a stream began, nor that its service had a second version (docs/design/hard-load.md, part 1). Change: the pure VersionJournal, with the selection of the writer, the sets of versions and the streams to save in files of their own. ServiceVersions keeps a version for the longest stream (30 s at least) instead of 120 s, and registered versions do not age: an unchanged list of targets is not applied again while peers confirm it.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -120,7 +120,7 @@
       return;
     }
     const need = versionNeedOf(context, deps.state, this.nowMs);
-    if (need.kind === 'unknown') {
+    if (need.kind === 'unknown' || need.kind === 'pending') {
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
     }
--- a/packages/gateway/src/lib/front/stream_version.ts
+++ b/packages/gateway/src/lib/front/stream_version.ts
@@ -1,16 +1,13 @@
-import {attemptKeyOf, RETRY_SAFETY} from '@applebend/routing';
+import {
+  attemptKeyOf,
+  RETRY_SAFETY,
+  resumedVersionNeed,
+} from '@applebend/routing';
 
-import type {AttemptKey} from '@applebend/routing';
+import type {AttemptKey, VersionNeed} from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
 
-/** Where a request may run, by the software version of the targets. @public */
-export type VersionNeed =
-  | {readonly kind: 'any'}
-  | {readonly kind: 'exact'; readonly version: string}
-  /** It goes on with a stream, and nobody knows where that began. */
-  | {readonly kind: 'unknown'};
-
 const ANY: VersionNeed = {kind: 'any'};
 
 /** The version at which a stream that the caller takes up was begun. @public */
@@ -25,8 +22,12 @@
     firstAttemptId === undefined
       ? undefined
       : streamVersions.versionOf(attemptKeyOf(firstAttemptId));
-  if (version !== undefined) return {kind: 'exact', version};
-  return targets.versions.hasSeveral(service, nowMs) ? {kind: 'unknown'} : ANY;
+  return resumedVersionNeed({
+    version,
+    hasSeveralVersions: targets.versions.hasSeveral(service, nowMs),
+    // No journal is read yet.
+    isJournalRead: true,
+  });
 }
 
 /**
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -106,6 +106,7 @@
 
   onConfig(config: FleetConfig): void {
     this.config = config;
+    this.versions.setLongestStreamMs(config.routes.longestTimeoutMs);
     for (const record of this.records.values()) this.updateMemoryTokens(record);
   }
 
@@ -116,11 +117,15 @@
   onTargets(list: TargetList, nowMs: number): void {
     this.storeEra = list.storeEra;
     const records = new Map<string, TargetRecord>();
-    for (const target of this.departures.apply(list, nowMs)) {
+    const targets = this.departures.apply(list, nowMs);
+    for (const target of targets) {
       records.set(target.id, this.recordFor(target));
-      const {service, softwareVersion: version} = target;
-      this.versions.add({service, version, ageMs: 0}, nowMs);
     }
+    const registered = targets.map(({service, softwareVersion}) => ({
+      service,
+      version: softwareVersion,
+    }));
+    this.versions.setRegistered(registered, nowMs);
     for (const id of this.records.keys()) {
       if (!records.has(id)) this.log.info('target removed', {target: id});
     }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -97,7 +97,19 @@
 export type {RetryBudgetOptions} from './lib/retry/fleet_retry_budget.js';
 export {failoverTimeoutMs} from './lib/retry/failover_timeout.js';
 export {stallTimeoutMs} from './lib/retry/stall_timeout.js';
+export type {
+  JournalRecord,
+  ServiceRecord,
+  StreamsRecord,
+} from './lib/versions/journal_record.js';
 export {ServiceVersions} from './lib/versions/service_versions.js';
-export type {SeenVersion} from './lib/versions/service_versions.js';
+export type {
+  RegisteredVersion,
+  SeenVersion,
+} from './lib/versions/service_versions.js';
 export {attemptKeyOf, StreamVersions} from './lib/versions/stream_versions.js';
 export type {AttemptKey} from './lib/versions/stream_versions.js';
+export {VersionJournal} from './lib/versions/version_journal.js';
+export type {VersionJournalOptions} from './lib/versions/version_journal.js';
+export {resumedVersionNeed} from './lib/versions/version_need.js';
+export type {ResumedStream, VersionNeed} from './lib/versions/version_need.js';
--- a/packages/routing/src/lib/versions/service_versions.ts
+++ b/packages/routing/src/lib/versions/service_versions.ts
@@ -1,3 +1,5 @@
+import {streamRetentionMs} from './stream_retention.js';
+
 /** When a software version was last registered for a service. @public */
 export interface SeenVersion {
   readonly service: string;
@@ -6,18 +8,20 @@
   readonly ageMs: number;
 }
 
-/** For this long a stream may go on that began at a version that is gone. */
-const RETENTION_MS = 120_000;
+/** A software version of a registered target. @public */
+export type RegisteredVersion = Pick<SeenVersion, 'service' | 'version'>;
 
 /**
- * The software versions that targets of each service have, or had a short while
- * ago.
+ * The software versions that targets of each service have, or had so recently
+ * that a stream that began there can still be resumed.
  *
  * @public
  */
 export class ServiceVersions {
   /** Service to version to when it was last seen. */
   private readonly seen = new Map<string, Map<string, number>>();
+  private registered: readonly RegisteredVersion[] = [];
+  private retentionMs = streamRetentionMs(0);
 
   private constructor() {}
 
@@ -25,6 +29,21 @@
     return new ServiceVersions();
   }
 
+  /** Sets for how long a stream can be resumed after it began. */
+  setLongestStreamMs(longestMs: number): void {
+    this.retentionMs = streamRetentionMs(longestMs);
+  }
+
+  /**
+   * Replaces the registered versions. They count as seen until the next call,
+   * since an unchanged list of targets is not always applied again.
+   */
+  setRegistered(registered: readonly RegisteredVersion[], nowMs: number): void {
+    this.refreshRegistered(nowMs);
+    this.registered = registered;
+    this.refreshRegistered(nowMs);
+  }
+
   /** Records a version that is registered now, or was `ageMs` ago. */
   add({service, version, ageMs}: SeenVersion, nowMs: number): void {
     const versions = this.seen.get(service) ?? new Map<string, number>();
@@ -35,19 +54,42 @@
 
   /** Whether streams of the service may have begun at different versions. */
   hasSeveral(service: string, nowMs: number): boolean {
-    return this.recent(nowMs).filter(v => v.service === service).length > 1;
+    return (this.sets(nowMs).get(service)?.length ?? 0) > 1;
   }
 
-  /** The versions seen of late, of all services. */
+  /**
+   * The versions at which a stream that can be resumed may have begun, in order,
+   * by service. A service without any is missing.
+   */
+  sets(nowMs: number): ReadonlyMap<string, readonly string[]> {
+    const sets = new Map<string, string[]>();
+    for (const {service, version} of this.recent(nowMs)) {
+      const versions = sets.get(service);
+      if (versions === undefined) sets.set(service, [version]);
+      else versions.push(version);
+    }
+    for (const versions of sets.values()) versions.sort();
+    return sets;
+  }
+
+  /** The versions seen within the retention time, of all services. */
   recent(nowMs: number): SeenVersion[] {
+    this.refreshRegistered(nowMs);
     const recent: SeenVersion[] = [];
     for (const [service, versions] of this.seen) {
       for (const [version, seenAtMs] of versions) {
         const ageMs = nowMs - seenAtMs;
-        if (ageMs > RETENTION_MS) versions.delete(version);
+        if (ageMs > this.retentionMs) versions.delete(version);
         else recent.push({service, version, ageMs});
       }
+      if (versions.size === 0) this.seen.delete(service);
     }
     return recent;
   }
+
+  private refreshRegistered(nowMs: number): void {
+    for (const {service, version} of this.registered) {
+      this.add({service, version, ageMs: 0}, nowMs);
+    }
+  }
 }
--- a/packages/routing/src/lib/versions/stream_versions.ts
+++ b/packages/routing/src/lib/versions/stream_versions.ts
@@ -1,10 +1,9 @@
 import {hash32} from '@applebend/utils';
+import {streamRetentionMs} from './stream_retention.js';
 
 /** Identifies a caller's attempt; a hash of its id with 53 bits. @public */
 export type AttemptKey = number;
 
-/** Shortest time for which a stream is remembered. */
-const MIN_RETENTION_MS = 30_000;
 /** Bounds the memory; with more, streams are forgotten sooner. */
 const MAX_STREAMS = 100_000;
 const LOW_BITS = 21;
@@ -26,7 +25,14 @@
   private current = new Map<AttemptKey, string>();
   private previous = new Map<AttemptKey, string>();
   private currentSinceMs = -Infinity;
-  private retentionMs = MIN_RETENTION_MS;
+  private retentionMs = streamRetentionMs(0);
+  /**
+   * Streams that were read from the journal; undefined if it names several
+   * versions. They are all read at a start and expire together; the number of
+   * records that are read bounds the memory.
+   */
+  private readonly journaled = new Map<AttemptKey, string | undefined>();
+  private journaledAtMs = -Infinity;
 
   private constructor() {}
 
@@ -34,9 +40,9 @@
     return new StreamVersions();
   }
 
-  /** Sets for how long a stream may be taken up after it began. */
+  /** Sets for how long a stream can be resumed after it began. */
   setLongestStreamMs(longestMs: number): void {
-    this.retentionMs = Math.max(MIN_RETENTION_MS, longestMs);
+    this.retentionMs = streamRetentionMs(longestMs);
   }
 
   /** Records the version to which an attempt was sent; the last one counts. */
@@ -45,12 +51,41 @@
     this.current.set(attempt, version);
   }
 
+  /**
+   * Records a version that the journal names for an attempt. If it names
+   * several, which one came last is not certain, as two instances may have
+   * written; the attempt then counts as unknown.
+   */
+  addJournaled(attempt: AttemptKey, version: string, nowMs: number): void {
+    const isAmbiguous =
+      this.journaled.has(attempt) && this.journaled.get(attempt) !== version;
+    this.journaled.set(attempt, isAmbiguous ? undefined : version);
+    this.journaledAtMs = nowMs;
+  }
+
   /** Returns undefined if the attempt is not known. */
   versionOf(attempt: AttemptKey): string | undefined {
-    return this.current.get(attempt) ?? this.previous.get(attempt);
+    return (
+      this.current.get(attempt) ??
+      this.previous.get(attempt) ??
+      this.journaled.get(attempt)
+    );
+  }
+
+  /**
+   * The remembered streams that began at one of the versions, without those that
+   * were only read from the journal.
+   */
+  remembered(versions: ReadonlySet<string>): Map<AttemptKey, string> {
+    const streams = new Map([...this.previous, ...this.current]);
+    for (const [attempt, version] of streams) {
+      if (!versions.has(version)) streams.delete(attempt);
+    }
+    return streams;
   }
 
   private rotate(nowMs: number): void {
+    if (nowMs - this.journaledAtMs > this.retentionMs) this.journaled.clear();
     const isOld = nowMs - this.currentSinceMs >= this.retentionMs;
     if (!isOld && this.current.size < MAX_STREAMS) return;
     this.previous = this.current;
--- /dev/null
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -0,0 +1,188 @@
+import {JournaledServices} from './journaled_services.js';
+import {UnsavedStreams} from './unsaved_streams.js';
+import {WriterSelection} from './writer_selection.js';
+
+import type {JournalRecord} from './journal_record.js';
+import type {ServiceVersions} from './service_versions.js';
+import type {AttemptKey, StreamVersions} from './stream_versions.js';
+
+/** @public */
+export interface VersionJournalOptions {
+  /** Id of this instance. */
+  readonly instance: string;
+  /** A number from 0 (included) to 1 (excluded), uniformly distributed. */
+  readonly random: () => number;
+  /** Receives the versions that are read from the journal. */
+  readonly services: ServiceVersions;
+  /** The remembered streams; receives those that are read from the journal. */
+  readonly streams: StreamVersions;
+}
+
+const BATCH_INTERVAL_MS = 200;
+
+/**
+ * Decides what this instance appends to the journal of stream versions. One
+ * instance writes for the whole fleet, since all instances hear of all streams.
+ *
+ * @public
+ */
+export class VersionJournal {
+  private readonly selection: WriterSelection;
+  private readonly services = JournaledServices.create();
+  private readonly unsavedStreams = UnsavedStreams.create();
+  /** Records of the last batch whose append has no result yet. */
+  private readonly inFlight = new Set<JournalRecord>();
+  private nextBatchAtMs = -Infinity;
+
+  private constructor(private readonly options: VersionJournalOptions) {
+    this.selection = WriterSelection.create(options);
+  }
+
+  static create(options: VersionJournalOptions): VersionJournal {
+    return new VersionJournal(options);
+  }
+
+  /** Whether this instance writes for the fleet. */
+  get isWriter(): boolean {
+    return this.selection.isWriter;
+  }
+
+  /**
+   * Called with the versions of all services (`ServiceVersions.sets`), at least
+   * before each call of `next`.
+   */
+  onServices(
+    sets: ReadonlyMap<string, readonly string[]>,
+    nowMs: number
+  ): void {
+    const before = this.services.severalVersions;
+    this.services.onServices(sets);
+    if (this.isWriter) this.addRemembered(before);
+    if (this.services.unsaved().length > 0) this.selection.onUnsaved(nowMs);
+  }
+
+  /**
+   * Called when a stream began here or at a peer, after it was added to the
+   * remembered streams.
+   */
+  onStream(attempt: AttemptKey, version: string, nowMs: number): void {
+    if (!this.services.severalVersions.has(version)) return;
+    if (this.isWriter) this.unsavedStreams.add(attempt, version);
+    else this.selection.onUnsaved(nowMs);
+  }
+
+  /** Called when an instance says that it has appended a record. */
+  onPeerSaved(instance: string, nowMs: number): void {
+    if (instance === this.options.instance) return;
+    this.selection.onPeerSaved(instance, nowMs);
+    if (this.isWriter) {
+      // The other writer may have replaced a set of versions by an older one.
+      this.saveServicesAgain();
+      return;
+    }
+    this.services.assumeSaved();
+    this.discardBatch();
+  }
+
+  /**
+   * Called when the store was restored from an older copy, which may lack what
+   * was saved.
+   */
+  onNewEra(nowMs: number): void {
+    if (this.isWriter) {
+      this.inFlight.clear();
+      this.startSaving();
+      return;
+    }
+    this.selection.postponeTakeover(nowMs);
+    if (this.services.severalVersions.size > 0) this.selection.onUnsaved(nowMs);
+  }
+
+  /** Applies a record that was read at startup. */
+  onRead(record: JournalRecord, nowMs: number): void {
+    const {services, streams} = this.options;
+    if (record.kind === 'service') {
+      const {service, versions} = record;
+      this.services.onHeld(record);
+      for (const version of versions) {
+        services.add({service, version, ageMs: 0}, nowMs);
+      }
+      return;
+    }
+    for (const [version, attempts] of record.attempts) {
+      for (const attempt of attempts) {
+        streams.addJournaled(attempt, version, nowMs);
+      }
+    }
+  }
+
+  /**
+   * The records to append now, one after the other; none if this instance is not
+   * the writer, if records returned before are neither saved nor failed, or if
+   * the last batch was less than 200 ms ago. To be called every 50 ms or so.
+   */
+  next(instanceCount: number, nowMs: number): readonly JournalRecord[] {
+    const wasWriter = this.isWriter;
+    this.selection.update(instanceCount, nowMs);
+    if (!this.isWriter) {
+      if (wasWriter) this.discardBatch();
+      return [];
+    }
+    if (!wasWriter) this.startSaving();
+    if (this.inFlight.size > 0 || nowMs < this.nextBatchAtMs) return [];
+    const records = [...this.services.unsaved(), ...this.unsavedStreams.take()];
+    if (records.length === 0) return [];
+    for (const record of records) this.inFlight.add(record);
+    this.nextBatchAtMs = nowMs + BATCH_INTERVAL_MS;
+    this.selection.onAppend(nowMs);
+    return records;
+  }
+
+  /** Called after a record that `next` returned was appended. */
+  onSaved(record: JournalRecord, nowMs: number): void {
+    const isCurrent = this.inFlight.delete(record);
+    this.selection.onAppended(this.inFlight.size > 0, nowMs);
+    if (isCurrent && record.kind === 'service') this.services.onHeld(record);
+  }
+
+  /**
+   * Called when an append failed. All records of the batch that are not saved
+   * yet are returned again with the next one.
+   */
+  onFailed(nowMs: number): void {
+    for (const record of this.inFlight) {
+      if (record.kind === 'streams') this.unsavedStreams.putBack(record);
+    }
+    this.inFlight.clear();
+    this.selection.onFailed(nowMs);
+    if (!this.isWriter) this.discardBatch();
+  }
+
+  /** Saves all that is known, as the journal may lack any part of it. */
+  private startSaving(): void {
+    this.services.forceAll();
+    this.unsavedStreams.clear();
+    this.addRemembered(new Set());
+  }
+
+  /** Adds the remembered streams of services that have come to have several. */
+  private addRemembered(before: ReadonlySet<string>): void {
+    const added = new Set(this.services.severalVersions);
+    for (const version of before) added.delete(version);
+    if (added.size === 0) return;
+    this.unsavedStreams.addAll(this.options.streams.remembered(added));
+  }
+
+  /** Results of appends under way no longer count for the sets of versions. */
+  private saveServicesAgain(): void {
+    this.services.forceAll();
+    for (const record of this.inFlight) {
+      if (record.kind === 'service') this.inFlight.delete(record);
+    }
+  }
+
+  private discardBatch(): void {
+    this.inFlight.clear();
+    this.unsavedStreams.clear();
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lib/versions/version_need.ts
@@ -0,0 +1,31 @@
+/** Where a request may run, by the software version of the targets. @public */
+export type VersionNeed =
+  | {readonly kind: 'any'}
+  | {readonly kind: 'exact'; readonly version: string}
+  /** It resumes a stream, and it is not known where that began. */
+  | {readonly kind: 'unknown'}
+  /** As `unknown`, but the journal that may tell has not been read yet. */
+  | {readonly kind: 'pending'};
+
+/** What is known of a stream that a caller resumes. @public */
+export interface ResumedStream {
+  /** Version at which its attempt began; undefined if that is not known. */
+  readonly version: string | undefined;
+  /** Whether streams of its service may have begun at different versions. */
+  readonly hasSeveralVersions: boolean;
+  /** Whether the journal has been read completely, or need not be read. */
+  readonly isJournalRead: boolean;
+}
+
+/** Decides where a stream that a caller resumes may continue. @public */
+export function resumedVersionNeed({
+  version,
+  hasSeveralVersions,
+  isJournalRead,
+}: ResumedStream): VersionNeed {
+  if (version !== undefined) return {kind: 'exact', version};
+  // One version in the list of targets proves nothing: the others may have left
+  // while this instance was down.
+  if (!isJournalRead) return {kind: 'pending'};
+  return hasSeveralVersions ? {kind: 'unknown'} : {kind: 'any'};
+}
