Stream versions survive a restart of all instances

Cause: after a restart of all instances none knew at which version a stream had begun; resumed streams were joined from two versions, or all refused. The notice journal_saved (code 10) goes to all, once. Log lines and counters of appends and of caller resumes.

--- /dev/null
+++ b/packages/gateway/src/lib/archive/journal_log.ts
@@ -0,0 +1,56 @@
+import type {JournalRecord} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {Clock} from '@applebend/utils';
+import type {ArchiveError} from '../ports.js';
+
+/** Least time between two lines with the same event. */
+const MIN_INTERVAL_MS = 1000;
+
+/** Logs what is appended to the journal of stream versions. @internal */
+export class JournalLog {
+  private wasWriter = false;
+  private loggedSaveAtMs = -Infinity;
+  private loggedFailureAtMs = -Infinity;
+  /** What was saved and has not been logged yet. */
+  private unlogged = {services: 0, attempts: 0};
+
+  private constructor(
+    private readonly log: Logger,
+    private readonly clock: Clock
+  ) {}
+
+  static create(log: Logger, clock: Clock): JournalLog {
+    return new JournalLog(log, clock);
+  }
+
+  onRole(isWriter: boolean): void {
+    if (isWriter === this.wasWriter) return;
+    this.wasWriter = isWriter;
+    this.log.info('version journal writer', {isWriter});
+  }
+
+  onSaved(record: JournalRecord): void {
+    if (record.kind === 'service') this.unlogged.services += 1;
+    else this.unlogged.attempts += attemptCount(record.attempts);
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.loggedSaveAtMs < MIN_INTERVAL_MS) return;
+    this.loggedSaveAtMs = nowMs;
+    this.log.info('version journal saved', this.unlogged);
+    this.unlogged = {services: 0, attempts: 0};
+  }
+
+  onFailed(err: ArchiveError): void {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.loggedFailureAtMs < MIN_INTERVAL_MS) return;
+    this.loggedFailureAtMs = nowMs;
+    this.log.warn('version journal not saved', {...err});
+  }
+}
+
+function attemptCount(
+  attempts: ReadonlyMap<string, readonly unknown[]>
+): number {
+  let count = 0;
+  for (const keys of attempts.values()) count += keys.length;
+  return count;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -0,0 +1,169 @@
+import {streamRetentionMs} from '@applebend/routing';
+import {sleep} from '@applebend/utils';
+import {RECORD_TOPIC} from '../ports.js';
+import {decodeJournalRecord} from './journal_codec.js';
+
+import type {FleetConfig, JournalRecord} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {Clock, Result} from '@applebend/utils';
+import type {ArchivedRecord, ArchiveError, RecordArchive} from '../ports.js';
+
+const INITIAL_RETRY_MS = 250;
+const MAX_RETRY_MS = 2000;
+const RETRY_FACTOR = 1.5;
+/** How often a reader checks whether the configuration has arrived. */
+const CONFIG_POLL_MS = 20;
+/** Batches of streams that one writer appends in a second. */
+const BATCHES_PER_S = 5;
+/** Two instances may write for a short time, see `VersionJournal`. */
+const MAX_WRITERS = 2;
+
+/** @internal */
+export interface JournalReaderOptions {
+  readonly archive: RecordArchive;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** The configuration, which says for how long a stream can be resumed. */
+  readonly config: () => FleetConfig | undefined;
+  readonly onRecord: (record: JournalRecord) => void;
+}
+
+/** Counts for the log. */
+interface ReadCounts {
+  services: number;
+  streamRecords: number;
+  malformed: number;
+}
+
+/** Reads the journal of stream versions once, at a start. @internal */
+export class JournalReader {
+  private stopped = false;
+  private restores = 0;
+  private counts: ReadCounts = {services: 0, streamRecords: 0, malformed: 0};
+
+  private constructor(private readonly options: JournalReaderOptions) {}
+
+  static create(options: JournalReaderOptions): JournalReader {
+    return new JournalReader(options);
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Called when the archive was restored: offsets are no longer valid. */
+  onRestored(): void {
+    this.restores += 1;
+  }
+
+  /** Resolves to true once the journal is read, to false if stopped before. */
+  async readAll(): Promise<boolean> {
+    const {clock, log} = this.options;
+    const beganAtMs = clock.monotonicMs();
+    while (!this.stopped) {
+      const {restores} = this;
+      this.counts = {services: 0, streamRecords: 0, malformed: 0};
+      const isRead = await this.readOnce(() => this.restores === restores);
+      if (!isRead) continue;
+      const elapsedMs = clock.monotonicMs() - beganAtMs;
+      log.info('version journal read', {...this.counts, elapsedMs});
+      return true;
+    }
+    return false;
+  }
+
+  /** Returns false if it has to be read anew. */
+  private async readOnce(isCurrent: () => boolean): Promise<boolean> {
+    const {archive} = this.options;
+    const newest = await this.retried(isCurrent, () =>
+      archive.newest(RECORD_TOPIC.versions)
+    );
+    if (newest?.ok !== true) return false;
+    let hasSeveral = false;
+    for (const archived of newest.value.records) {
+      const record = this.decode(archived);
+      if (record?.kind !== 'service') continue;
+      this.counts.services += 1;
+      hasSeveral ||= record.versions.length > 1;
+      this.options.onRecord(record);
+    }
+    return !hasSeveral || this.readStreams(newest.value.end, isCurrent);
+  }
+
+  private async readStreams(
+    end: number,
+    isCurrent: () => boolean
+  ): Promise<boolean> {
+    const maxRecords = await this.maxRecords();
+    let from = Math.max(0, end - maxRecords);
+    while (from < end) {
+      const page = await this.retried(isCurrent, () =>
+        this.options.archive.read(RECORD_TOPIC.versions, from)
+      );
+      if (page === undefined) return false;
+      if (!page.ok) {
+        // Older streams are refused, as they can no longer be read.
+        if (page.err.kind !== 'history_gone' || page.err.first <= from) break;
+        from = page.err.first;
+        continue;
+      }
+      const {records} = page.value;
+      if (records.length === 0) break;
+      for (const archived of records) this.onStreams(archived);
+      from += records.length;
+    }
+    return isCurrent();
+  }
+
+  /**
+   * Applies streams. Sets of versions are skipped: those in the history may be
+   * older than the newest ones, which have been applied.
+   */
+  private onStreams(archived: ArchivedRecord): void {
+    const record = this.decode(archived);
+    if (record?.kind !== 'streams') return;
+    this.counts.streamRecords += 1;
+    this.options.onRecord(record);
+  }
+
+  private decode(archived: ArchivedRecord): JournalRecord | undefined {
+    const record = decodeJournalRecord(archived);
+    if (record !== undefined || archived.value === undefined) return record;
+    this.counts.malformed += 1;
+    const {key} = archived;
+    this.options.log.warn('malformed journal record', {key});
+    return undefined;
+  }
+
+  /** The number of records that the retention time can hold. */
+  private async maxRecords(): Promise<number> {
+    let config = this.options.config();
+    while (config === undefined && !this.stopped) {
+      await sleep(CONFIG_POLL_MS);
+      config = this.options.config();
+    }
+    const longestMs = config?.routes.longestTimeoutMs ?? 0;
+    const retentionS = streamRetentionMs(longestMs) / 1000;
+    return Math.ceil(retentionS * BATCHES_PER_S * MAX_WRITERS);
+  }
+
+  /**
+   * Calls until the archive is available. Resolves to undefined if this reader
+   * is stopped, or what was read before is void.
+   */
+  private async retried<T>(
+    isCurrent: () => boolean,
+    call: () => Promise<Result<T, ArchiveError>>
+  ): Promise<Result<T, ArchiveError> | undefined> {
+    let retryMs = INITIAL_RETRY_MS;
+    while (!this.stopped) {
+      const result = await call();
+      if (!isCurrent()) return undefined;
+      if (result.ok || result.err.kind === 'history_gone') return result;
+      this.options.log.warn('version journal not readable', {...result.err});
+      await sleep(retryMs);
+      retryMs = Math.min(MAX_RETRY_MS, retryMs * RETRY_FACTOR);
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -0,0 +1,129 @@
+import {RECORD_TOPIC} from '../ports.js';
+import {encodeJournalRecord} from './journal_codec.js';
+import {JournalLog} from './journal_log.js';
+import {JournalReader} from './journal_reader.js';
+
+import type {JournalRecord, ServiceVersions} from '@applebend/routing';
+import type {Logger} from '@applebend/telemetry';
+import type {Clock} from '@applebend/utils';
+import type {RecordArchive} from '../ports.js';
+import type {FleetState} from '../state/fleet_state.js';
+
+/** How often `VersionJournal` is asked what to append. */
+const TICK_MS = 50;
+
+/** The state that is saved and read. @public */
+export interface JournaledState extends Pick<
+  FleetState,
+  'config' | 'instanceCount' | 'journalReadiness' | 'versionJournal'
+> {
+  readonly targets: {readonly versions: ServiceVersions};
+}
+
+/** @public */
+export interface VersionArchiveOptions {
+  readonly archive: RecordArchive;
+  readonly state: JournaledState;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Called after each append of a record, or attempt at one. */
+  readonly onAppended: (isSaved: boolean) => void;
+}
+
+/**
+ * Keeps in the archive at which software versions streams were begun, so that
+ * the knowledge survives a restart of all instances. `VersionJournal` decides
+ * what to append; here it is read at a start, encoded and appended.
+ *
+ * @public
+ */
+export class VersionArchive {
+  private readonly reader: JournalReader;
+  private readonly journalLog: JournalLog;
+  private timer: NodeJS.Timeout | undefined;
+  /** The records that the journal returned last. */
+  private batch: readonly JournalRecord[] = [];
+  /** Resolves when no append is under way, so that they keep their order. */
+  private appended = Promise.resolve();
+
+  private constructor(private readonly options: VersionArchiveOptions) {
+    const {archive, state, clock, log} = options;
+    this.journalLog = JournalLog.create(log, clock);
+    this.reader = JournalReader.create({
+      archive,
+      clock,
+      log,
+      config: () => state.config,
+      onRecord: record => state.versionJournal.onRead(record, this.nowMs),
+    });
+    archive.onRestored(() => {
+      this.reader.onRestored();
+      state.versionJournal.onNewEra(this.nowMs);
+    });
+  }
+
+  static create(options: VersionArchiveOptions): VersionArchive {
+    return new VersionArchive(options);
+  }
+
+  private get nowMs(): number {
+    return this.options.clock.monotonicMs();
+  }
+
+  /**
+   * Begins to read and to save.
+   *
+   * @param isFirstStart - whether the whole fleet starts for the first time, so
+   *     that nothing has been saved
+   */
+  start(isFirstStart: boolean): void {
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+    if (isFirstStart) this.options.state.journalReadiness.onComplete();
+    else void this.read();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+    this.reader.stop();
+  }
+
+  private async read(): Promise<void> {
+    const isRead = await this.reader.readAll();
+    if (isRead) this.options.state.journalReadiness.onComplete();
+  }
+
+  private tick(): void {
+    const {state} = this.options;
+    const {versionJournal: journal, targets, instanceCount} = state;
+    const {nowMs} = this;
+    journal.onServices(targets.versions.sets(nowMs), nowMs);
+    // A set of versions that is saved before the journal has been read could
+    // replace a larger one.
+    if (!state.journalReadiness.isComplete) return;
+    const records = journal.next(instanceCount, nowMs);
+    this.journalLog.onRole(journal.isWriter);
+    if (records.length === 0) return;
+    this.batch = records;
+    this.appended = this.appended.then(() => this.append(records));
+  }
+
+  /** Appends in order; after a failure the journal returns the rest again. */
+  private async append(records: readonly JournalRecord[]): Promise<void> {
+    const {archive, state, onAppended} = this.options;
+    for (const record of records) {
+      if (this.batch !== records) return;
+      const {key, value} = encodeJournalRecord(record);
+      const result = await archive.append(RECORD_TOPIC.versions, key, value);
+      if (this.timer === undefined) return;
+      onAppended(result.ok);
+      if (!result.ok) {
+        state.versionJournal.onFailed(this.nowMs);
+        this.journalLog.onFailed(result.err);
+        return;
+      }
+      state.versionJournal.onSaved(record, this.nowMs);
+      this.journalLog.onSaved(record);
+    }
+  }
+}
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -10,10 +10,10 @@
 import {requestContent} from './request_content.js';
 import {secondsUntilResumed} from './pause_advice.js';
 import {ResponseRelay} from './response_relay.js';
-import {versionNeedOf} from './stream_version.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
+import {lookUpVersion} from './version_lookup.js';
 
-import type {Placement, Target} from '@applebend/routing';
+import type {Placement, Target, VersionNeed} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
 import type {TargetRecord} from '../state/target_record.js';
 import type {
@@ -42,6 +42,7 @@
   private feedback: AttemptFeedback | undefined;
   private readonly relay: ResponseRelay;
   private deadlineTimer: NodeJS.Timeout | undefined;
+  private cancelLookup: (() => void) | undefined;
 
   private constructor(
     private readonly context: RequestContext,
@@ -101,7 +102,8 @@
     });
     const waitMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     this.deadlineTimer = setTimeout(() => this.onDeadline(), waitMs);
-    this.admit();
+    const {context, deps} = this;
+    this.cancelLookup = lookUpVersion(context, deps, need => this.admit(need));
   }
 
   private get placementInput(): PlacementInput {
@@ -112,14 +114,13 @@
     return {context, state, softwareVersion, tried, nowMs, random};
   }
 
-  private admit(): void {
+  private admit(need: VersionNeed): void {
     const {context, deps} = this;
     const {quarantineLeftMs} = this.crashes;
     if (quarantineLeftMs > 0) {
       this.ending.refuse('quarantined', quarantineLeftMs / 1000);
       return;
     }
-    const need = versionNeedOf(context, deps.state, this.nowMs);
     if (need.kind === 'unknown' || need.kind === 'pending') {
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
@@ -327,6 +328,7 @@
 
   private onEnded(): void {
     clearTimeout(this.deadlineTimer);
+    this.cancelLookup?.();
     this.endRunning();
   }
 
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -1,5 +1,6 @@
 import {EXECUTION} from '../errors.js';
 import {STATUS, sendResponse} from './responses.js';
+import {isTakenUp} from './stream_version.js';
 
 import type {AdmissionInput, Candidate} from '@applebend/routing';
 import type {RequestCrashes} from '../crash/request_crashes.js';
@@ -121,6 +122,7 @@
       route: context.route.name,
       service: context.service,
       customer: context.customer,
+      isTakenUp: isTakenUp(context),
       fingerprint: crashes.knownFingerprint,
       quarantinedBlock: crashes.quarantinedBlock,
       outcome,
--- a/packages/gateway/src/lib/front/exchange_report.ts
+++ b/packages/gateway/src/lib/front/exchange_report.ts
@@ -21,6 +21,8 @@
   readonly route: string;
   readonly service: string;
   readonly customer: string | undefined;
+  /** Whether the caller resumed a broken stream. */
+  readonly isTakenUp: boolean;
   /** Hash of the request's content; undefined if it was not needed. */
   readonly fingerprint: string | undefined;
   /** A block of the prompt that is in quarantine at its end, see `blockKey`. */
--- a/packages/gateway/src/lib/front/request_log.test.ts
+++ b/packages/gateway/src/lib/front/request_log.test.ts
@@ -11,6 +11,7 @@
     route: 'r',
     service: 's',
     customer: undefined,
+    isTakenUp: false,
     fingerprint: undefined,
     quarantinedBlock: undefined,
     outcome,
--- a/packages/gateway/src/lib/front/stream_version.ts
+++ b/packages/gateway/src/lib/front/stream_version.ts
@@ -12,12 +12,13 @@
 
 /** The version at which a stream that the caller takes up was begun. @public */
 export function versionNeedOf(
-  {caller, route, service}: RequestContext,
-  {streamVersions, targets}: FleetState,
+  context: RequestContext,
+  {streamVersions, targets, journalReadiness}: FleetState,
   nowMs: number
 ): VersionNeed {
-  const {lastEventId, firstAttemptId} = caller;
-  if (!route.streaming || lastEventId === undefined) return ANY;
+  if (!isTakenUp(context)) return ANY;
+  const {service, caller} = context;
+  const {firstAttemptId} = caller;
   const version =
     firstAttemptId === undefined
       ? undefined
@@ -25,11 +26,15 @@
   return resumedVersionNeed({
     version,
     hasSeveralVersions: targets.versions.hasSeveral(service, nowMs),
-    // No journal is read yet.
-    isJournalRead: true,
+    isJournalRead: journalReadiness.isComplete,
   });
 }
 
+/** Whether the caller resumes a stream that broke. @public */
+export function isTakenUp({caller, route}: RequestContext): boolean {
+  return route.streaming && caller.lastEventId !== undefined;
+}
+
 /**
  * The attempt under which the caller knows the stream; undefined if it cannot be
  * taken up.
@@ -43,6 +48,6 @@
   const isResumable = route.retrySafety === RETRY_SAFETY.idempotent;
   if (!route.streaming || !isResumable) return undefined;
   const {lastEventId, firstAttemptId, attemptId} = caller;
-  const isTakenUp = lastEventId !== undefined && firstAttemptId !== undefined;
-  return attemptKeyOf(isTakenUp ? firstAttemptId : attemptId);
+  const isNamed = lastEventId !== undefined && firstAttemptId !== undefined;
+  return attemptKeyOf(isNamed ? firstAttemptId : attemptId);
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,4 +1,5 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
+import {VersionArchive} from './archive/version_archive.js';
 import {QuarantineArchive} from './archive/quarantine_archive.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
@@ -55,6 +56,7 @@
   private readonly state: FleetState;
   private readonly peers: PeerExchange;
   private readonly quarantines: QuarantineArchive;
+  private readonly versionArchive: VersionArchive;
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
@@ -88,6 +90,13 @@
       this.peers.announce({kind: 'survivals', survivals});
     crashGuard.onQuarantined = quarantine =>
       void this.quarantines.save(quarantine);
+    this.versionArchive = VersionArchive.create({
+      archive,
+      state: this.state,
+      clock: systemClock,
+      log,
+      onAppended: isSaved => this.onJournalAppended(isSaved),
+    });
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
     this.exchangeDeps = {
       state: this.state,
@@ -157,6 +166,7 @@
     });
     // When a whole fleet starts for the first time, nothing has been saved.
     if (!settings.isFleetBootstrap) void this.loadQuarantines();
+    this.versionArchive.start(settings.isFleetBootstrap);
     this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
     this.applyLimits();
     this.servers.push(
@@ -169,11 +179,11 @@
 
   /** Notes for all instances at which software version a stream begins. */
   private noteStream(targetId: string, context: RequestContext): void {
-    const {targets, streamVersions} = this.state;
+    const {targets} = this.state;
     const attempt = streamKeyOf(context);
     const version = targets.get(targetId)?.target.softwareVersion;
     if (attempt === undefined || version === undefined) return;
-    streamVersions.add(attempt, version, systemClock.monotonicMs());
+    this.state.addStream(attempt, version, systemClock.monotonicMs());
     this.peers.announce({kind: 'streams', version, attempts: [attempt]});
   }
 
@@ -221,6 +231,12 @@
     }
   }
 
+  private onJournalAppended(isSaved: boolean): void {
+    this.metrics.onJournalAppended(isSaved);
+    const {instance} = this.ports.settings;
+    if (isSaved) this.peers.announce({kind: 'journal_saved', instance});
+  }
+
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config);
     this.applyLimits();
@@ -286,6 +302,7 @@
     this.loop.stop();
     this.ports.stateSource.stop();
     this.quarantines.stop();
+    this.versionArchive.stop();
     this.exchangeDeps.agent.destroy();
   }
 }
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -59,6 +59,18 @@
     help: 'Targets that were lost while they ran requests of this instance',
     registers: [this.registry],
   });
+  private readonly journalAppends = new Counter({
+    name: 'applebend_gateway_journal_appends_total',
+    help: 'Records that this instance appended to the version journal, or could not',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
+  private readonly callerResumes = new Counter({
+    name: 'applebend_gateway_caller_resumes_total',
+    help: 'Requests that resume a broken stream, by outcome',
+    labelNames: ['service', 'outcome'],
+    registers: [this.registry],
+  });
   private readonly requestSeconds = new Histogram({
     name: 'applebend_gateway_request_seconds',
     help: 'Time from arrival to the end of the answer',
@@ -88,6 +100,7 @@
 
   onEnd(report: ExchangeReport): void {
     const {service, outcome, status, sends, elapsedMs, headMs} = report;
+    if (report.isTakenUp) this.callerResumes.inc({service, outcome});
     this.requests.inc({service, outcome, status: String(status)});
     if (sends > 0) this.sends.inc({service}, sends);
     this.requestSeconds.observe({service}, elapsedMs / 1000);
@@ -96,6 +109,10 @@
     }
   }
 
+  onJournalAppended(isSaved: boolean): void {
+    this.journalAppends.inc({result: isSaved ? 'saved' : 'failed'});
+  }
+
   onTargetLeaving(): void {
     this.targetNotices.inc({notice: 'leaving'});
   }
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -9,7 +9,7 @@
 import type {CrashGuard} from '../crash/crash_guard.js';
 import type {FleetState} from '../state/fleet_state.js';
 
-/** What an instance tells its peers of a target, a request or streams. @public */
+/** What an instance tells its peers of targets, requests or streams. @public */
 export type Notice =
   | {readonly kind: 'departure'; readonly departure: Departure}
   | {
@@ -33,12 +33,17 @@
       /** Software version to which the attempts were sent. */
       readonly version: string;
       readonly attempts: readonly AttemptKey[];
+    }
+  | {
+      readonly kind: 'journal_saved';
+      /** The instance that appended a record to the version journal. */
+      readonly instance: string;
     };
 
 /** The state that notices change. @public */
 export type NoticedState = Pick<
   FleetState,
-  'targets' | 'crashGuard' | 'streamVersions'
+  'targets' | 'crashGuard' | 'addStream' | 'versionJournal'
 >;
 
 /** What an instance tells its peers of requests that crash targets. @public */
@@ -50,9 +55,10 @@
 /** Applies what a peer tells. @public */
 export function applyNotice(
   notice: Notice,
-  {targets, crashGuard, streamVersions}: NoticedState,
+  state: NoticedState,
   nowMs: number
 ): void {
+  const {targets, crashGuard} = state;
   switch (notice.kind) {
     case 'departure':
       targets.onDeparture(notice.departure, nowMs);
@@ -73,8 +79,11 @@
       return;
     case 'streams':
       for (const attempt of notice.attempts) {
-        streamVersions.add(attempt, notice.version, nowMs);
+        state.addStream(attempt, notice.version, nowMs);
       }
+      return;
+    case 'journal_saved':
+      state.versionJournal.onPeerSaved(notice.instance, nowMs);
   }
 }
 
--- a/packages/gateway/src/lib/peers/notice_codec.ts
+++ b/packages/gateway/src/lib/peers/notice_codec.ts
@@ -18,6 +18,7 @@
   streams: 7,
   survivals: 8,
   limit: 9,
+  journal_saved: 10,
 } as const;
 
 /** A notice as it stands in a message. @public */
@@ -41,7 +42,8 @@
       survivals: [block: string, ageMs: number][],
     ]
   | [code: number, service: string, ageMs: number, version: string]
-  | [code: number, version: string, count: number, attempts: AttemptKey[]];
+  | [code: number, version: string, count: number, attempts: AttemptKey[]]
+  | [code: number, instance: string, zero: number];
 
 /** @public */
 export function encodeNotice(notice: Notice): WireNotice {
@@ -90,6 +92,8 @@
       const {version, attempts} = notice;
       return [NOTICE_CODE.streams, version, attempts.length, [...attempts]];
     }
+    case 'journal_saved':
+      return [NOTICE_CODE.journal_saved, notice.instance, 0];
   }
 }
 
@@ -143,6 +147,7 @@
     const keys = attempts.filter(key => typeof key === 'number');
     return {kind: 'streams', version, attempts: keys};
   },
+  [NOTICE_CODE.journal_saved]: instance => ({kind: 'journal_saved', instance}),
   [NOTICE_CODE.survivals]: (_name, _count, rows) => {
     if (!Array.isArray(rows)) return undefined;
     return {kind: 'survivals', survivals: rows.flatMap(decodeSurvival)};
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -11,12 +11,13 @@
 const MAX_ATTEMPTS = 400;
 
 /**
- * A pause is over soon, a limit is named again and again, survivals would be
- * taken for younger than they are, and there are too many streams.
+ * A pause is over soon, a limit is named again and again, a save of the journal
+ * is followed by others, survivals would be taken for younger than they are, and
+ * there are too many streams.
  */
 type SentOnce = Extract<
   Notice,
-  {kind: 'pause' | 'limit' | 'survivals' | 'streams'}
+  {kind: 'pause' | 'limit' | 'survivals' | 'streams' | 'journal_saved'}
 >;
 type StreamNotice = Extract<Notice, {kind: 'streams'}>;
 type RepeatedNotice = Exclude<Notice, SentOnce>;
@@ -47,6 +48,7 @@
       case 'pause':
       case 'limit':
       case 'survivals':
+      case 'journal_saved':
         this.single.push(notice);
         return;
       case 'streams':
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -89,7 +89,8 @@
         kind: fc.constant('streams' as const),
         version: id,
         attempts: fc.array(fc.maxSafeNat(), {maxLength: 5}),
-      })
+      }),
+      fc.record({kind: fc.constant('journal_saved' as const), instance: id})
     ),
     {maxLength: 4}
   ),
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -5,14 +5,21 @@
   OverloadGuard,
   ReturnTimes,
   StreamVersions,
+  VersionJournal,
 } from '@applebend/routing';
 import {systemClock} from '@applebend/utils';
+import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
 import {targetOfPool} from './target_pool.js';
 
-import type {FleetConfig, ShareLevels, TargetList} from '@applebend/routing';
+import type {
+  AttemptKey,
+  FleetConfig,
+  ShareLevels,
+  TargetList,
+} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {GatewaySettings, StateSource, TargetInspector} from '../ports.js';
 import type {UsageRow} from '../peers/peer_message.js';
@@ -31,6 +38,10 @@
   readonly crashGuard: CrashGuard;
   /** The software versions at which streams of all instances were begun. */
   readonly streamVersions = StreamVersions.create();
+  /** What this instance has to save of them and of the services' versions. */
+  readonly versionJournal: VersionJournal;
+  /** Whether what was saved before this start has been read. */
+  readonly journalReadiness = JournalReadiness.create();
   private readonly shares = new Map<string, CustomerShares>();
   private readonly budgets = new Map<string, FleetRetryBudget>();
   private readonly returnTimes = new Map<string, ReturnTimes>();
@@ -61,6 +72,12 @@
       isFleetBootstrap,
       (record, signals) => this.onTargetSignals(record, signals)
     );
+    this.versionJournal = VersionJournal.create({
+      instance: settings.instance,
+      random: Math.random,
+      services: this.targets.versions,
+      streams: this.streamVersions,
+    });
   }
 
   static create(
@@ -123,6 +140,12 @@
     return this.sharesOf(ENGINE_POOL).levels(tokensPerS, nowMs);
   }
 
+  /** Records at which software version a stream was begun, here or at a peer. */
+  addStream(attempt: AttemptKey, version: string, nowMs: number): void {
+    this.streamVersions.add(attempt, version, nowMs);
+    this.versionJournal.onStream(attempt, version, nowMs);
+  }
+
   /** The usage of all customers in a pool; created on first use. */
   sharesOf(pool: string): CustomerShares {
     let shares = this.shares.get(pool);
