--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -268,6 +268,31 @@
   });
 });
 
+test('all groups hear that one instance has saved the version journal', async () => {
+  await withFleet(27, async fleet => {
+    const heard = new Map<string, string[]>();
+    for (const {state, info} of fleet) {
+      const writers: string[] = [];
+      heard.set(info.instance, writers);
+      state.versionJournal.onPeerSaved = writer => writers.push(writer);
+    }
+    const [, , , , , , writer] = fleet;
+    const {instance} = writer.info;
+    writer.exchange.announce({kind: 'journal_saved', instance});
+    await waitUntil('all others hear it', () =>
+      fleet.every(
+        peer => peer === writer || heard.get(peer.info.instance)?.length === 1
+      )
+    );
+    // A notice that went round between relays would come again by now.
+    await sleep(500);
+    for (const {info} of fleet) {
+      const writers = heard.get(info.instance) ?? [];
+      if (info.instance !== instance) assert.deepEqual(writers, [instance]);
+    }
+  });
+});
+
 test('few instances read the store for the fleet, others if they cannot', async () => {
   await withFleet(27, async fleet => {
     const reads = () => fleet.reduce((n, {source}) => n + source.reads, 0);
