--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -82,9 +82,11 @@
     else void this.read();
   }
 
+  /** Ends reading and saving; what is not saved yet is left to the peers. */
   stop(): void {
     clearInterval(this.timer);
     this.timer = undefined;
+    this.batch = [];
     this.reader.stop();
   }
 
