--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -33,6 +33,7 @@
   /** Records of the last batch whose append has no result yet. */
   private readonly inFlight = new Set<JournalRecord>();
   private nextBatchAtMs = -Infinity;
+  private hasEndedReading = false;
 
   private constructor(private readonly options: VersionJournalOptions) {
     this.selection = WriterSelection.create(options);
@@ -47,6 +48,14 @@
     return this.selection.isWriter;
   }
 
+  /**
+   * Whether the journal has been read completely. Until then nothing is written:
+   * a set without the versions that are only in the journal would replace them.
+   */
+  get isRead(): boolean {
+    return this.hasEndedReading;
+  }
+
   /**
    * Called with the versions of all services (`ServiceVersions.sets`), at least
    * before each call of `next`.
@@ -58,7 +67,7 @@
     const before = this.services.severalVersions;
     this.services.onServices(sets);
     if (this.isWriter) this.addRemembered(before);
-    if (this.services.unsaved().length > 0) this.selection.onUnsaved(nowMs);
+    if (this.services.unsaved().length > 0) this.onUnsaved(nowMs);
   }
 
   /**
@@ -68,7 +77,7 @@
   onStream(attempt: AttemptKey, version: string, nowMs: number): void {
     if (!this.services.severalVersions.has(version)) return;
     if (this.isWriter) this.unsavedStreams.add(attempt, version);
-    else this.selection.onUnsaved(nowMs);
+    else this.onUnsaved(nowMs);
   }
 
   /** Called when an instance says that it has appended a record. */
@@ -95,7 +104,7 @@
       return;
     }
     this.selection.postponeTakeover(nowMs);
-    if (this.services.severalVersions.size > 0) this.selection.onUnsaved(nowMs);
+    if (this.services.severalVersions.size > 0) this.onUnsaved(nowMs);
   }
 
   /** Applies a record that was read at startup. */
@@ -116,6 +125,16 @@
     }
   }
 
+  /**
+   * Called after the last record was read, or at the first start of a fleet, when
+   * there is nothing to read.
+   */
+  onReadEnd(nowMs: number): void {
+    this.hasEndedReading = true;
+    // Streams may have begun in the meantime.
+    if (this.services.severalVersions.size > 0) this.onUnsaved(nowMs);
+  }
+
   /**
    * The records to append now, one after the other; none if this instance is not
    * the writer, if records returned before are neither saved nor failed, or if
@@ -158,6 +177,10 @@
     if (!this.isWriter) this.discardBatch();
   }
 
+  private onUnsaved(nowMs: number): void {
+    if (this.isRead) this.selection.onUnsaved(nowMs);
+  }
+
   /** Saves all that is known, as the journal may lack any part of it. */
   private startSaving(): void {
     this.services.forceAll();
--- /dev/null
+++ b/packages/routing/src/testing/journal_store.ts
@@ -0,0 +1,79 @@
+import type {
+  JournalRecord,
+  ServiceRecord,
+  StreamsRecord,
+} from '../lib/versions/journal_record.js';
+import type {AttemptKey} from '../lib/versions/stream_versions.js';
+
+interface Content {
+  readonly services: ReadonlyMap<string, readonly string[]>;
+  readonly streams: readonly StreamsRecord[];
+}
+
+/** Records that 30 s of streams can take, with two writers of 5 a second. */
+const MAX_STREAMS_RECORDS = 300;
+
+/** What an instance reads at a start. */
+export interface JournalReading {
+  readonly services: readonly ServiceRecord[];
+  readonly streams: readonly StreamsRecord[];
+}
+
+/** The topic of the journal in a store that can be copied and restored. */
+export class JournalStore {
+  appendCount = 0;
+  private content: Content = {services: new Map(), streams: []};
+  private copy = this.content;
+
+  append(record: JournalRecord): void {
+    this.appendCount += 1;
+    const {services, streams} = this.content;
+    if (record.kind === 'service') {
+      const {service, versions} = record;
+      const changed = new Map(services).set(service, versions);
+      this.content = {services: changed, streams};
+      return;
+    }
+    this.content = {services, streams: [...streams, record]};
+  }
+
+  versionsOf(service: string): readonly string[] {
+    return this.content.services.get(service) ?? [];
+  }
+
+  /** Streams are read only if some service has several versions. */
+  read(): JournalReading {
+    const services = [...this.content.services].map(([service, versions]) => ({
+      kind: 'service' as const,
+      service,
+      versions,
+    }));
+    const hasSeveral = services.some(({versions}) => versions.length > 1);
+    const streams = this.content.streams.slice(-MAX_STREAMS_RECORDS);
+    return {services, streams: hasSeveral ? streams : []};
+  }
+
+  save(): void {
+    this.copy = this.content;
+  }
+
+  restore(): void {
+    this.content = this.copy;
+  }
+}
+
+/** The versions that a reading names for each attempt. */
+export function versionsByAttempt({
+  streams,
+}: JournalReading): Map<AttemptKey, Set<string>> {
+  const versions = new Map<AttemptKey, Set<string>>();
+  for (const {attempts} of streams) {
+    for (const [version, keys] of attempts) {
+      for (const key of keys) {
+        const named = versions.get(key) ?? new Set<string>();
+        versions.set(key, named.add(version));
+      }
+    }
+  }
+  return versions;
+}
