--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -78,7 +78,7 @@
    */
   start(isFirstStart: boolean): void {
     this.timer = setInterval(() => this.tick(), TICK_MS);
-    if (isFirstStart) this.options.state.journalReadiness.onComplete();
+    if (isFirstStart) this.onReadEnd();
     else void this.read();
   }
 
@@ -91,8 +91,13 @@
   }
 
   private async read(): Promise<void> {
-    const isRead = await this.reader.readAll();
-    if (isRead) this.options.state.journalReadiness.onComplete();
+    if (await this.reader.readAll()) this.onReadEnd();
+  }
+
+  private onReadEnd(): void {
+    const {versionJournal, journalReadiness} = this.options.state;
+    versionJournal.onReadEnd(this.nowMs);
+    journalReadiness.onComplete();
   }
 
   private tick(): void {
@@ -100,9 +105,6 @@
     const {versionJournal: journal, targets, instanceCount} = state;
     const {nowMs} = this;
     journal.onServices(targets.versions.sets(nowMs), nowMs);
-    // A set of versions that is saved before the journal has been read could
-    // replace a larger one.
-    if (!state.journalReadiness.isComplete) return;
     const records = journal.next(instanceCount, nowMs);
     this.journalLog.onRole(journal.isWriter);
     if (records.length === 0) return;
