--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,4 +1,6 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
+import {VersionArchive} from './archive/version_archive.js';
+import {QuarantineArchive} from './archive/quarantine_archive.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
@@ -13,7 +15,7 @@
 import {TargetAgent} from './upstream/target_agent.js';
 
 import type http from 'node:http';
-import type {FleetConfig, Quarantine, TargetLoss} from '@applebend/routing';
+import type {FleetConfig, TargetLoss} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
@@ -22,6 +24,7 @@
 import type {
   GatewaySettings,
   HeaderCodec,
+  RecordArchive,
   StateSource,
   TargetInspector,
   TargetSignals,
@@ -31,6 +34,7 @@
 export interface GatewayPorts {
   readonly settings: GatewaySettings;
   readonly stateSource: StateSource;
+  readonly archive: RecordArchive;
   readonly codec: HeaderCodec;
   readonly inspector: TargetInspector;
   readonly log: Logger;
@@ -51,6 +55,8 @@
 export class Gateway {
   private readonly state: FleetState;
   private readonly peers: PeerExchange;
+  private readonly quarantines: QuarantineArchive;
+  private readonly versionArchive: VersionArchive;
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
@@ -61,7 +67,7 @@
   private shutdown: Promise<void> | undefined;
 
   private constructor(private readonly ports: GatewayPorts) {
-    const {settings, stateSource, codec, inspector, log} = ports;
+    const {settings, stateSource, archive, codec, inspector, log} = ports;
     this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
@@ -77,12 +83,20 @@
       source: stateSource,
       incarnation: random.int(1, 0x7fffffff),
     });
+    this.quarantines = QuarantineArchive.create(archive, log);
     const {crashGuard} = this.state;
     crashGuard.onLosses = losses => this.onLosses(losses);
     crashGuard.onSurvivals = survivals =>
       this.peers.announce({kind: 'survivals', survivals});
     crashGuard.onQuarantined = quarantine =>
-      stateSource.saveQuarantine(quarantine);
+      void this.quarantines.save(quarantine);
+    this.versionArchive = VersionArchive.create({
+      archive,
+      state: this.state,
+      clock: systemClock,
+      log,
+      onAppended: isSaved => this.onJournalAppended(isSaved),
+    });
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
     this.exchangeDeps = {
       state: this.state,
@@ -124,6 +138,18 @@
     return this.shutdown;
   }
 
+  /**
+   * Stops as a killed process does: no request finishes and no peer is told. For
+   * tests of restarts.
+   *
+   * @internal
+   */
+  halt(): void {
+    this.front?.halt();
+    this.peers.halt();
+    this.stopParts();
+  }
+
   private async start(): Promise<void> {
     const {settings, stateSource, log} = this.ports;
     this.loop.start();
@@ -131,7 +157,6 @@
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
-      onQuarantines: quarantines => this.onQuarantines(quarantines),
       onPeers: peers => this.peers.addListedPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       hasReader: () => this.peers.hasReader,
@@ -139,6 +164,9 @@
         this.peers.requestConfirmation(targetsKey),
       fetchConfigRecord: () => this.peers.fetchConfigRecord(),
     });
+    // When a whole fleet starts for the first time, nothing has been saved.
+    if (!settings.isFleetBootstrap) void this.loadQuarantines();
+    this.versionArchive.start(settings.isFleetBootstrap);
     this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
     this.applyLimits();
     this.servers.push(
@@ -151,11 +179,11 @@
 
   /** Notes for all instances at which software version a stream begins. */
   private noteStream(targetId: string, context: RequestContext): void {
-    const {targets, streamVersions} = this.state;
+    const {targets} = this.state;
     const attempt = streamKeyOf(context);
     const version = targets.get(targetId)?.target.softwareVersion;
     if (attempt === undefined || version === undefined) return;
-    streamVersions.add(attempt, version, systemClock.monotonicMs());
+    this.state.addStream(attempt, version, systemClock.monotonicMs());
     this.peers.announce({kind: 'streams', version, attempts: [attempt]});
   }
 
@@ -197,9 +225,16 @@
     this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
   }
 
-  private onQuarantines(quarantines: readonly Quarantine[]): void {
-    const {crashGuard} = this.state;
-    for (const quarantine of quarantines) crashGuard.onQuarantine(quarantine);
+  private async loadQuarantines(): Promise<void> {
+    for (const quarantine of await this.quarantines.load()) {
+      this.state.crashGuard.onQuarantine(quarantine);
+    }
+  }
+
+  private onJournalAppended(isSaved: boolean): void {
+    this.metrics.onJournalAppended(isSaved);
+    const {instance} = this.ports.settings;
+    if (isSaved) this.peers.announce({kind: 'journal_saved', instance});
   }
 
   private onConfig(config: FleetConfig): void {
@@ -238,7 +273,7 @@
    * once all requests have ended or the grace period is nearly over.
    */
   private async drainAndStop(): Promise<void> {
-    const {log, settings, stateSource} = this.ports;
+    const {log, settings} = this.ports;
     const stoppingSinceMs = systemClock.monotonicMs();
     log.info('stopping', {active: this.front?.activeCount});
     this.state.isStopping = true;
@@ -253,15 +288,21 @@
       if (nowMs >= forcedCloseAtMs) break;
     }
     this.front?.close();
+    this.peers.stop();
+    this.stopParts();
+    this.usageLog.flush();
+    log.info('stopped', {cut: this.front?.activeCount});
+  }
+
+  private stopParts(): void {
     for (const server of this.servers) {
       server.close();
       server.closeAllConnections();
     }
     this.loop.stop();
-    stateSource.stop();
-    this.peers.stop();
+    this.ports.stateSource.stop();
+    this.quarantines.stop();
+    this.versionArchive.stop();
     this.exchangeDeps.agent.destroy();
-    this.usageLog.flush();
-    log.info('stopped', {cut: this.front?.activeCount});
   }
 }
