Evacuations: the domains that the operator has evacuated, by order of reads and eras

This is the pure part: it holds the evacuated domains with the offset and the era of the read that showed them, ignores what shows an earlier state, and remembers when each evacuation was seen to end.

After the store was restored from a copy, an evacuation that the copy lacks is kept for 4 s, since the operator's tool writes it again within 2 s. The state passed to peers leaves it out, so that a peer does not take it for written.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -70,6 +70,12 @@
 export {ReturnTimes} from './lib/health/return_times.js';
 export {TargetRateLimit} from './lib/health/target_rate_limit.js';
 export {isExcessivePause, TargetPause} from './lib/health/target_pause.js';
+export {Evacuations} from './lib/membership/evacuations.js';
+export type {
+  EvacuationChanges,
+  EvacuationRead,
+  EvacuationState,
+} from './lib/membership/evacuations.js';
 export {FleetLayout, relayOf} from './lib/membership/fleet_layout.js';
 export type {Member} from './lib/membership/fleet_layout.js';
 export {
