No request reaches an evacuated failure domain

The configuration's follower, which reads the topic anyway, decodes these keys of each read, before and independent of the configuration, and hands them to the gateway. The target directory leaves out targets of evacuated domains where it lists those that may get requests, which is the only source of candidates and of Retry-After; so first sends, retries and resumed streams avoid them, with no fallback, and a service without other targets is refused with no_target. Prefix caches there are queried after the end. A confirmation carries the evacuations that the parent holds; one with a malformed part confirms nothing, so the requester reads the store. An instance reports ready, and takes requests, only once it knows the evacuations. No call to the store is added.

Tests: evacuation.test (8; all failed before), evacuation_groups.test (13 instances in several groups; fails without the evacuations in confirmations, as does the new test of peer_fleet), confirmation_message.test.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -130,6 +130,8 @@
     this.peers.start();
     stateSource.start({
       onConfig: config => this.onConfig(config),
+      onEvacuations: read =>
+        this.state.targets.onEvacuations(read, systemClock.monotonicMs()),
       onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
       onQuarantines: quarantines => this.onQuarantines(quarantines),
       onPeers: peers => this.peers.addListedPeers(peers),
@@ -222,6 +224,7 @@
       storeEra: this.ports.stateSource.heldState().storeEra,
       instances: state.instanceCount,
       targets: [...state.targets.all()].length,
+      evacuatedDomains: state.targets.evacuations.count,
       active: front?.activeCount ?? 0,
       loopLagMs: state.overloadGuard.lagMs,
       loopBusyPart: state.overloadGuard.busyFraction,
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -15,6 +15,8 @@
   readonly instances: number;
   /** Registered targets. */
   readonly targets: number;
+  /** Failure domains whose targets get no new requests. */
+  readonly evacuatedDomains: number;
   /** Requests whose response is not complete. */
   readonly active: number;
   /** Smoothed lag of the event loop. */
--- a/packages/gateway/src/lib/peers/confirmation_exchange.ts
+++ b/packages/gateway/src/lib/peers/confirmation_exchange.ts
@@ -8,6 +8,7 @@
 } from './confirmation_message.js';
 import {MESSAGE_KIND} from './wire_rows.js';
 
+import type {EvacuationState} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 import type {PeerAddress, ConfirmedState, StateSource} from '../ports.js';
@@ -44,6 +45,10 @@
   readonly parentAddress: () => PeerAddress | undefined;
   /** Instances that pass a request on before it reaches the one that reads. */
   readonly levelsAbove: () => number;
+  /** Returns the evacuations that this instance holds. */
+  readonly evacuations: () => EvacuationState | undefined;
+  /** Called with those of the parent, before its confirmation counts. */
+  readonly onEvacuations: (state: EvacuationState) => void;
 }
 
 /**
@@ -151,7 +156,7 @@
    * fails the requesters are told, so that they need not wait.
    */
   private async respond(): Promise<void> {
-    const {socket, source} = this.options;
+    const {socket, source, evacuations} = this.options;
     const {pending} = this;
     this.pending = [];
     this.batchTimer = undefined;
@@ -160,7 +165,7 @@
       const response =
         state === undefined
           ? encodeConfirmationRefusal(req)
-          : encodeConfirmationResponse(req, state);
+          : encodeConfirmationResponse(req, state, evacuations());
       socket.send(response, from);
     }
   }
@@ -175,7 +180,11 @@
   private onResponse(wire: readonly unknown[]): boolean {
     const response = decodeConfirmationResponse(wire);
     if (response === undefined) return false;
-    this.waiting.get(response.nonce)?.(response.state);
+    const {nonce, state, evacuations} = response;
+    const settle = this.waiting.get(nonce);
+    if (settle === undefined) return true;
+    if (evacuations !== undefined) this.options.onEvacuations(evacuations);
+    settle(state);
     return true;
   }
 }
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -1,7 +1,7 @@
 import {pack} from 'msgpackr';
 import {MESSAGE_KIND} from './wire_rows.js';
 
-import type {Target} from '@applebend/routing';
+import type {EvacuationState, Target} from '@applebend/routing';
 import type {ConfirmedState} from '../ports.js';
 
 /** A longer target list is not sent; the requester reads it from the store. */
@@ -19,6 +19,8 @@
 export interface ConfirmationResponse {
   readonly nonce: number;
   readonly state: ConfirmedState;
+  /** What the responder holds; undefined if it is an older version. */
+  readonly evacuations: EvacuationState | undefined;
 }
 
 /** @public */
@@ -47,7 +49,8 @@
  */
 export function encodeConfirmationResponse(
   req: ConfirmationRequest,
-  state: ConfirmedState
+  state: ConfirmedState,
+  evacuations: EvacuationState | undefined
 ): Buffer {
   const {configVersion, targetsKey, targets} = state;
   const {storeEra, restoredBefore, targetsAgeMs} = state;
@@ -57,7 +60,12 @@
     configVersion,
     targetsKey,
   ];
-  const end = [storeEra, restoredBefore, Math.ceil(targetsAgeMs)];
+  const end = [
+    storeEra,
+    restoredBefore,
+    Math.ceil(targetsAgeMs),
+    encodeEvacuations(evacuations),
+  ];
   const withoutList = pack([...head, null, ...end]);
   if (req.targetsKey === targetsKey) return withoutList;
   const bytes = pack([...head, targets, ...end]);
@@ -84,7 +92,8 @@
   wire: readonly unknown[]
 ): ConfirmationResponse | undefined {
   const [, nonce, configVersion, targetsKey, list] = wire;
-  const [storeEra = 0, restoredBefore = 0, targetsAgeMs = 0] = wire.slice(5);
+  const [storeEra = 0, restoredBefore = 0, targetsAgeMs = 0, evacuated] =
+    wire.slice(5);
   if (typeof nonce !== 'number') return undefined;
   if (typeof configVersion !== 'number') return undefined;
   if (typeof targetsKey !== 'number') return undefined;
@@ -96,7 +105,33 @@
     : undefined;
   const newest = {configVersion, targetsKey, targets};
   const origin = {storeEra, restoredBefore, targetsAgeMs};
-  return {nonce, state: {...newest, ...origin}};
+  const evacuations = decodeEvacuations(evacuated);
+  // Without them the requester reads the store itself.
+  if (
+    evacuations === undefined &&
+    evacuated !== undefined &&
+    evacuated !== null
+  )
+    return undefined;
+  return {nonce, state: {...newest, ...origin}, evacuations};
+}
+
+function encodeEvacuations(state: EvacuationState | undefined): unknown {
+  return state ? [state.asOf, state.storeEra, state.domains] : null;
+}
+
+/** Returns undefined if they are missing or malformed. */
+function decodeEvacuations(wire: unknown): EvacuationState | undefined {
+  if (!Array.isArray(wire)) return undefined;
+  const [asOf, storeEra, domains] = wire as unknown[];
+  if (typeof asOf !== 'number' || typeof storeEra !== 'number')
+    return undefined;
+  if (!Array.isArray(domains) || !domains.every(isString)) return undefined;
+  return {asOf, storeEra, domains};
+}
+
+function isString(value: unknown): value is string {
+  return typeof value === 'string';
 }
 
 /** Older instances send targets without a software version. */
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -94,6 +94,9 @@
       source,
       parentAddress: () => this.parentAddress(),
       levelsAbove: () => this.levelsAbove(),
+      evacuations: () => state.targets.evacuations.state,
+      onEvacuations: evacuations =>
+        state.targets.onPeerEvacuations(evacuations, clock.monotonicMs()),
     });
   }
 
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -41,6 +41,8 @@
   isStoreDown = false;
   askParent = (): Promise<ConfirmedState | undefined> =>
     Promise.resolve(undefined);
+  /** Called with each read of the store. */
+  onRead = (): void => undefined;
 
   start(): void {}
   stop(): void {}
@@ -61,6 +63,7 @@
     if (newest !== undefined) return newest;
     if (this.isStoreDown) return undefined;
     this.reads += 1;
+    this.onRead();
     return {
       configVersion: 7,
       targetsKey: 8,
@@ -294,3 +297,38 @@
     );
   });
 });
+
+test('an evacuation that one instance reads is known to all with a confirmation', async () => {
+  await withFleet(27, async fleet => {
+    const reads = () => fleet.reduce((n, {source}) => n + source.reads, 0);
+    const confirmAll = () =>
+      Promise.all(fleet.map(({source}) => source.confirm()));
+    await waitUntil('few reads confirm the state for all', async () => {
+      const before = reads();
+      await confirmAll();
+      return reads() - before <= 6;
+    });
+    let asOf = 0;
+    const evacuate = (isWritten: boolean) => {
+      asOf += 1;
+      const changes = new Map([[TARGET.failureDomain, isWritten]]);
+      const read = {changes, isComplete: true, asOf, storeEra: 0};
+      for (const {source, state} of fleet) {
+        source.onRead = () =>
+          state.targets.onEvacuations(read, systemClock.monotonicMs());
+      }
+    };
+    const readyCounts = () =>
+      fleet.map(({state}) => state.targets.readyTargets('llm').length);
+    for (const [isWritten, ready] of [
+      [true, 0],
+      [false, 1],
+    ] as const) {
+      evacuate(isWritten);
+      const before = reads();
+      await confirmAll();
+      assert.ok(reads() - before <= 6, `${reads() - before} reads`);
+      assert.deepEqual([...new Set(readyCounts())], [ready]);
+    }
+  });
+});
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -4,6 +4,7 @@
  * header names, record formats and the store.
  */
 import type {
+  EvacuationRead,
   FleetConfig,
   Prompt,
   PrefixBlock,
@@ -105,6 +106,8 @@
 export interface StateSourceCallbacks {
   /** Called with the first configuration and with each newer one. */
   onConfig(config: FleetConfig): void;
+  /** Called with what each read of the operator's records showed of evacuations. */
+  onEvacuations(read: EvacuationRead): void;
   /** Called with all registered targets; any other target has been removed. */
   onTargets(list: TargetList): void;
   /**
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -96,9 +96,10 @@
     return this.wasConfirmed;
   }
 
-  /** Whether a configuration and the targets have been read. */
+  /** Whether the configuration, evacuations and targets have been read. */
   get isLoaded(): boolean {
-    return this.current !== undefined && this.targets.isLoaded;
+    const {isLoaded, evacuations} = this.targets;
+    return this.current !== undefined && isLoaded && evacuations.isKnown;
   }
 
   /**
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -1,5 +1,6 @@
 import {
   DEPARTURE_KIND,
+  Evacuations,
   FirstEventModel,
   ServiceVersions,
   isExcessivePause,
@@ -10,6 +11,9 @@
 
 import type {
   Departure,
+  EvacuationChanges,
+  EvacuationRead,
+  EvacuationState,
   FleetConfig,
   Target,
   TargetList,
@@ -36,6 +40,8 @@
   private readonly departures = TargetDepartures.create();
   /** The software versions of each service. */
   readonly versions = ServiceVersions.create();
+  /** The failure domains whose targets get no new requests. */
+  readonly evacuations = Evacuations.create();
   private config: FleetConfig | undefined;
   private loaded = false;
   /** Era of the store in which the present targets were read. */
@@ -70,7 +76,10 @@
     return this.loaded;
   }
 
-  /** The targets of a service that are not leaving. */
+  /**
+   * The targets of a service that may get new requests: those that are neither
+   * leaving nor in an evacuated domain.
+   */
   readyTargets(service: string): readonly TargetRecord[] {
     return this.byService.get(service) ?? [];
   }
@@ -130,6 +139,16 @@
     this.indexServices();
   }
 
+  /** Applies what the operator's records showed of evacuations. */
+  onEvacuations(read: EvacuationRead, nowMs: number): void {
+    this.applyEvacuations(this.evacuations.onRead(read, nowMs));
+  }
+
+  /** Applies the evacuations that the parent holds. */
+  onPeerEvacuations(state: EvacuationState, nowMs: number): void {
+    this.applyEvacuations(this.evacuations.onState(state, nowMs));
+  }
+
   /** The departures of the last minutes, for peers that missed them. */
   recentDepartures(nowMs: number): Departure[] {
     return this.departures.recent(nowMs);
@@ -216,6 +235,19 @@
       .map(({target, rateLimit}) => [target.id, rateLimit.rate(nowMs)]);
   }
 
+  private applyEvacuations({begun, ended}: EvacuationChanges): void {
+    if (begun.length + ended.length === 0) return;
+    for (const domain of begun) this.log.info('domain evacuated', {domain});
+    for (const domain of ended) this.onEvacuationEnded(domain);
+    this.indexServices();
+    void this.loadCachedBlocks();
+  }
+
+  /** Called before the targets of the domain may get requests again. */
+  private onEvacuationEnded(domain: string): void {
+    this.log.info('domain evacuation ended', {domain});
+  }
+
   /** The updated record of a target; a new one if the target restarted. */
   private recordFor(target: Target): TargetRecord {
     const existing = this.records.get(target.id);
@@ -241,12 +273,14 @@
 
   /**
    * Queries the prefix caches of new engines, one engine at a time. At the
-   * first start of a fleet they are empty and not queried.
+   * first start of a fleet they are empty and not queried. Those of an evacuated
+   * domain, which may not respond any more, are queried after its end.
    */
   private async loadCachedBlocks(): Promise<void> {
     if (this.isFleetBootstrap) return;
     for (const record of this.records.values()) {
       if (record.memoryTokens === 0 || record.cachedBlocksRequested) continue;
+      if (this.evacuations.has(record.target.failureDomain)) continue;
       record.cachedBlocksRequested = true;
       const inspection = await this.inspector.inspect(record.target);
       if (inspection === undefined) continue;
@@ -269,8 +303,9 @@
   private indexServices(): void {
     this.byService = new Map();
     for (const record of this.records.values()) {
-      const {service, state} = record.target;
+      const {service, state, failureDomain} = record.target;
       if (state !== TARGET_STATE.ready) continue;
+      if (this.evacuations.has(failureDomain)) continue;
       const list = this.byService.get(service) ?? [];
       list.push(record);
       this.byService.set(service, list);
