--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -11,6 +11,8 @@
 
 /** How often `VersionJournal` is asked what to append. */
 const TICK_MS = 50;
+/** The same while each service has one version; a wake-up costs processor time. */
+const IDLE_TICK_MS = 1000;
 
 /** The state that is saved and read. @public */
 export interface JournaledState extends Pick<
@@ -77,14 +79,19 @@
    *     that nothing has been saved
    */
   start(isFirstStart: boolean): void {
-    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.schedule(TICK_MS);
     if (isFirstStart) this.onReadEnd();
     else void this.read();
   }
 
+  /** Called when the versions of a service may have changed. */
+  onVersions(): void {
+    if (this.timer !== undefined) this.schedule(0);
+  }
+
   /** Ends reading and saving; what is not saved yet is left to the peers. */
   stop(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     this.timer = undefined;
     this.batch = [];
     this.reader.stop();
@@ -98,13 +105,22 @@
     const {versionJournal, journalReadiness} = this.options.state;
     versionJournal.onReadEnd(this.nowMs);
     journalReadiness.onComplete();
+    this.onVersions();
+  }
+
+  private schedule(delayMs: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => this.tick(), delayMs);
   }
 
   private tick(): void {
     const {state} = this.options;
     const {versionJournal: journal, targets, instanceCount} = state;
     const {nowMs} = this;
-    journal.onServices(targets.versions.sets(nowMs), nowMs);
+    const sets = targets.versions.sets(nowMs);
+    journal.onServices(sets, nowMs);
+    const hasSeveral = [...sets.values()].some(({length}) => length > 1);
+    this.schedule(hasSeveral || journal.isWriter ? TICK_MS : IDLE_TICK_MS);
     const records = journal.next(instanceCount, nowMs);
     this.journalLog.onRole(journal.isWriter);
     if (records.length === 0) return;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -15,7 +15,7 @@
 import {TargetAgent} from './upstream/target_agent.js';
 
 import type http from 'node:http';
-import type {FleetConfig, TargetLoss} from '@applebend/routing';
+import type {FleetConfig, TargetList, TargetLoss} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
@@ -158,7 +158,7 @@
       onConfig: config => this.onConfig(config),
       onEvacuations: read =>
         this.state.targets.onEvacuations(read, systemClock.monotonicMs()),
-      onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
+      onTargets: list => this.onTargets(list),
       onPeers: peers => this.peers.addListedPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       hasReader: () => this.peers.hasReader,
@@ -239,6 +239,11 @@
     if (isSaved) this.peers.announce({kind: 'journal_saved', instance});
   }
 
+  private onTargets(list: TargetList): void {
+    this.state.onTargets(list, systemClock.monotonicMs());
+    this.versionArchive.onVersions();
+  }
+
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config);
     this.applyLimits();
