One token bucket, extracted from TargetRateLimit

Cause: cold targets need a token bucket as well (docs/design/hard-load.md, part 3). Change: TokenBucket holds the balance, the rate and the maximum; TargetRateLimit keeps its rules on top of it.

--- a/packages/routing/src/lib/health/target_rate_limit.ts
+++ b/packages/routing/src/lib/health/target_rate_limit.ts
@@ -1,3 +1,5 @@
+import {TokenBucket} from './token_bucket.js';
+
 /** Requests that may be sent at once, as time at the rate. */
 const BURST_MS = 500;
 const MIN_BURST = 2;
@@ -26,9 +28,8 @@
   private ratePerS = Infinity;
   private namedAtMs = -Infinity;
   private announcedAtMs = -Infinity;
-  /** Requests that may be sent, at the time below. */
-  private balance = 0;
-  private updatedAtMs = 0;
+  /** Requests that may be sent. */
+  private readonly bucket = TokenBucket.create();
   /** What has to be left, 0 to 1. */
   private reserve: number;
 
@@ -58,9 +59,7 @@
   /** When the next request may be sent; not after `nowMs` if it may be now. */
   availableAtMs(nowMs: number): number {
     if (!this.isInForce(nowMs)) return nowMs;
-    this.refill(nowMs);
-    const missing = 1 + this.reserve - this.balance;
-    return nowMs + (missing * MS_PER_S) / this.ratePerS;
+    return this.bucket.holdsAtMs(1 + this.reserve, nowMs);
   }
 
   /**
@@ -70,8 +69,9 @@
   onNamed(ratePerS: number, nowMs: number): boolean {
     const rate = Math.max(MIN_RATE_PER_S, ratePerS);
     const hasChanged = this.rate(nowMs) !== rate;
-    if (this.isInForce(nowMs)) this.refill(nowMs);
-    else this.start(nowMs);
+    if (!this.isInForce(nowMs)) this.bucket.empty(nowMs);
+    const most = Math.max(MIN_BURST, (rate * BURST_MS) / MS_PER_S);
+    this.bucket.setRate(rate, most, nowMs);
     this.ratePerS = rate;
     this.namedAtMs = nowMs;
     const isDue = nowMs - this.announcedAtMs >= ANNOUNCE_INTERVAL_MS;
@@ -105,20 +105,7 @@
   /** Records requests that peers sent. */
   onPeersSent(count: number, nowMs: number): void {
     if (!this.isInForce(nowMs)) return;
-    this.refill(nowMs);
     const least = -(this.ratePerS * MAX_DEBT_MS) / MS_PER_S;
-    this.balance = Math.max(least, this.balance - count);
-  }
-
-  private start(nowMs: number): void {
-    this.balance = 0;
-    this.updatedAtMs = nowMs;
-  }
-
-  private refill(nowMs: number): void {
-    const earned = (this.ratePerS * (nowMs - this.updatedAtMs)) / MS_PER_S;
-    const most = Math.max(MIN_BURST, (this.ratePerS * BURST_MS) / MS_PER_S);
-    this.balance = Math.min(most, this.balance + earned);
-    this.updatedAtMs = nowMs;
+    this.bucket.take(count, least, nowMs);
   }
 }
