ColdStart and the owners of cold targets, pure

Cause: a target that has just started takes few requests and crashes well above that rate; each instance needs a share that is safe without hearing from others.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,6 +29,7 @@
 export {SlidingWindowSum} from './lib/admission/sliding_window_sum.js';
 export {RETRY_SAFETY} from './lib/config/fleet_config.js';
 export type {
+  ColdStartSpec,
   EngineSpec,
   FleetConfig,
   FleetLimits,
@@ -66,10 +67,17 @@
 export type {ListFreshnessOptions} from './lib/freshness/list_freshness.js';
 export {ERA_ORDER, StoreEra} from './lib/freshness/store_era.js';
 export type {EraOrder} from './lib/freshness/store_era.js';
+export {COLD_REASON, ColdStart, coldShareOf} from './lib/health/cold_start.js';
+export type {
+  ColdBound,
+  ColdReason,
+  ColdShare,
+} from './lib/health/cold_start.js';
 export {TargetHealth} from './lib/health/target_health.js';
 export {ReturnTimes} from './lib/health/return_times.js';
 export {TargetRateLimit} from './lib/health/target_rate_limit.js';
 export {isExcessivePause, TargetPause} from './lib/health/target_pause.js';
+export {ColdOwners} from './lib/membership/cold_owners.js';
 export {FleetLayout, relayOf} from './lib/membership/fleet_layout.js';
 export type {Member} from './lib/membership/fleet_layout.js';
 export {
--- a/packages/routing/src/lib/config/fleet_config.ts
+++ b/packages/routing/src/lib/config/fleet_config.ts
@@ -55,9 +55,19 @@
   readonly tokensPerEvent: number;
 }
 
+/** How the targets of a service take requests after a start. @public */
+export interface ColdStartSpec {
+  /** Requests a second that a cold target takes from all instances together. */
+  readonly ratePerS: number;
+  /** How long a target is cold after its start. */
+  readonly durationMs: number;
+}
+
 /** A service: targets that can serve the same requests. @public */
 export interface Service {
   readonly name: string;
+  /** Set if its targets take fewer requests while they are cold. */
+  readonly coldStart?: ColdStartSpec;
   /** Set if the targets are model engines. */
   readonly engine?: EngineSpec;
 }
--- a/packages/routing/src/lib/config/target.ts
+++ b/packages/routing/src/lib/config/target.ts
@@ -27,4 +27,9 @@
    * target renews it.
    */
   readonly registeredAt: number;
+  /**
+   * Milliseconds for which it stays cold after that registration; 0 if it is
+   * warm.
+   */
+  readonly coldLeftMs: number;
 }
--- a/packages/routing/src/testing/store_restore.model.test.ts
+++ b/packages/routing/src/testing/store_restore.model.test.ts
@@ -203,6 +203,7 @@
     state,
     startedAtMs: 1,
     registeredAt,
+    coldLeftMs: 0,
   };
 }
 
