Cold targets get no more than their bound, from all instances together

Cause: a target that has just started, or is back under the same id and address, got up to 50 requests in its first second from nine instances (allowed: 16.7), and up to 127 by retries and resumed streams. Change: coldPerS and coldStartS of a service, coldLeftMs of a registration and bounds.coldOverage and bounds.coldSlack are decoded; ColdTargets sets the share of this instance for each target. Candidates leave out cold targets whose share is used up, and Exchange.send takes from the share or sends nothing. A refused or reset connection, and a peer's loss, make a target cold; onEvacuationEnded of TargetDirectory does for a domain. Retry-After, log lines target cold and target warm, figure coldTargets. Without coldPerS or coldOverage nothing changes.

--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -31,13 +31,16 @@
     | 'timeout';
   readonly execution: Execution;
   readonly message: string;
+  /** Whether the target refused or reset the connection. */
+  readonly isDisconnected: boolean;
 }
 
 /** @public */
 export function attemptFailure(
   kind: AttemptFailure['kind'],
   execution: Execution,
-  message: string
+  message: string,
+  isDisconnected = kind === 'reset'
 ): AttemptFailure {
-  return {kind, execution, message};
+  return {kind, execution, message, isDisconnected};
 }
--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -77,7 +77,8 @@
     this.record.health.onSuccess();
   }
 
-  onFailure({kind}: AttemptFailure): void {
+  onFailure({kind, isDisconnected}: AttemptFailure): void {
+    if (isDisconnected) this.record.coldStart.onLost(this.nowMs);
     if (kind !== 'target_paused') this.recordFailure();
   }
 
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -164,6 +164,11 @@
       this.giveUp(attemptFailure(kind, EXECUTION.notRun, 'request not sent'));
       return;
     }
+    if (!record.coldStart.trySend(this.nowMs)) {
+      const {notRun} = EXECUTION;
+      this.giveUp(attemptFailure('target_paused', notRun, 'target is cold'));
+      return;
+    }
     this.ending.notePlacement(candidate);
     this.target = record.target;
     this.resumedAfter = this.relay.lastEventId;
--- a/packages/gateway/src/lib/front/pause_advice.ts
+++ b/packages/gateway/src/lib/front/pause_advice.ts
@@ -22,19 +22,25 @@
   const records = state.targets.readyTargets(service);
   const availableAtMs = earliestAvailableMs(records, nowMs);
   if (availableAtMs === undefined) return undefined;
-  const intervalMs = returnIntervalMs(records, state.instanceCount, nowMs);
+  const ratePerS = ownRatePerS(records, state.instanceCount, nowMs);
+  // Only other instances may send, so there is no order to keep here.
+  if (ratePerS === 0) return (availableAtMs - nowMs) / MS_PER_S;
+  const intervalMs =
+    ratePerS === Infinity ? UNLIMITED_INTERVAL_MS : MS_PER_S / ratePerS;
   const times = state.returnTimesOf(service);
   return (times.next(availableAtMs, intervalMs, nowMs) - nowMs) / MS_PER_S;
 }
 
-/** Time between two requests that this instance's part of all limits allows. */
-function returnIntervalMs(
+/** Requests a second that this instance's part of all limits allows. */
+function ownRatePerS(
   records: readonly TargetRecord[],
   instanceCount: number,
   nowMs: number
 ): number {
   let ratePerS = 0;
-  for (const {rateLimit} of records) ratePerS += rateLimit.rate(nowMs);
-  if (ratePerS === Infinity) return UNLIMITED_INTERVAL_MS;
-  return (instanceCount * MS_PER_S) / ratePerS;
+  for (const {rateLimit, coldStart} of records) {
+    const limitPerS = rateLimit.rate(nowMs) / instanceCount;
+    ratePerS += Math.min(limitPerS, coldStart.rate(nowMs));
+  }
+  return ratePerS;
 }
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -42,6 +42,7 @@
   const settings = {
     failureDomain: 'hall-a',
     shareWindowMs: 4000,
+    coldBound: {overage: Infinity, slack: 0},
   } as unknown as GatewaySettings;
   const inspector = {inspect: () => Promise.resolve(undefined)};
   const log = Logger.create(LOG_LEVEL.error, {});
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -22,6 +22,7 @@
 import type {
   GatewaySettings,
   HeaderCodec,
+  PeerInfo,
   StateSource,
   TargetInspector,
   TargetSignals,
@@ -41,6 +42,8 @@
 /** Running requests are aborted this long before the forced end. */
 const FORCED_CLOSE_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
+/** Time between two updates of which targets are cold. */
+const COLD_UPDATE_MS = 250;
 
 /**
  * One instance of the gateway: its shared state, its servers and its exchange
@@ -59,6 +62,7 @@
   private readonly servers: http.Server[] = [];
   private front: FrontServer | undefined;
   private shutdown: Promise<void> | undefined;
+  private coldTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, stateSource, codec, inspector, log} = ports;
@@ -128,11 +132,12 @@
     const {settings, stateSource, log} = this.ports;
     this.loop.start();
     this.peers.start();
+    this.coldTimer = setInterval(() => this.updateCold(), COLD_UPDATE_MS);
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onTargets: list => this.state.onTargets(list, systemClock.monotonicMs()),
       onQuarantines: quarantines => this.onQuarantines(quarantines),
-      onPeers: peers => this.peers.addListedPeers(peers),
+      onPeers: peers => this.onPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       hasReader: () => this.peers.hasReader,
       requestConfirmation: targetsKey =>
@@ -197,13 +202,19 @@
     this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
   }
 
+  private onPeers(peers: readonly PeerInfo[]): void {
+    const ids = peers.map(({instance}) => instance);
+    this.state.targets.cold.onListed(ids, systemClock.monotonicMs());
+    this.peers.addListedPeers(peers);
+  }
+
   private onQuarantines(quarantines: readonly Quarantine[]): void {
     const {crashGuard} = this.state;
     for (const quarantine of quarantines) crashGuard.onQuarantine(quarantine);
   }
 
   private onConfig(config: FleetConfig): void {
-    this.state.onConfig(config);
+    this.state.onConfig(config, systemClock.monotonicMs());
     this.applyLimits();
   }
 
@@ -214,6 +225,10 @@
     this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
   }
 
+  private updateCold(): number {
+    return this.state.targets.cold.update(systemClock.monotonicMs());
+  }
+
   private metricsText(): Promise<string> {
     const {state, front} = this;
     return this.metrics.text({
@@ -222,6 +237,7 @@
       storeEra: this.ports.stateSource.heldState().storeEra,
       instances: state.instanceCount,
       targets: [...state.targets.all()].length,
+      coldTargets: this.updateCold(),
       active: front?.activeCount ?? 0,
       loopLagMs: state.overloadGuard.lagMs,
       loopBusyPart: state.overloadGuard.busyFraction,
@@ -258,6 +274,7 @@
       server.closeAllConnections();
     }
     this.loop.stop();
+    clearInterval(this.coldTimer);
     stateSource.stop();
     this.peers.stop();
     this.exchangeDeps.agent.destroy();
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -15,6 +15,8 @@
   readonly instances: number;
   /** Registered targets. */
   readonly targets: number;
+  /** Targets that take few requests because they are cold. */
+  readonly coldTargets: number;
   /** Requests whose response is not complete. */
   readonly active: number;
   /** Smoothed lag of the event loop. */
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -92,14 +92,15 @@
   if (typeof restoredBefore !== 'number') return undefined;
   if (typeof targetsAgeMs !== 'number') return undefined;
   const targets = Array.isArray(list)
-    ? (list as Target[]).map(withVersion)
+    ? (list as Target[]).map(withDefaults)
     : undefined;
   const newest = {configVersion, targetsKey, targets};
   const origin = {storeEra, restoredBefore, targetsAgeMs};
   return {nonce, state: {...newest, ...origin}};
 }
 
-/** Older instances send targets without a software version. */
-function withVersion(target: Target): Target {
-  return {...target, softwareVersion: target.softwareVersion ?? ''};
+/** Older instances send targets without a software version or a cold time. */
+function withDefaults(target: Target): Target {
+  const {softwareVersion = '', coldLeftMs = 0} = target;
+  return {...target, softwareVersion, coldLeftMs};
 }
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -64,6 +64,9 @@
       targets.onPeerLimit(notice.target, notice.limitPerS, nowMs);
       return;
     case 'loss':
+      targets.cold.onPeerLoss(notice.loss.target, nowMs);
+      applyCrashNotice(notice, crashGuard);
+      return;
     case 'quarantine':
     case 'survivals':
       applyCrashNotice(notice, crashGuard);
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -98,6 +98,7 @@
       seeds: [],
       peers: {host, port},
       shareWindowMs: 4000,
+      coldBound: {overage: Infinity, slack: 0},
       retryBudget: {windowMs: 10_000, ratio: 0.2, minRetries: 58},
     } as unknown as GatewaySettings;
     const source = new CountingSource();
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -246,6 +246,12 @@
   readonly maxConfigAgeForDenialMs: number;
   /** Window over which the fair shares of customers are computed. */
   readonly shareWindowMs: number;
+  /**
+   * What a cold target may get in any second from all instances together: its
+   * rate times `overage`, plus `slack` requests. An infinite bound leaves cold
+   * targets unlimited.
+   */
+  readonly coldBound: {readonly overage: number; readonly slack: number};
   /** Retries that the whole fleet may send for one service. */
   readonly retryBudget: {
     readonly windowMs: number;
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -53,12 +53,11 @@
     private readonly log: Logger
   ) {
     this.crashGuard = CrashGuard.create(log, systemClock);
-    const {isFleetBootstrap} = settings;
     this.targets = TargetDirectory.create(
       this.peerLoads,
       inspector,
       log,
-      isFleetBootstrap,
+      settings,
       (record, signals) => this.onTargetSignals(record, signals)
     );
   }
@@ -164,11 +163,11 @@
   }
 
   /** Applies a configuration unless it is older than the one in force. */
-  onConfig(config: FleetConfig): void {
+  onConfig(config: FleetConfig, nowMs: number): void {
     const currentVersion = this.current?.version ?? -Infinity;
     if (config.version <= currentVersion) return;
     this.current = config;
-    this.targets.onConfig(config);
+    this.targets.onConfig(config, nowMs);
     this.streamVersions.setLongestStreamMs(config.routes.longestTimeoutMs);
     const {version, routes} = config;
     this.log.info('configuration in force', {version, routes: routes.size});
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -6,6 +6,7 @@
   TARGET_STATE,
   TargetDepartures,
 } from '@applebend/routing';
+import {ColdTargets} from './cold_targets.js';
 import {TargetRecord} from './target_record.js';
 
 import type {
@@ -16,7 +17,11 @@
   TargetLoad,
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {TargetInspector, TargetSignals} from '../ports.js';
+import type {
+  GatewaySettings,
+  TargetInspector,
+  TargetSignals,
+} from '../ports.js';
 import type {PeerLoadTotals, LoadRow} from './load_totals.js';
 
 /** Called with what a target says of itself in a response. @public */
@@ -36,6 +41,8 @@
   private readonly departures = TargetDepartures.create();
   /** The software versions of each service. */
   readonly versions = ServiceVersions.create();
+  /** Which targets are cold, and what this instance may send to them. */
+  readonly cold: ColdTargets;
   private config: FleetConfig | undefined;
   private loaded = false;
   /** Era of the store in which the present targets were read. */
@@ -45,24 +52,20 @@
     private readonly peerLoads: PeerLoadTotals,
     private readonly inspector: TargetInspector,
     private readonly log: Logger,
-    private readonly isFleetBootstrap: boolean,
+    private readonly settings: GatewaySettings,
     private readonly onSignals: TargetSignalListener
-  ) {}
+  ) {
+    this.cold = ColdTargets.create(settings, () => this.all(), log);
+  }
 
   static create(
     peerLoads: PeerLoadTotals,
     inspector: TargetInspector,
     log: Logger,
-    isFleetBootstrap: boolean,
+    settings: GatewaySettings,
     onSignals: TargetSignalListener
   ): TargetDirectory {
-    return new TargetDirectory(
-      peerLoads,
-      inspector,
-      log,
-      isFleetBootstrap,
-      onSignals
-    );
+    return new TargetDirectory(peerLoads, inspector, log, settings, onSignals);
   }
 
   /** Whether the registrations have been read at least once. */
@@ -104,9 +107,15 @@
     return model;
   }
 
-  onConfig(config: FleetConfig): void {
+  onConfig(config: FleetConfig, nowMs: number): void {
     this.config = config;
     for (const record of this.records.values()) this.updateMemoryTokens(record);
+    this.cold.onConfig(config, nowMs);
+  }
+
+  /** Records that the evacuation of a failure domain ended. */
+  onEvacuationEnded(failureDomain: string, nowMs: number): void {
+    this.cold.onEvacuationEnded(failureDomain, nowMs);
   }
 
   /**
@@ -117,7 +126,12 @@
     this.storeEra = list.storeEra;
     const records = new Map<string, TargetRecord>();
     for (const target of this.departures.apply(list, nowMs)) {
-      records.set(target.id, this.recordFor(target));
+      const record = this.recordFor(target, nowMs);
+      records.set(target.id, record);
+      // A copy of the store has registrations of former times.
+      const isRenewed = target.registeredAt >= list.restoredBefore;
+      const isNew = this.records.get(target.id) !== record;
+      if (isRenewed || isNew) record.coldStart.onRegistered(target, nowMs);
       const {service, softwareVersion: version} = target;
       this.versions.add({service, version, ageMs: 0}, nowMs);
     }
@@ -217,7 +231,7 @@
   }
 
   /** The updated record of a target; a new one if the target restarted. */
-  private recordFor(target: Target): TargetRecord {
+  private recordFor(target: Target, nowMs: number): TargetRecord {
     const existing = this.records.get(target.id);
     if (existing === undefined || isRestarted(existing.target, target)) {
       this.log.info('target registered', {
@@ -227,8 +241,10 @@
         state: target.state,
       });
       const model = this.firstEventModelOf(target.service);
-      const record = TargetRecord.create(target, model, this.peerLoads);
+      const {peerLoads} = this;
+      const record = TargetRecord.create(target, model, peerLoads, existing);
       this.updateMemoryTokens(record);
+      this.cold.setShare(record, nowMs);
       return record;
     }
     if (existing.target.state !== target.state) {
@@ -244,7 +260,7 @@
    * first start of a fleet they are empty and not queried.
    */
   private async loadCachedBlocks(): Promise<void> {
-    if (this.isFleetBootstrap) return;
+    if (this.settings.isFleetBootstrap) return;
     for (const record of this.records.values()) {
       if (record.memoryTokens === 0 || record.cachedBlocksRequested) continue;
       record.cachedBlocksRequested = true;
--- a/packages/gateway/src/lib/state/target_record.ts
+++ b/packages/gateway/src/lib/state/target_record.ts
@@ -1,5 +1,6 @@
 import {
   addLoad,
+  ColdStart,
   LocalLoad,
   PrefixCache,
   TargetHealth,
@@ -34,15 +35,20 @@
   private constructor(
     public target: Target,
     readonly firstEventModel: FirstEventModel,
-    private readonly peerLoads: PeerLoadTotals
+    private readonly peerLoads: PeerLoadTotals,
+    /** Whether it takes few requests yet, and which this instance may send. */
+    readonly coldStart: ColdStart
   ) {}
 
+  /** @param former - the record of the former incarnation, if there is one */
   static create(
     target: Target,
     model: FirstEventModel,
-    peerLoads: PeerLoadTotals
+    peerLoads: PeerLoadTotals,
+    former?: TargetRecord
   ): TargetRecord {
-    return new TargetRecord(target, model, peerLoads);
+    const coldStart = former?.coldStart.createSuccessor() ?? ColdStart.create();
+    return new TargetRecord(target, model, peerLoads, coldStart);
   }
 
   /** Capacity of its KV memory in tokens; 0 if it is not a model engine. */
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -32,7 +32,8 @@
 
 /**
  * The targets that a request may be sent to now. A target that asked for a pause
- * gets none before it is over, and one that named a rate no more than that.
+ * gets none before it is over, one that named a rate no more than that, and a
+ * cold one no more than this instance's share.
  * Ejected targets, and those that paused a peer, are left out unless there is no
  * other: trying one is better than trying none.
  *
@@ -51,18 +52,18 @@
 }
 
 function isAllowed(
-  {target, pause, rateLimit}: TargetRecord,
+  {target, pause, rateLimit, coldStart}: TargetRecord,
   {tried, nowMs, softwareVersion}: CandidateNeeds
 ): boolean {
   if (tried.has(target.id) || !pause.isUsable(nowMs)) return false;
-  if (!rateLimit.isUsable(nowMs)) return false;
+  if (!rateLimit.isUsable(nowMs) || !coldStart.isUsable(nowMs)) return false;
   if (softwareVersion === undefined) return true;
   return target.softwareVersion === softwareVersion;
 }
 
 /**
- * When the first of the targets that are paused, or have got all that they take
- * for now, may get requests again, in monotonic milliseconds; undefined if there
+ * When the first of the targets that are paused, cold, or have got all that they
+ * take for now, may get requests again, in monotonic milliseconds; undefined if there
  * is none of these.
  *
  * @public
@@ -72,8 +73,12 @@
   nowMs: number
 ): number | undefined {
   const times = records
-    .map(({pause, rateLimit}) =>
-      Math.max(pause.endsAtMs, rateLimit.availableAtMs(nowMs))
+    .map(({pause, rateLimit, coldStart}) =>
+      Math.max(
+        pause.endsAtMs,
+        rateLimit.availableAtMs(nowMs),
+        coldStart.retryAtMs(nowMs)
+      )
     )
     .filter(atMs => atMs > nowMs);
   return times.length === 0 ? undefined : Math.min(...times);
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -177,14 +177,20 @@
     // Node reports a reset as the end of a response that has no length.
     if (this.res?.complete === false) this.wasReset = true;
     const kind = this.sent ? 'reset' : 'connect_failed';
-    this.fail(kind, err.message);
+    this.fail(kind, err.message, true);
   }
 
-  private fail(kind: AttemptFailure['kind'], message: string): void {
+  private fail(
+    kind: AttemptFailure['kind'],
+    message: string,
+    isDisconnected = false
+  ): void {
     if (this.settled) return;
     this.settle();
-    const failure = attemptFailure(kind, this.executionOf(kind), message);
-    this.events.onFailure(failure);
+    const execution = this.executionOf(kind);
+    this.events.onFailure(
+      attemptFailure(kind, execution, message, isDisconnected)
+    );
   }
 
   private executionOf(kind: AttemptFailure['kind']): Execution {
--- a/packages/gateway/src/testing/sample_target.ts
+++ b/packages/gateway/src/testing/sample_target.ts
@@ -13,6 +13,7 @@
     state: 'ready',
     startedAtMs: 1,
     registeredAt: 1,
+    coldLeftMs: 0,
     ...change,
   };
 }
