--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -24,6 +24,7 @@
 import type {
   GatewaySettings,
   HeaderCodec,
+  PeerInfo,
   RecordArchive,
   StateSource,
   TargetInspector,
@@ -45,6 +46,8 @@
 /** Running requests are aborted this long before the forced end. */
 const FORCED_CLOSE_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
+/** Time between two updates of which targets are cold. */
+const COLD_UPDATE_MS = 250;
 
 /**
  * One instance of the gateway: its shared state, its servers and its exchange
@@ -65,6 +68,7 @@
   private readonly servers: http.Server[] = [];
   private front: FrontServer | undefined;
   private shutdown: Promise<void> | undefined;
+  private coldTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, stateSource, archive, codec, inspector, log} = ports;
@@ -154,12 +158,13 @@
     const {settings, stateSource, log} = this.ports;
     this.loop.start();
     this.peers.start();
+    this.coldTimer = setInterval(() => this.updateCold(), COLD_UPDATE_MS);
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onEvacuations: read =>
         this.state.targets.onEvacuations(read, systemClock.monotonicMs()),
       onTargets: list => this.onTargets(list),
-      onPeers: peers => this.peers.addListedPeers(peers),
+      onPeers: peers => this.onPeers(peers),
       usesPeerConfirmations: () => this.peers.usesPeerConfirmations,
       hasReader: () => this.peers.hasReader,
       requestConfirmation: targetsKey =>
@@ -244,8 +249,14 @@
     this.versionArchive.onVersions();
   }
 
+  private onPeers(peers: readonly PeerInfo[]): void {
+    const ids = peers.map(({instance}) => instance);
+    this.state.targets.cold.onListed(ids, systemClock.monotonicMs());
+    this.peers.addListedPeers(peers);
+  }
+
   private onConfig(config: FleetConfig): void {
-    this.state.onConfig(config);
+    this.state.onConfig(config, systemClock.monotonicMs());
     this.applyLimits();
   }
 
@@ -256,6 +267,10 @@
     this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
   }
 
+  private updateCold(): number {
+    return this.state.targets.cold.update(systemClock.monotonicMs());
+  }
+
   private metricsText(): Promise<string> {
     const {state, front} = this;
     return this.metrics.text({
@@ -264,6 +279,7 @@
       storeEra: this.ports.stateSource.heldState().storeEra,
       instances: state.instanceCount,
       targets: [...state.targets.all()].length,
+      coldTargets: this.updateCold(),
       evacuatedDomains: state.targets.evacuations.count,
       active: front?.activeCount ?? 0,
       loopLagMs: state.overloadGuard.lagMs,
@@ -308,6 +324,7 @@
       server.closeAllConnections();
     }
     this.loop.stop();
+    clearInterval(this.coldTimer);
     this.ports.stateSource.stop();
     this.quarantines.stop();
     this.versionArchive.stop();
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -7,6 +7,7 @@
   TARGET_STATE,
   TargetDepartures,
 } from '@applebend/routing';
+import {ColdTargets} from './cold_targets.js';
 import {TargetRecord} from './target_record.js';
 
 import type {
@@ -20,7 +21,11 @@
   TargetLoad,
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {TargetInspector, TargetSignals} from '../ports.js';
+import type {
+  GatewaySettings,
+  TargetInspector,
+  TargetSignals,
+} from '../ports.js';
 import type {PeerLoadTotals, LoadRow} from './load_totals.js';
 
 /** Called with what a target says of itself in a response. @public */
@@ -42,6 +47,8 @@
   readonly versions = ServiceVersions.create();
   /** The failure domains whose targets get no new requests. */
   readonly evacuations = Evacuations.create();
+  /** Which targets are cold, and what this instance may send to them. */
+  readonly cold: ColdTargets;
   private config: FleetConfig | undefined;
   private loaded = false;
   /** Era of the store in which the present targets were read. */
@@ -51,24 +58,20 @@
     private readonly peerLoads: PeerLoadTotals,
     private readonly inspector: TargetInspector,
     private readonly log: Logger,
-    private readonly isFleetBootstrap: boolean,
+    private readonly settings: GatewaySettings,
     private readonly onSignals: TargetSignalListener
-  ) {}
+  ) {
+    this.cold = ColdTargets.create(settings, () => this.all(), log);
+  }
 
   static create(
     peerLoads: PeerLoadTotals,
     inspector: TargetInspector,
     log: Logger,
-    isFleetBootstrap: boolean,
+    settings: GatewaySettings,
     onSignals: TargetSignalListener
   ): TargetDirectory {
-    return new TargetDirectory(
-      peerLoads,
-      inspector,
-      log,
-      isFleetBootstrap,
-      onSignals
-    );
+    return new TargetDirectory(peerLoads, inspector, log, settings, onSignals);
   }
 
   /** Whether the registrations have been read at least once. */
@@ -113,10 +116,17 @@
     return model;
   }
 
-  onConfig(config: FleetConfig): void {
+  onConfig(config: FleetConfig, nowMs: number): void {
     this.config = config;
     this.versions.setLongestStreamMs(config.routes.longestTimeoutMs);
     for (const record of this.records.values()) this.updateMemoryTokens(record);
+    this.cold.onConfig(config, nowMs);
+  }
+
+  /** Called before the targets of the domain may get requests again. */
+  onEvacuationEnded(domain: string, nowMs: number): void {
+    this.log.info('domain evacuation ended', {domain});
+    this.cold.onEvacuationEnded(domain, nowMs);
   }
 
   /**
@@ -128,7 +138,12 @@
     const records = new Map<string, TargetRecord>();
     const targets = this.departures.apply(list, nowMs);
     for (const target of targets) {
-      records.set(target.id, this.recordFor(target));
+      const record = this.recordFor(target, nowMs);
+      records.set(target.id, record);
+      // A copy of the store has registrations of former times.
+      const isRenewed = target.registeredAt >= list.restoredBefore;
+      const isNew = this.records.get(target.id) !== record;
+      if (isRenewed || isNew) record.coldStart.onRegistered(target, nowMs);
     }
     const registered = targets.map(({service, softwareVersion}) => ({
       service,
@@ -146,12 +161,12 @@
 
   /** Applies what the operator's records showed of evacuations. */
   onEvacuations(read: EvacuationRead, nowMs: number): void {
-    this.applyEvacuations(this.evacuations.onRead(read, nowMs));
+    this.applyEvacuations(this.evacuations.onRead(read, nowMs), nowMs);
   }
 
   /** Applies the evacuations that the parent holds. */
   onPeerEvacuations(state: EvacuationState, nowMs: number): void {
-    this.applyEvacuations(this.evacuations.onState(state, nowMs));
+    this.applyEvacuations(this.evacuations.onState(state, nowMs), nowMs);
   }
 
   /** The departures of the last minutes, for peers that missed them. */
@@ -240,21 +255,19 @@
       .map(({target, rateLimit}) => [target.id, rateLimit.rate(nowMs)]);
   }
 
-  private applyEvacuations({begun, ended}: EvacuationChanges): void {
+  private applyEvacuations(
+    {begun, ended}: EvacuationChanges,
+    nowMs: number
+  ): void {
     if (begun.length + ended.length === 0) return;
     for (const domain of begun) this.log.info('domain evacuated', {domain});
-    for (const domain of ended) this.onEvacuationEnded(domain);
+    for (const domain of ended) this.onEvacuationEnded(domain, nowMs);
     this.indexServices();
     void this.loadCachedBlocks();
   }
 
-  /** Called before the targets of the domain may get requests again. */
-  private onEvacuationEnded(domain: string): void {
-    this.log.info('domain evacuation ended', {domain});
-  }
-
   /** The updated record of a target; a new one if the target restarted. */
-  private recordFor(target: Target): TargetRecord {
+  private recordFor(target: Target, nowMs: number): TargetRecord {
     const existing = this.records.get(target.id);
     if (existing === undefined || isRestarted(existing.target, target)) {
       this.log.info('target registered', {
@@ -264,8 +277,10 @@
         state: target.state,
       });
       const model = this.firstEventModelOf(target.service);
-      const record = TargetRecord.create(target, model, this.peerLoads);
+      const {peerLoads} = this;
+      const record = TargetRecord.create(target, model, peerLoads, existing);
       this.updateMemoryTokens(record);
+      this.cold.setShare(record, nowMs);
       return record;
     }
     if (existing.target.state !== target.state) {
@@ -282,7 +297,7 @@
    * domain, which may not respond any more, are queried after its end.
    */
   private async loadCachedBlocks(): Promise<void> {
-    if (this.isFleetBootstrap) return;
+    if (this.settings.isFleetBootstrap) return;
     for (const record of this.records.values()) {
       if (record.memoryTokens === 0 || record.cachedBlocksRequested) continue;
       if (this.evacuations.has(record.target.failureDomain)) continue;
