A stream is tried again at one version only; a reset alone makes no target cold

Change: VersionPin binds a retry to the version of the last target while the service has several; nothing listening at the address (refused, or a TargetLoss) makes a target cold. Split by job: send_check, cached_block_loader; the timer of cold targets runs only where some service limits them.

--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -31,8 +31,8 @@
     | 'timeout';
   readonly execution: Execution;
   readonly message: string;
-  /** Whether the target refused or reset the connection. */
-  readonly isDisconnected: boolean;
+  /** Whether nothing listens at the target's address. */
+  readonly isRefused: boolean;
 }
 
 /** @public */
@@ -40,7 +40,14 @@
   kind: AttemptFailure['kind'],
   execution: Execution,
   message: string,
-  isDisconnected = kind === 'reset'
+  isRefused = false
 ): AttemptFailure {
-  return {kind, execution, message, isDisconnected};
+  return {kind, execution, message, isRefused};
 }
+
+/** A request cannot be sent again, as there is no target left to try. @public */
+export const NO_OTHER_TARGET = attemptFailure(
+  'connect_failed',
+  EXECUTION.notRun,
+  'no other target'
+);
--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -77,8 +77,8 @@
     this.record.health.onSuccess();
   }
 
-  onFailure({kind, isDisconnected}: AttemptFailure): void {
-    if (isDisconnected) this.record.coldStart.onLost(this.nowMs);
+  onFailure({kind, isRefused}: AttemptFailure): void {
+    if (isRefused) this.record.coldStart.onLost(this.nowMs);
     if (kind !== 'target_paused') this.recordFailure();
   }
 
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,6 +1,6 @@
 import {RETRY_SAFETY} from '@applebend/routing';
 import {RequestCrashes} from '../crash/request_crashes.js';
-import {attemptFailure, EXECUTION} from '../errors.js';
+import {attemptFailure, EXECUTION, NO_OTHER_TARGET} from '../errors.js';
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
@@ -9,9 +9,11 @@
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {requestContent} from './request_content.js';
 import {secondsUntilResumed} from './pause_advice.js';
+import {reserveSend} from './send_check.js';
 import {ResponseRelay} from './response_relay.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 import {lookUpVersion} from './version_lookup.js';
+import {VersionPin} from './version_pin.js';
 
 import type {Placement, Target, VersionNeed} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
@@ -24,9 +26,6 @@
 import type {RequestContext} from './request_context.js';
 import type {InboundRequest, ExchangeDeps} from './exchange_deps.js';
 
-/** A request is not sent with less time left until its deadline. */
-const MIN_LEFT_TO_SEND_MS = 5;
-
 /** Handles one checked request, from admission to its outcome. @public */
 export class Exchange {
   private readonly attempts: AttemptTracker;
@@ -36,8 +35,7 @@
   private target: Target | undefined;
   /** Id of the last event that was forwarded before the present attempt. */
   private resumedAfter: string | undefined;
-  /** The software version that began the stream, once it has begun. */
-  private streamVersion: string | undefined;
+  private readonly versionPin: VersionPin;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
   private readonly relay: ResponseRelay;
@@ -50,6 +48,7 @@
     private readonly deps: ExchangeDeps
   ) {
     this.attempts = AttemptTracker.create(context.route.maxAttempts);
+    this.versionPin = VersionPin.create(context, deps.state);
     this.crashes = RequestCrashes.create(
       deps.state.crashGuard,
       requestContent(context, inbound),
@@ -110,7 +109,8 @@
     const {context, deps, attempts} = this;
     const {state, random} = deps;
     const {tried} = attempts;
-    const {streamVersion: softwareVersion, nowMs} = this;
+    const {nowMs} = this;
+    const {version: softwareVersion} = this.versionPin;
     return {context, state, softwareVersion, tried, nowMs, random};
   }
 
@@ -125,7 +125,7 @@
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
     }
-    if (need.kind === 'exact') this.streamVersion = need.version;
+    if (need.kind === 'exact') this.versionPin.onResume(need.version);
     const {placementInput} = this;
     const decision = decideRequest(placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
@@ -160,14 +160,9 @@
   private send({candidate}: Placement): void {
     const {context, deps} = this;
     const record = deps.state.targets.get(candidate.id);
-    if (record === undefined || this.leftMs < MIN_LEFT_TO_SEND_MS) {
-      const kind = record === undefined ? 'connect_failed' : 'timeout';
-      this.giveUp(attemptFailure(kind, EXECUTION.notRun, 'request not sent'));
-      return;
-    }
-    if (!record.coldStart.trySend(this.nowMs)) {
-      const {notRun} = EXECUTION;
-      this.giveUp(attemptFailure('target_paused', notRun, 'target is cold'));
+    const obstacle = reserveSend(record, this.leftMs, this.nowMs);
+    if (record === undefined || obstacle !== undefined) {
+      if (obstacle !== undefined) this.giveUp(obstacle);
       return;
     }
     this.ending.notePlacement(candidate);
@@ -207,7 +202,7 @@
   private onResponse(response: TargetResponse): void {
     const {status} = response;
     if (this.relay.isStream(response)) {
-      this.streamVersion ??= this.target?.softwareVersion;
+      this.versionPin.onBegun(this.target);
     } else if (
       status >= 500 &&
       this.isIdempotent &&
@@ -229,7 +224,7 @@
    */
   private onSilence(): void {
     if (!this.isIdempotent) return;
-    const placement = findPlacement(this.placementInput);
+    const placement = this.placeAgain();
     if (placement === undefined || !this.tryAcquireRetry(true)) {
       this.feedback?.onSilence();
       return;
@@ -293,15 +288,16 @@
     return budget.tryAcquire(deps.state.instanceCount, this.nowMs);
   }
 
+  /** The target for another attempt, if there is one. */
+  private placeAgain(): Placement | undefined {
+    this.versionPin.onRetry(this.target, this.nowMs);
+    return findPlacement(this.placementInput);
+  }
+
   private retry(): void {
-    const placement = findPlacement(this.placementInput);
+    const placement = this.placeAgain();
     if (placement === undefined) {
-      const none = attemptFailure(
-        'connect_failed',
-        EXECUTION.notRun,
-        'no other target'
-      );
-      this.giveUp(this.attempts.lastFailure ?? none);
+      this.giveUp(this.attempts.lastFailure ?? NO_OTHER_TARGET);
       return;
     }
     this.send(placement);
--- /dev/null
+++ b/packages/gateway/src/lib/front/send_check.ts
@@ -0,0 +1,31 @@
+import {attemptFailure, EXECUTION} from '../errors.js';
+
+import type {AttemptFailure} from '../errors.js';
+import type {TargetRecord} from '../state/target_record.js';
+
+/** A request is not sent with less time left until its deadline. */
+const MIN_LEFT_TO_SEND_MS = 5;
+
+/**
+ * Takes what the send costs at its target. Returns why the request cannot be
+ * sent after all, or undefined if it can.
+ *
+ * @param record - undefined if the target was removed since it was chosen
+ * @param leftMs - time left until the deadline of the request
+ * @public
+ */
+export function reserveSend(
+  record: TargetRecord | undefined,
+  leftMs: number,
+  nowMs: number
+): AttemptFailure | undefined {
+  const {notRun} = EXECUTION;
+  if (record === undefined) {
+    return attemptFailure('connect_failed', notRun, 'target was removed');
+  }
+  if (leftMs < MIN_LEFT_TO_SEND_MS) {
+    return attemptFailure('timeout', notRun, 'too little time left to send');
+  }
+  if (record.coldStart.trySend(nowMs)) return undefined;
+  return attemptFailure('target_paused', notRun, 'target is cold');
+}
--- a/packages/gateway/src/lib/front/stream_version.ts
+++ b/packages/gateway/src/lib/front/stream_version.ts
@@ -4,7 +4,7 @@
   resumedVersionNeed,
 } from '@applebend/routing';
 
-import type {AttemptKey, VersionNeed} from '@applebend/routing';
+import type {AttemptKey, Target, VersionNeed} from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
 
@@ -51,3 +51,21 @@
   const isNamed = lastEventId !== undefined && firstAttemptId !== undefined;
   return attemptKeyOf(isNamed ? firstAttemptId : attemptId);
 }
+
+/**
+ * The only version to which a request may be sent again after one target; any if
+ * undefined. The journal may have saved that target's version for the attempt,
+ * and a second version may be lost with all instances before it is saved.
+ *
+ * @public
+ */
+export function versionOfRetries(
+  context: RequestContext,
+  {targets}: FleetState,
+  {softwareVersion}: Target,
+  nowMs: number
+): string | undefined {
+  if (streamKeyOf(context) === undefined) return undefined;
+  const hasSeveral = targets.versions.hasSeveral(context.service, nowMs);
+  return hasSeveral ? softwareVersion : undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/front/version_pin.ts
@@ -0,0 +1,46 @@
+import {versionOfRetries} from './stream_version.js';
+
+import type {Target} from '@applebend/routing';
+import type {FleetState} from '../state/fleet_state.js';
+import type {RequestContext} from './request_context.js';
+
+/**
+ * The software version that one request is bound to, once it is: a stream goes
+ * on only at the version that began it.
+ *
+ * @public
+ */
+export class VersionPin {
+  private pinned: string | undefined;
+
+  private constructor(
+    private readonly context: RequestContext,
+    private readonly state: FleetState
+  ) {}
+
+  static create(context: RequestContext, state: FleetState): VersionPin {
+    return new VersionPin(context, state);
+  }
+
+  /** The only version that may run the request; undefined if any may. */
+  get version(): string | undefined {
+    return this.pinned;
+  }
+
+  /** Binds the request to the version of the stream that it resumes. */
+  onResume(version: string): void {
+    this.pinned = version;
+  }
+
+  /** Called when a stream begins at a target. */
+  onBegun(target: Target | undefined): void {
+    this.pinned ??= target?.softwareVersion;
+  }
+
+  /** Called before the request is sent again after one target. */
+  onRetry(target: Target | undefined, nowMs: number): void {
+    if (target === undefined) return;
+    const {context, state} = this;
+    this.pinned ??= versionOfRetries(context, state, target, nowMs);
+  }
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -158,7 +158,6 @@
     const {settings, stateSource, log} = this.ports;
     this.loop.start();
     this.peers.start();
-    this.coldTimer = setInterval(() => this.updateCold(), COLD_UPDATE_MS);
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onEvacuations: read =>
@@ -229,6 +228,9 @@
   /** Tells the peers before the callers of the lost requests can return. */
   private onLosses(losses: readonly TargetLoss[]): void {
     this.metrics.onTargetLost();
+    const {cold} = this.state.targets;
+    const nowMs = systemClock.monotonicMs();
+    for (const {target} of losses) cold.onLoss(target, nowMs);
     this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
   }
 
@@ -258,6 +260,9 @@
   private onConfig(config: FleetConfig): void {
     this.state.onConfig(config, systemClock.monotonicMs());
     this.applyLimits();
+    // Nothing has to be updated where no service limits its cold targets.
+    if (!this.state.targets.cold.isLimited) return;
+    this.coldTimer ??= setInterval(() => this.updateCold(), COLD_UPDATE_MS);
   }
 
   /** The configuration and the open port may come in any order. */
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -70,7 +70,7 @@
       targets.onPeerLimit(notice.target, notice.limitPerS, nowMs);
       return;
     case 'loss':
-      targets.cold.onPeerLoss(notice.loss.target, nowMs);
+      targets.cold.onLoss(notice.loss.target, nowMs);
       applyCrashNotice(notice, crashGuard);
       return;
     case 'quarantine':
--- a/packages/gateway/src/lib/state/cold_targets.ts
+++ b/packages/gateway/src/lib/state/cold_targets.ts
@@ -49,6 +49,11 @@
     return new ColdTargets(settings, settings.coldBound, records, log);
   }
 
+  /** Whether some service limits what its cold targets get. */
+  get isLimited(): boolean {
+    return this.limits.size > 0;
+  }
+
   onConfig({services}: FleetConfig, nowMs: number): void {
     const limits = new Map<string, ServiceLimit>();
     for (const {name, coldStart} of services.values()) {
@@ -66,11 +71,11 @@
   }
 
   /**
-   * Records that a target is lost at a peer.
+   * Records that a target is lost, as seen here or by a peer.
    *
    * @param incarnation - as `incarnationOf` names it
    */
-  onPeerLoss(incarnation: string, nowMs: number): void {
+  onLoss(incarnation: string, nowMs: number): void {
     for (const {target, coldStart} of this.records()) {
       if (incarnationOf(target) !== incarnation) continue;
       coldStart.onPeerLost(nowMs);
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -7,6 +7,7 @@
   TARGET_STATE,
   TargetDepartures,
 } from '@applebend/routing';
+import {CachedBlockLoader} from './cached_block_loader.js';
 import {ColdTargets} from './cold_targets.js';
 import {TargetRecord} from './target_record.js';
 
@@ -49,6 +50,7 @@
   readonly evacuations = Evacuations.create();
   /** Which targets are cold, and what this instance may send to them. */
   readonly cold: ColdTargets;
+  private readonly blockLoader: CachedBlockLoader;
   private config: FleetConfig | undefined;
   private loaded = false;
   /** Era of the store in which the present targets were read. */
@@ -56,11 +58,17 @@
 
   private constructor(
     private readonly peerLoads: PeerLoadTotals,
-    private readonly inspector: TargetInspector,
+    inspector: TargetInspector,
     private readonly log: Logger,
     private readonly settings: GatewaySettings,
-    private readonly onSignals: TargetSignalListener
+    onSignals: TargetSignalListener
   ) {
+    this.blockLoader = CachedBlockLoader.create({
+      inspector,
+      log,
+      onSignals,
+      isSkipped: ({target}) => this.evacuations.has(target.failureDomain),
+    });
     this.cold = ColdTargets.create(settings, () => this.all(), log);
   }
 
@@ -155,7 +163,7 @@
     }
     this.records = records;
     this.loaded = true;
-    void this.loadCachedBlocks();
+    this.loadCachedBlocks();
     this.indexServices();
   }
 
@@ -263,7 +271,7 @@
     for (const domain of begun) this.log.info('domain evacuated', {domain});
     for (const domain of ended) this.onEvacuationEnded(domain, nowMs);
     this.indexServices();
-    void this.loadCachedBlocks();
+    this.loadCachedBlocks();
   }
 
   /** The updated record of a target; a new one if the target restarted. */
@@ -291,27 +299,10 @@
     return existing;
   }
 
-  /**
-   * Queries the prefix caches of new engines, one engine at a time. At the
-   * first start of a fleet they are empty and not queried. Those of an evacuated
-   * domain, which may not respond any more, are queried after its end.
-   */
-  private async loadCachedBlocks(): Promise<void> {
+  /** At the first start of a fleet all prefix caches are empty. */
+  private loadCachedBlocks(): void {
     if (this.settings.isFleetBootstrap) return;
-    for (const record of this.records.values()) {
-      if (record.memoryTokens === 0 || record.cachedBlocksRequested) continue;
-      if (this.evacuations.has(record.target.failureDomain)) continue;
-      record.cachedBlocksRequested = true;
-      const inspection = await this.inspector.inspect(record.target);
-      if (inspection === undefined) continue;
-      this.onSignals(record, inspection.signals);
-      const {cachedBlocks} = inspection;
-      if (cachedBlocks === undefined) continue;
-      record.prefixCache.touch(cachedBlocks);
-      const {id} = record.target;
-      const parts = cachedBlocks.length;
-      this.log.info('cached blocks read', {target: id, parts});
-    }
+    void this.blockLoader.load(this.records.values());
   }
 
   /** A target is an engine if its configured service has one. */
