--- a/packages/routing/src/lib/versions/versions.test.ts
+++ b/packages/routing/src/lib/versions/versions.test.ts
@@ -46,3 +46,76 @@
   versions.add({service: 'llm', version: 'v2', ageMs: 0}, 200_000);
   assert.equal(versions.hasSeveral('llm', 200_000), false);
 });
+
+test('a version counts for the longest stream after its last target left', () => {
+  const versions = ServiceVersions.create();
+  versions.setRegistered([{service: 'llm', version: 'v1'}], 0);
+  versions.setRegistered([{service: 'llm', version: 'v2'}], 10_000);
+  assert.equal(versions.hasSeveral('llm', 40_000), true);
+  assert.equal(versions.hasSeveral('llm', 40_001), false);
+  versions.setLongestStreamMs(60_000);
+  versions.setRegistered([{service: 'llm', version: 'v3'}], 50_000);
+  assert.equal(versions.hasSeveral('llm', 110_000), true);
+  assert.equal(versions.hasSeveral('llm', 110_001), false);
+});
+
+// An unchanged list of targets is not applied again while peers confirm it.
+test('registered versions do not age while the list of targets is unchanged', () => {
+  const versions = ServiceVersions.create();
+  const registered = ['v2', 'v1'].map(version => ({service: 'llm', version}));
+  versions.setRegistered(registered, 0);
+  assert.deepEqual(versions.sets(500_000), new Map([['llm', ['v1', 'v2']]]));
+});
+
+test('the sets of versions are ordered, by service, without old ones', () => {
+  const versions = ServiceVersions.create();
+  versions.add({service: 'llm', version: 'v2', ageMs: 0}, 0);
+  versions.add({service: 'llm', version: 'v1', ageMs: 0}, 0);
+  versions.add({service: 'app', version: 'v1', ageMs: 29_000}, 0);
+  const sets = [...versions.sets(0)];
+  assert.deepEqual(sets, [
+    ['llm', ['v1', 'v2']],
+    ['app', ['v1']],
+  ]);
+  assert.deepEqual([...versions.sets(2000).keys()], ['llm']);
+});
+
+// Two instances may have written, so the later record may be the older one.
+test('an attempt for which the journal names two versions is unknown', () => {
+  const versions = StreamVersions.create();
+  versions.addJournaled(1, 'v1', 0);
+  versions.addJournaled(1, 'v1', 0);
+  assert.equal(versions.versionOf(1), 'v1');
+  versions.addJournaled(1, 'v2', 0);
+  assert.equal(versions.versionOf(1), undefined);
+  versions.addJournaled(1, 'v2', 0);
+  assert.equal(versions.versionOf(1), undefined);
+  versions.add(1, 'v2', 10);
+  assert.equal(versions.versionOf(1), 'v2');
+});
+
+test('what was read from the journal is forgotten after the retention time', () => {
+  const versions = StreamVersions.create();
+  versions.addJournaled(1, 'v1', 0);
+  versions.add(2, 'v1', 30_000);
+  assert.equal(versions.versionOf(1), 'v1');
+  versions.add(3, 'v1', 30_001);
+  assert.equal(versions.versionOf(1), undefined);
+});
+
+test('remembered streams are those heard of, at the given versions', () => {
+  const versions = StreamVersions.create();
+  versions.add(1, 'v1', 0);
+  versions.add(2, 'v2', 0);
+  versions.add(3, 'v1', 31_000);
+  versions.add(1, 'v3', 31_000);
+  versions.addJournaled(4, 'v1', 31_000);
+  const remembered = versions.remembered(new Set(['v1', 'v3']));
+  assert.deepEqual(
+    [...remembered].sort(([a], [b]) => a - b),
+    [
+      [1, 'v3'],
+      [3, 'v1'],
+    ]
+  );
+});
--- a/packages/routing/src/testing/journal_fleet.ts
+++ b/packages/routing/src/testing/journal_fleet.ts
@@ -28,6 +28,8 @@
 const NOTICE_MS = {min: 5, max: 60};
 /** Chance that a stream begins at an instance in a tick. */
 const STREAM_CHANCE = 0.2;
+/** Chance that an attempt is sent twice in a tick of a calm time. */
+const RESEND_CHANCE = 0.1;
 const LOSS_RATE = 0.5;
 const RESUMES_PER_TICK = 3;
 /** Without a fault or a change for this long, the journal is complete. */
@@ -106,8 +108,7 @@
    * the instances and the journal hear of the first send alone, they take the
    * wrong version for the right one.
    */
-  resend(): void {
-    if (!this.isCalm) return;
+  private resend(): void {
     const {releases} = this;
     for (const stream of this.streams.values()) {
       const ageMs = this.nowMs - stream.beganAtMs;
@@ -201,6 +202,7 @@
     }
     for (let i = 0; i < RESUMES_PER_TICK; i++) this.resumeAny();
     if (!this.isCalm) return;
+    if (this.random.chance(RESEND_CHANCE)) this.resend();
     checkJournaledSets(this.live(), this.store, this.releases, nowMs);
   }
 
--- a/packages/routing/src/testing/journal_instance.ts
+++ b/packages/routing/src/testing/journal_instance.ts
@@ -27,6 +27,8 @@
 }
 
 const READ_RETRY_MS = 250;
+/** The journal is read in several calls, beside the list of targets. */
+const MAX_READ_MS = 1000;
 const LIST_AGE_MS = {min: 500, max: 1100};
 const APPEND_MS = {min: 2, max: 120};
 /** Longer than a writer waits for the result of an append. */
@@ -49,20 +51,21 @@
   readAttempts = new Map<AttemptKey, Set<string>>();
   /** The versions of each service as of the last tick. */
   sets: ReadonlyMap<string, readonly string[]> = new Map();
-  private nextReadAtMs = -Infinity;
+  private nextReadAtMs: number;
   private nextListAtMs = -Infinity;
   private batch: readonly JournalRecord[] = [];
   private appendedAtMs = -Infinity;
 
   constructor(readonly options: JournalInstanceOptions) {
-    const {id, random, isFleetBootstrap} = options;
+    const {id, random, isFleetBootstrap, startedAtMs} = options;
+    this.nextReadAtMs = startedAtMs + random.int(0, MAX_READ_MS);
     this.journal = VersionJournal.create({
       instance: id,
       random: () => random.uniform(),
       services: this.services,
       streams: this.streams,
     });
-    if (isFleetBootstrap) this.journal.onReadEnd(options.startedAtMs);
+    if (isFleetBootstrap) this.journal.onReadEnd(startedAtMs);
   }
 
   get isServing(): boolean {
@@ -106,7 +109,10 @@
     if (nowMs < this.nextListAtMs || !this.options.canReachStore()) return;
     const {random, registered} = this.options;
     this.nextListAtMs = nowMs + random.int(LIST_AGE_MS.min, LIST_AGE_MS.max);
-    this.list = registered();
+    const list = registered();
+    // An unchanged list is not applied again while peers confirm it.
+    if (isSame(list, this.list)) return;
+    this.list = list;
     this.services.setRegistered(this.list, nowMs);
     for (const {service, version} of this.list) {
       this.everListed.add(`${service} ${version}`);
@@ -156,3 +162,10 @@
     if (random.chance(EXECUTED_CHANCE)) store.append(record);
   }
 }
+
+function isSame(
+  a: readonly RegisteredVersion[],
+  b: readonly RegisteredVersion[] | undefined
+): boolean {
+  return a.length === b?.length && a.every((target, i) => target === b[i]);
+}
