Simulated network split from the simulated fleet

Change: SimulatedNetwork holds sessions and channels; an envelope names its receiver, so the casts of messages on delivery are gone.

--- a/packages/core/src/lib/dispatch/testing/fleet_types.ts
+++ b/packages/core/src/lib/dispatch/testing/fleet_types.ts
@@ -1,20 +1,4 @@
-import type {
-  Announcement,
-  DispatcherMessage,
-  EntryMessage,
-} from '../dispatch_types.js';
-
-/** Messages under way in one direction over one session of a link. */
-export interface Channel {
-  readonly from: string;
-  readonly to: string;
-  readonly session: number;
-  readonly toDispatcher: boolean;
-  readonly queue: {
-    sentAtMs: number;
-    message: EntryMessage | DispatcherMessage;
-  }[];
-}
+import type {Announcement} from '../dispatch_types.js';
 
 /** A request that really runs on a target. */
 export interface RunningRequest {
@@ -23,8 +7,3 @@
   readonly target: string;
   readonly announcement: Announcement;
 }
-
-/** The key of the link between two instances. */
-export function linkOf(a: string, b: string): string {
-  return a < b ? `${a}-${b}` : `${b}-${a}`;
-}
--- a/packages/core/src/lib/dispatch/testing/simulated_fleet.ts
+++ b/packages/core/src/lib/dispatch/testing/simulated_fleet.ts
@@ -11,12 +11,11 @@
   SLOTS,
   TARGETS,
 } from './fleet_settings.js';
-import {linkOf} from './fleet_types.js';
+import {SimulatedNetwork} from './simulated_network.js';
 
 import type {DispatchCommand, DispatchEvent} from '../dispatch_events.js';
 import type {
   Announcement,
-  DispatcherMessage,
   EntryMessage,
   SlotOutcome,
 } from '../dispatch_types.js';
@@ -25,7 +24,7 @@
   DispatcherClientEvent,
 } from '../dispatcher_client.js';
 import type {Step} from './fleet_steps.js';
-import type {Channel, RunningRequest} from './fleet_types.js';
+import type {RunningRequest} from './fleet_types.js';
 
 /**
  * Simulates entries and dispatchers that exchange messages over an unreliable
@@ -40,9 +39,7 @@
   readonly clockSkewMs = new Map(INSTANCES.map((id, i) => [id, i * 12345]));
   readonly entries = new Map<string, DispatcherClient>();
   readonly dispatchers = new Map<string, Dispatcher>();
-  /** Link of two instances to the number of times that it was replaced. */
-  readonly sessions = new Map<string, number>();
-  channels: Channel[] = [];
+  private readonly network = SimulatedNetwork.create();
   /** By grant id. */
   readonly running = new Map<string, RunningRequest>();
   /** Requests not started, refused or cancelled yet, with their entries. */
@@ -123,8 +120,12 @@
   onEntryCommand(entry: string, command: DispatcherClientCommand): void {
     if (command.type === 'send') {
       const {peer, session} = command.dispatcher;
-      this.channel(entry, peer, session, true)?.queue.push({
+      this.network.send({
+        from: entry,
+        to: peer,
+        session,
         sentAtMs: this.clockOf(entry),
+        receiver: 'dispatcher',
         message: command.message,
       });
     } else if (command.type === 'refused') {
@@ -147,35 +148,18 @@
       this.lastTargets.set(message.requestId, message.target);
       this.targetsByGrant.set(message.grantId, message.target);
     }
-    const session = this.sessions.get(linkOf(id, entry)) ?? 0;
-    this.channel(id, entry, session, false)?.queue.push({
+    this.network.send({
+      from: id,
+      to: entry,
+      session: this.network.sessionOf(id, entry),
       sentAtMs: this.nowMs,
+      receiver: 'entry',
       message,
     });
   }
 
-  /** Returns undefined if the link has ended; its messages are lost. */
-  channel(
-    from: string,
-    to: string,
-    session: number,
-    toDispatcher: boolean
-  ): Channel | undefined {
-    if ((this.sessions.get(linkOf(from, to)) ?? 0) !== session)
-      return undefined;
-    let channel = this.channels.find(
-      c => c.from === from && c.to === to && c.toDispatcher === toDispatcher
-    );
-    if (channel === undefined) {
-      channel = {from, to, session, toDispatcher, queue: []};
-      this.channels.push(channel);
-    }
-    return channel;
-  }
-
   setDispatcher(entry: string, peer: string, notifyPrevious: boolean): void {
-    const session = this.sessions.get(linkOf(entry, peer)) ?? 0;
-    const dispatcher = {peer, session};
+    const dispatcher = {peer, session: this.network.sessionOf(entry, peer)};
     this.handleEntryEvent(entry, {
       type: 'set_dispatcher',
       dispatcher,
@@ -186,9 +170,7 @@
   /** Replaces the link between two instances by a new one. */
   breakLink(a: string, b: string): void {
     if (a === b) return;
-    const link = linkOf(a, b);
-    this.sessions.set(link, (this.sessions.get(link) ?? 0) + 1);
-    this.channels = this.channels.filter(c => linkOf(c.from, c.to) !== link);
+    this.network.replaceLink(a, b);
     this.handleDispatchEvent(a, {type: 'entry_silent', entry: b});
     this.handleDispatchEvent(b, {type: 'entry_silent', entry: a});
     for (const [entry, other] of [
@@ -203,26 +185,22 @@
 
   /** Delivers the first message of one channel; false if there is none. */
   deliver(pick: number): boolean {
-    const full = this.channels.filter(c => c.queue.length > 0);
-    const channel = full[pick % Math.max(1, full.length)];
-    const item = channel?.queue.shift();
-    if (channel === undefined || item === undefined) return false;
-    const {from, to, session} = channel;
-    if (channel.toDispatcher) {
-      this.recordLoss(item.message as EntryMessage);
+    const envelope = this.network.receive(pick);
+    if (envelope === undefined) return false;
+    const {from, to, session, sentAtMs} = envelope;
+    if (envelope.receiver === 'dispatcher') {
+      this.recordLoss(envelope.message);
       this.handleDispatchEvent(to, {
         type: 'entry_message',
         entry: from,
-        sentAtMs: item.sentAtMs,
-        message: item.message as EntryMessage,
+        sentAtMs,
+        message: envelope.message,
       });
     } else {
-      const dispatcher = {peer: from, session};
-      const message = item.message as DispatcherMessage;
       this.handleEntryEvent(to, {
         type: 'dispatcher_message',
-        dispatcher,
-        message,
+        dispatcher: {peer: from, session},
+        message: envelope.message,
       });
     }
     return true;
@@ -285,7 +263,7 @@
       if (entry === id) this.open.delete(requestId);
     }
     this.start(id);
-    this.channels = this.channels.filter(c => c.from !== id && c.to !== id);
+    this.network.dropMessagesOf(id);
     for (const other of INSTANCES) this.breakLink(id, other);
     for (const other of INSTANCES) {
       if (other !== id)
