Record of suspect requests split from the simulated fleet

Cause: three maps of the simulated fleet served only to know which requests may wait beside a free slot; how they are kept was spread over four methods. The map of served tokens, which nothing read, is removed; RunningRequest moves to its only user.

--- a/packages/core/src/lib/dispatch/testing/simulated_fleet.ts
+++ b/packages/core/src/lib/dispatch/testing/simulated_fleet.ts
@@ -12,19 +12,23 @@
   TARGETS,
 } from './fleet_settings.js';
 import {SimulatedNetwork} from './simulated_network.js';
+import {SuspectRecord} from './suspect_record.js';
 
 import type {DispatchCommand, DispatchEvent} from '../dispatch_events.js';
-import type {
-  Announcement,
-  EntryMessage,
-  SlotOutcome,
-} from '../dispatch_types.js';
+import type {Announcement, SlotOutcome} from '../dispatch_types.js';
 import type {
   DispatcherClientCommand,
   DispatcherClientEvent,
 } from '../dispatcher_client.js';
 import type {Step} from './fleet_steps.js';
-import type {RunningRequest} from './fleet_types.js';
+
+/** A request that really runs on a target. */
+interface RunningRequest {
+  readonly entry: string;
+  readonly grantId: string;
+  readonly target: string;
+  readonly announcement: Announcement;
+}
 
 /**
  * Simulates entries and dispatchers that exchange messages over an unreliable
@@ -40,6 +44,7 @@
   readonly entries = new Map<string, DispatcherClient>();
   readonly dispatchers = new Map<string, Dispatcher>();
   private readonly network = SimulatedNetwork.create();
+  private readonly suspects = SuspectRecord.create();
   /** By grant id. */
   readonly running = new Map<string, RunningRequest>();
   /** Requests not started, refused or cancelled yet, with their entries. */
@@ -47,16 +52,6 @@
   /** All requests so far, by id. */
   readonly submitted = new Map<string, Announcement>();
   readonly leaving = new Set<string>();
-  /** The target on which each request was last granted a slot. */
-  readonly lastTargets = new Map<string, string>();
-  readonly targetsByGrant = new Map<string, string>();
-  /**
-   * Requests granted a slot on a target before its loss was reported. They run
-   * apart from each other, so a slot may stay free while they wait.
-   */
-  readonly suspects = new Set<string>();
-  /** Weighted tokens of finished requests, by customer. */
-  readonly served = new Map<string, number>();
   private sequence = 0;
   private incarnations = 0;
 
@@ -145,8 +140,7 @@
   onDispatchCommand(id: string, {entry, message}: DispatchCommand): void {
     if (message.type === 'grant') {
       assert.ok(!this.leaving.has(message.target), 'granted target is leaving');
-      this.lastTargets.set(message.requestId, message.target);
-      this.targetsByGrant.set(message.grantId, message.target);
+      this.suspects.onGrant(message);
     }
     this.network.send({
       from: id,
@@ -189,7 +183,7 @@
     if (envelope === undefined) return false;
     const {from, to, session, sentAtMs} = envelope;
     if (envelope.receiver === 'dispatcher') {
-      this.recordLoss(envelope.message);
+      this.suspects.onEntryMessage(envelope.message);
       this.handleDispatchEvent(to, {
         type: 'entry_message',
         entry: from,
@@ -206,19 +200,6 @@
     return true;
   }
 
-  /**
-   * Marks all requests last granted on a target as suspects when its loss is
-   * reported, however late the report is.
-   */
-  recordLoss(message: EntryMessage): void {
-    if (message.type !== 'finished' || message.outcome !== 'target_lost')
-      return;
-    const lost = this.targetsByGrant.get(message.grantId);
-    for (const [requestId, target] of this.lastTargets) {
-      if (target === lost) this.suspects.add(requestId);
-    }
-  }
-
   submit(s: Extract<Step, {type: 'submit'}>): void {
     this.sequence += 1;
     const requestId = `r${this.sequence}`;
@@ -244,8 +225,6 @@
     const job = all[pick % Math.max(1, all.length)];
     if (job === undefined) return false;
     this.running.delete(job.grantId);
-    const {customer} = job.announcement;
-    this.served.set(customer, (this.served.get(customer) ?? 0) + cost);
     const {grantId} = job;
     this.handleEntryEvent(job.entry, {type: 'finish', grantId, outcome, cost});
     return true;
@@ -316,7 +295,7 @@
   checkNoIdleSlot(): void {
     const {held} = this.dispatchers.get('a')!.stats;
     const runnable = [...this.open.keys()].filter(
-      requestId => !this.suspects.has(requestId)
+      requestId => !this.suspects.isSuspect(requestId)
     );
     if (runnable.length === 0) return;
     assert.ok(
