Admission to the backlog split from the dispatcher

Besides routing events it applied the queueing rules: shares, quarantine, queue limits, Retry-After and counter lifts. Change: AdmissionQueue does that and owns the drain rates; the dispatcher sends the refusals it returns. A unit test checks limits, repeats, quarantine, time waited and priorities.

--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -1,8 +1,8 @@
 import {match} from 'ts-pattern';
 import {ServiceCounters} from '../fairness/service_counters.js';
+import {AdmissionQueue} from './admission_queue.js';
 import {Backlog} from './backlog.js';
 import {CrashIsolation} from './crash_isolation.js';
-import {DrainRates} from './drain_rates.js';
 import {EntryTable} from './entry_table.js';
 import {FairnessMonitor} from './fairness_monitor.js';
 import {GrantTable} from './grant_table.js';
@@ -11,6 +11,7 @@
 import {SlotTable} from './slot_table.js';
 
 import type {TargetLoss} from '@applebend/routing';
+import type {QueueRefusal} from './admission_queue.js';
 import type {
   DispatchCommand,
   DispatcherOptions,
@@ -20,7 +21,6 @@
 import type {
   Announcement,
   DispatcherMessage,
-  DispatchRefusalReason,
   EntryMessage,
   QueuedRequest,
 } from './dispatch_types.js';
@@ -38,10 +38,10 @@
   private readonly backlog = Backlog.create();
   private readonly isolation = CrashIsolation.create();
   private readonly entries = EntryTable.create();
-  private readonly drainRates = DrainRates.create();
   private readonly slots: SlotTable;
   private readonly grants: GrantTable;
   private readonly running: RunningTracker;
+  private readonly queue: AdmissionQueue;
   private readonly picker: RequestPicker;
   private routers: readonly string[] = [];
   private commands: DispatchCommand[] = [];
@@ -51,16 +51,12 @@
   private constructor(private readonly options: DispatcherOptions) {
     this.slots = SlotTable.create(options.slots);
     this.grants = GrantTable.create(options.incarnation);
-    const {slots, isolation, monitor, counters} = this;
-    this.running = RunningTracker.create({slots, isolation, monitor, counters});
-    this.picker = RequestPicker.create({
-      policy: options.policy,
-      backlog: this.backlog,
-      counters,
-      slots,
-      isolation,
-      monitor,
-    });
+    const {slots, isolation, monitor, counters, backlog} = this;
+    const {policy, rulesOf} = options;
+    const parts = {isolation, monitor, counters};
+    this.running = RunningTracker.create({...parts, slots});
+    this.queue = AdmissionQueue.create({...parts, policy, rulesOf, backlog});
+    this.picker = RequestPicker.create({...parts, policy, backlog, slots});
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -147,38 +143,9 @@
   }
 
   private enqueue(entry: string, announcement: Announcement): void {
-    const {customer, className, requestId, fingerprint} = announcement;
-    if (this.backlog.get(requestId) !== undefined) return;
-    const rules = this.options.rulesOf(customer, className);
-    this.setShare(customer, rules.share);
-    if (this.isolation.isQuarantined(fingerprint, this.nowMs)) {
-      return this.refuse(entry, requestId, 'quarantined', 0);
-    }
-    const queued = this.backlog.queueLengthOf(customer);
-    if (queued >= rules.maxQueued) {
-      const retryAfterMs = this.drainRates.retryAfterMs(customer, queued);
-      return this.refuse(entry, requestId, 'queue_full', retryAfterMs);
-    }
-    this.addToBacklog({
-      entry,
-      announcement,
-      priority: this.options.policy.order === 'fair' ? rules.priority : 0,
-      short: rules.short,
-      maxWaitMs: rules.maxWaitMs,
-      queuedAtMs: this.nowMs - announcement.waitedMs,
-    });
-  }
-
-  /** Applies the configured share; a change affects later charges only. */
-  private setShare(customer: string, share: number): void {
-    this.counters.setShare(customer, share);
-    this.monitor.onShare(customer, share);
-  }
-
-  private addToBacklog(request: QueuedRequest): void {
-    if (!this.backlog.add(request)) return;
-    const {customer} = request.announcement;
-    this.counters.lift(customer, this.backlog.customers);
+    const refusal = this.queue.admit(entry, announcement, this.nowMs);
+    if (refusal === undefined) return;
+    this.refuse(entry, announcement.requestId, refusal);
   }
 
   private onWithdraw(entry: string, requestId: string): void {
@@ -204,7 +171,7 @@
     this.running.charge(grant, message.cost);
     const {fingerprint} = grant.request.announcement;
     match(message.outcome)
-      .with('returned', () => this.addToBacklog(grant.request))
+      .with('returned', () => this.queue.add(grant.request))
       .with('withdrawn', 'failed', () => {})
       .with('answered', () => {
         this.isolation.tracker.onCompleted(fingerprint, this.nowMs);
@@ -234,8 +201,10 @@
     if (!this.isolation.isQuarantined(fingerprint, this.nowMs)) return;
     for (const request of this.backlog.withFingerprint(fingerprint)) {
       this.backlog.remove(request);
-      const {requestId} = request.announcement;
-      this.refuse(request.entry, requestId, 'quarantined', 0);
+      this.refuse(request.entry, request.announcement.requestId, {
+        reason: 'quarantined',
+        retryAfterMs: 0,
+      });
     }
   }
 
@@ -303,14 +272,11 @@
   }
 
   private grant(request: QueuedRequest, target: string): void {
-    const {customer, className, requestId, estimate} = request.announcement;
-    this.setShare(customer, this.options.rulesOf(customer, className).share);
-    this.counters.advanceVirtualTime(customer);
-    this.backlog.remove(request);
+    const {customer, requestId, estimate} = request.announcement;
+    this.queue.take(request, this.nowMs);
     const grant = this.grants.issue(request, target);
     this.running.start(grant);
     this.running.charge(grant, estimate);
-    this.drainRates.onGrant(customer, this.nowMs);
     this.send(request.entry, {
       type: 'grant',
       cell: this.options.cell,
@@ -326,8 +292,7 @@
   private refuse(
     entry: string,
     requestId: string,
-    reason: DispatchRefusalReason,
-    retryAfterMs: number
+    {reason, retryAfterMs}: QueueRefusal
   ): void {
     const {cell} = this.options;
     this.send(entry, {type: 'refuse', cell, requestId, reason, retryAfterMs});
@@ -344,6 +309,6 @@
     for (const customer of this.counters.evictInactive(active)) {
       this.monitor.remove(customer);
     }
-    this.drainRates.evictInactive(active);
+    this.queue.evictInactive(active);
   }
 }
