Life of a grant kept by the running tracker

Cause: the dispatcher wrote out in four places which of grant table, slots and running tracker change together when a request starts, ends or loses its entry.

--- a/packages/core/src/lib/dispatch/admission_queue.test.ts
+++ b/packages/core/src/lib/dispatch/admission_queue.test.ts
@@ -6,26 +6,13 @@
 import {CrashIsolation} from './crash_isolation.js';
 import {FairnessMonitor} from './fairness_monitor.js';
 import {POLICIES} from './policy.js';
+import {announce} from './testing/announcements.js';
 
-import type {Announcement} from './dispatch_types.js';
 import type {PolicyName} from './policy.js';
 
 const MAX_QUEUED = 2;
 const PRIORITY = 5;
 
-function announce(requestId: string, waitedMs = 0): Announcement {
-  return {
-    requestId,
-    customer: 'customer',
-    className: 'layout',
-    estimate: 10,
-    fingerprint: requestId,
-    affinity: 0,
-    avoid: [],
-    waitedMs,
-  };
-}
-
 function emptyQueue(policy: PolicyName = 'dispatched') {
   const backlog = Backlog.create();
   const counters = ServiceCounters.create();
--- a/packages/core/src/lib/dispatch/dispatcher.ts
+++ b/packages/core/src/lib/dispatch/dispatcher.ts
@@ -51,10 +51,10 @@
   private constructor(private readonly options: DispatcherOptions) {
     this.slots = SlotTable.create(options.slots);
     this.grants = GrantTable.create(options.incarnation);
-    const {slots, isolation, monitor, counters, backlog} = this;
+    const {grants, slots, isolation, monitor, counters, backlog} = this;
     const {policy, rulesOf} = options;
     const parts = {isolation, monitor, counters};
-    this.running = RunningTracker.create({...parts, slots});
+    this.running = RunningTracker.create({...parts, grants, slots});
     this.queue = AdmissionQueue.create({...parts, policy, rulesOf, backlog});
     this.picker = RequestPicker.create({...parts, policy, backlog, slots});
   }
@@ -133,9 +133,7 @@
       this.counters.adopt(customer, service);
     }
     for (const held of message.held) {
-      const grant = this.grants.adopt(entry, held, this.nowMs);
-      this.monitor.onCost(held.charged);
-      this.running.start(grant);
+      this.running.adopt(entry, held, this.nowMs);
     }
     for (const announcement of message.waiting) {
       this.enqueue(entry, announcement);
@@ -165,9 +163,7 @@
   ): void {
     const grant = this.grants.get(entry, message.grantId);
     if (grant === undefined) return;
-    this.running.stop(grant);
-    this.grants.remove(grant);
-    this.slots.release(grant.target);
+    this.running.end(grant);
     this.running.charge(grant, message.cost);
     const {fingerprint} = grant.request.announcement;
     match(message.outcome)
@@ -212,11 +208,7 @@
   private onEntrySilent(entry: string): void {
     if (!this.entries.onSilent(entry)) return;
     this.backlog.removeAllOfEntry(entry);
-    for (const grant of this.grants.heldBy(entry)) {
-      this.running.stop(grant);
-      this.grants.orphan(grant);
-      this.slots.orphan(grant.target);
-    }
+    this.running.orphanAllOf(entry);
     this.updateSlotOwners();
   }
 
@@ -230,15 +222,7 @@
   /** Removes an entry's requests and releases its slots, orphaned ones too. */
   private clearEntry(entry: string): void {
     this.backlog.removeAllOfEntry(entry);
-    for (const grant of this.grants.heldBy(entry)) {
-      this.running.stop(grant);
-      this.grants.remove(grant);
-      this.slots.release(grant.target);
-    }
-    for (const grant of this.grants.orphansOf(entry)) {
-      this.grants.removeOrphan(grant);
-      this.slots.releaseOrphan(grant.target);
-    }
+    this.running.endAllOf(entry);
   }
 
   private onRouters(routers: readonly string[]): void {
@@ -272,11 +256,9 @@
   }
 
   private grant(request: QueuedRequest, target: string): void {
-    const {customer, requestId, estimate} = request.announcement;
+    const {customer, requestId} = request.announcement;
     this.queue.take(request, this.nowMs);
-    const grant = this.grants.issue(request, target);
-    this.running.start(grant);
-    this.running.charge(grant, estimate);
+    const grant = this.running.start(request, target);
     this.send(request.entry, {
       type: 'grant',
       cell: this.options.cell,
