Slot waiters and fleet view split from the cell task

Besides running client and dispatcher it kept the promises of waiting requests and decided who dispatches and who shares the slots. Change: SlotWaiters keeps the waits; fleet_view.ts has the view and the two pure decisions. One sessionOf replaces two cases for the own instance.

--- a/apps/daemon/src/lib/cells/cell_task.ts
+++ b/apps/daemon/src/lib/cells/cell_task.ts
@@ -1,10 +1,7 @@
-import {
-  Dispatcher,
-  DispatcherClient,
-  POLICIES,
-  rendezvousPick,
-} from '@applebend/core';
+import {Dispatcher, DispatcherClient, POLICIES} from '@applebend/core';
 import {Mailbox} from '@applebend/utils';
+import {dispatcherOf, slotSharers} from './fleet_view.js';
+import {SlotWaiters} from './slot_waiters.js';
 
 import type {
   Announcement,
@@ -13,38 +10,21 @@
   DispatcherMessage,
   DispatcherStats,
   DispatchEvent,
-  DispatchRefusalReason,
   DispatcherClientCommand,
   DispatcherClientEvent,
   EntryMessage,
   TargetLoss,
+  Policy,
   PolicyName,
   RulesLookup,
   SlotOutcome,
   SlotSettings,
-  TargetView,
   TokenTimes,
 } from '@applebend/core';
 import type {BusyMeter, Clock} from '@applebend/utils';
 import type {PeerMesh} from '../peers/peer_mesh.js';
-
-/** A slot granted to a request. @public */
-export interface GrantedSlot {
-  readonly grantId: string;
-  readonly target: string;
-  /** Monotonic time here after which the request must not be sent. */
-  readonly expiresAtMs: number;
-}
-
-/** Outcome of a wait for a slot. @public */
-export type Acquisition =
-  | {readonly type: 'granted'; readonly slot: GrantedSlot}
-  | {
-      readonly type: 'refused';
-      readonly reason: DispatchRefusalReason;
-      readonly retryAfterMs: number;
-    }
-  | {readonly type: 'cancelled'};
+import type {FleetView} from './fleet_view.js';
+import type {Acquisition} from './slot_waiters.js';
 
 /** What is reported when a slot is released. @public */
 export interface SlotResult {
@@ -69,19 +49,6 @@
   readonly busyMeter: BusyMeter;
 }
 
-/** The fleet as this instance sees it. @public */
-export interface FleetView {
-  /** Instances that are eligible as dispatchers. */
-  readonly candidates: readonly string[];
-  /** Instances that may own slots. */
-  readonly slotOwners: readonly string[];
-  readonly targets: readonly TargetView[];
-  /** Whether the heartbeats of another instance arrive. */
-  isAlive(id: string): boolean;
-  /** Whether it sent a goodbye, or is neither listed nor alive. */
-  isGone(id: string): boolean;
-}
-
 type CellEvent =
   | {readonly type: 'entry'; readonly event: DispatcherClientEvent}
   | {readonly type: 'dispatch'; readonly event: DispatchEvent};
@@ -100,17 +67,19 @@
   private readonly client: DispatcherClient;
   private readonly dispatcher: Dispatcher;
   private readonly mailbox: Mailbox<CellEvent>;
-  private readonly waiters = new Map<string, (acquired: Acquisition) => void>();
+  private readonly policy: Policy;
+  private readonly waiters = SlotWaiters.create();
   /** Entries that have synced with the dispatcher here. */
   private readonly knownEntries = new Set<string>();
 
   private constructor(private readonly options: CellTaskOptions) {
     const {cell, incarnation, policy, slots, rulesOf, leaseMs} = options;
+    this.policy = POLICIES[policy];
     this.client = DispatcherClient.create(cell);
     this.dispatcher = Dispatcher.create({
       cell,
       incarnation,
-      policy: POLICIES[policy],
+      policy: this.policy,
       slots,
       rulesOf,
       leaseMs,
@@ -147,25 +116,17 @@
   }
 
   /** Waits for a slot; an abort removes the request from the queue. */
-  acquire(
+  async acquire(
     announcement: Announcement,
     signal: AbortSignal
   ): Promise<Acquisition> {
-    return new Promise(resolve => {
-      if (signal.aborted) return resolve({type: 'cancelled'});
-      const {requestId} = announcement;
-      const onAbort = () => {
-        this.waiters.delete(requestId);
-        this.postToClient({type: 'cancel', requestId});
-        resolve({type: 'cancelled'});
-      };
-      signal.addEventListener('abort', onAbort, {once: true});
-      this.waiters.set(requestId, acquired => {
-        signal.removeEventListener('abort', onAbort);
-        resolve(acquired);
-      });
-      this.postToClient({type: 'submit', announcement});
-    });
+    if (signal.aborted) return {type: 'cancelled'};
+    const {requestId} = announcement;
+    const acquired = this.waiters.wait(requestId, signal, () =>
+      this.postToClient({type: 'cancel', requestId})
+    );
+    this.postToClient({type: 'submit', announcement});
+    return acquired;
   }
 
   /** Reports the weighted tokens that a running request has used so far. */
@@ -190,10 +151,8 @@
   /** Applies a new view of the fleet. */
   onFleet(view: FleetView): void {
     this.postToDispatcher({type: 'targets', targets: view.targets});
-    const routers =
-      POLICIES[this.options.policy].scope === 'entry'
-        ? view.slotOwners.filter(id => this.mayOwnSlots(id, view))
-        : view.slotOwners;
+    const {scope} = this.policy;
+    const routers = slotSharers(view, scope, this.options.instance);
     this.postToDispatcher({type: 'routers', routers});
     this.updateLostEntries(view);
     this.selectDispatcher(view);
@@ -241,11 +200,6 @@
     this.postToDispatcher({type: 'tick'});
   }
 
-  /** If each entry is its own dispatcher, only live ones share the slots. */
-  private mayOwnSlots(id: string, view: FleetView): boolean {
-    return id === this.options.instance || view.isAlive(id);
-  }
-
   private updateLostEntries(view: FleetView): void {
     for (const entry of this.knownEntries) {
       if (entry === this.options.instance) continue;
@@ -255,21 +209,14 @@
   }
 
   private selectDispatcher(view: FleetView): void {
-    const {cell, instance, policy} = this.options;
-    const selected =
-      POLICIES[policy].scope === 'entry'
-        ? instance
-        : rendezvousPick(cell, view.candidates);
-    if (selected === undefined) return;
-    const session =
-      selected === instance
-        ? LOCAL_SESSION
-        : this.options.mesh().sessionOf(selected);
+    const {cell, instance} = this.options;
+    const peer = dispatcherOf(cell, view, this.policy.scope, instance);
+    if (peer === undefined) return;
+    const session = this.sessionOf(peer);
     if (session === undefined) return;
-    const dispatcher = {peer: selected, session};
     this.postToClient({
       type: 'set_dispatcher',
-      dispatcher,
+      dispatcher: {peer, session},
       notifyPrevious: this.canNotifyPrevious(),
     });
   }
@@ -277,8 +224,13 @@
   private canNotifyPrevious(): boolean {
     const previous = this.client.currentDispatcher;
     if (previous === undefined) return false;
-    if (previous.peer === this.options.instance) return true;
-    return this.options.mesh().sessionOf(previous.peer) === previous.session;
+    return this.sessionOf(previous.peer) === previous.session;
+  }
+
+  /** Returns undefined if there is no link to the peer. */
+  private sessionOf(peer: string): number | undefined {
+    if (peer === this.options.instance) return LOCAL_SESSION;
+    return this.options.mesh().sessionOf(peer);
   }
 
   private postToClient(event: DispatcherClientEvent): void {
@@ -310,19 +262,17 @@
       this.sendToDispatcher(command.dispatcher.peer, command.message, nowMs);
       return;
     }
-    const resolve = this.waiters.get(command.requestId);
-    this.waiters.delete(command.requestId);
+    const {requestId} = command;
     if (command.type === 'refused') {
       const {reason, retryAfterMs} = command;
-      resolve?.({type: 'refused', reason, retryAfterMs});
+      this.waiters.settle(requestId, {type: 'refused', reason, retryAfterMs});
       return;
     }
     const {grantId, target, expiresAtMs} = command;
-    if (resolve === undefined) {
+    const slot = {grantId, target, expiresAtMs};
+    if (!this.waiters.settle(requestId, {type: 'granted', slot})) {
       this.finish(grantId, {outcome: 'withdrawn', cost: 0});
-      return;
     }
-    resolve({type: 'granted', slot: {grantId, target, expiresAtMs}});
   }
 
   private sendToDispatcher(
--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -15,7 +15,7 @@
 import {PeerMesh} from './peers/peer_mesh.js';
 
 import type {PeerState} from '@applebend/core';
-import type {FleetView} from './cells/cell_task.js';
+import type {FleetView} from './cells/fleet_view.js';
 import type {Settings} from './settings/settings.js';
 
 const INCARNATION_BYTES = 6;
--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -15,7 +15,8 @@
 import type {EngineStream} from '@applebend/externals';
 import type {Logger, Metrics, RequestTrace} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
-import type {Acquisition, CellTask, GrantedSlot} from '../cells/cell_task.js';
+import type {CellTask} from '../cells/cell_task.js';
+import type {Acquisition, GrantedSlot} from '../cells/slot_waiters.js';
 import type {ClaimTask} from '../claims/claim_task.js';
 import type {LossTask} from '../losses/loss_task.js';
 import type {TargetDirectory} from '../membership/target_directory.js';
--- a/apps/daemon/src/lib/entry/slot_wait.ts
+++ b/apps/daemon/src/lib/entry/slot_wait.ts
@@ -3,7 +3,8 @@
 
 import type {RunStatus, Refusal} from '@applebend/core';
 import type {Clock} from '@applebend/utils';
-import type {Acquisition, CellTask} from '../cells/cell_task.js';
+import type {CellTask} from '../cells/cell_task.js';
+import type {Acquisition} from '../cells/slot_waiters.js';
 import type {AdmittedRequest} from './admission.js';
 
 /** @public */
