Attempt history and request cost split from the request runner

Besides the course of a request it counted attempts against two limits and computed costs in four places. Change: AttemptHistory keeps attempts, avoided targets and the limits of retries; request_cost.ts has the pure costs and token times.

--- a/apps/daemon/src/lib/entry/request_runner.ts
+++ b/apps/daemon/src/lib/entry/request_runner.ts
@@ -1,7 +1,8 @@
 import {match} from 'ts-pattern';
-import {estimateInputTokens, modelCallCost} from '@applebend/core';
+import {AttemptHistory} from './attempt_history.js';
 import {ClaimGate} from './claim_gate.js';
 import {refusal, noResponseRefusal} from './refusals.js';
+import {costSoFar, finalCost, tokenTimesOf} from './request_cost.js';
 import {RequestTracker} from './request_tracker.js';
 import {slotWaitRefusal, waitForSlot} from './slot_wait.js';
 import {TargetAttempt} from './target_attempt.js';
@@ -38,16 +39,20 @@
   readonly cellOf: (service: string) => CellTask | undefined;
 }
 
-const MAX_ATTEMPTS = 3;
 const MS_PER_S = 1000;
 
+/** Whether a request has ended with its attempt; if not, it is queued again. */
+interface AttemptResult {
+  readonly done: boolean;
+  readonly refusal?: Refusal | undefined;
+}
+
 /** Runs one admitted request: claim, slot, attempt and retries. @public */
 export class RequestRunner {
   private readonly tracker: RequestTracker;
-  private readonly avoid: string[] = [];
+  private readonly history: AttemptHistory;
   private readonly startedAtMs: number;
   private readonly deadlineAtMs: number;
-  private attempts = 0;
   private readonly gate: ClaimGate;
   private replayed = false;
 
@@ -58,6 +63,8 @@
     private readonly log: Logger
   ) {
     const {claims, clock, metrics} = deps;
+    const {requestId} = request.caller;
+    this.history = AttemptHistory.create(requestId, deps.budget);
     this.gate = ClaimGate.create(claims, clock, request);
     this.tracker = RequestTracker.create(!this.gate.hasKey, log, metrics);
     this.startedAtMs = deps.clock.monotonicMs();
@@ -133,7 +140,7 @@
 
   /** Returns undefined if the service has no cell here yet. */
   private async acquireSlot(): Promise<Acquisition | undefined> {
-    const {request, cell, avoid, startedAtMs, deadlineAtMs} = this;
+    const {request, cell, startedAtMs, deadlineAtMs} = this;
     if (cell === undefined) return undefined;
     if (this.tracker.state.phase !== 'queued') this.tracker.advance('queued');
     const {serviceName: service, customer} = request;
@@ -142,7 +149,7 @@
     return waitForSlot({
       cell,
       request,
-      avoid,
+      avoid: this.history.avoid,
       startedAtMs,
       deadlineAtMs,
       clock,
@@ -157,10 +164,8 @@
   }
 
   /** Makes one attempt; `done` is false if the request was queued again. */
-  private async runAttempt(
-    slot: GrantedSlot
-  ): Promise<{done: boolean; refusal?: Refusal | undefined}> {
-    this.attempts += 1;
+  private async runAttempt(slot: GrantedSlot): Promise<AttemptResult> {
+    const attemptId = this.history.begin();
     const address = this.deps.targets.addressOf(slot.target);
     if (address === undefined) {
       this.release(slot, 'unreachable', 0);
@@ -168,7 +173,7 @@
     }
     const attempt = TargetAttempt.create({
       request: this.request,
-      attemptId: `${this.request.caller.requestId}.${this.attempts}`,
+      attemptId,
       address,
       clock: this.deps.clock,
       connectTimeoutMs: this.deps.settings.limits.connect_timeout_ms,
@@ -197,14 +202,14 @@
   }
 
   private onTokens(slot: GrantedSlot, stream: EngineStream): void {
-    this.cell?.progress(slot.grantId, this.costOf(stream));
+    this.cell?.progress(slot.grantId, costSoFar(this.request, stream));
   }
 
   private async onAttemptEnd(
     slot: GrantedSlot,
     stream: EngineStream,
     outcome: AttemptOutcome
-  ): Promise<{done: boolean; refusal?: Refusal | undefined}> {
+  ): Promise<AttemptResult> {
     return match(outcome)
       .with({type: 'completed'}, ({response}) => {
         this.onCompleted(slot, stream, response);
@@ -212,14 +217,14 @@
       })
       .with({type: 'caller_gone'}, () => {
         const sent = this.tracker.state.attempts > 0;
-        const cost = sent ? this.costOf(stream) : 0;
+        const cost = sent ? costSoFar(this.request, stream) : 0;
         this.release(slot, sent ? 'failed' : 'withdrawn', cost);
         return {done: true};
       })
       .with({type: 'not_sent'}, ({reason}) => {
         const unreachable = reason === 'unreachable';
         this.release(slot, unreachable ? 'unreachable' : 'withdrawn', 0);
-        if (unreachable) this.avoid.push(slot.target);
+        if (unreachable) this.history.onTargetFailed(slot.target);
         return this.requeueUnsent(reason);
       })
       .with({type: 'no_response'}, ({reason}) =>
@@ -241,23 +246,18 @@
     response: CompleteResponse
   ): void {
     const {cls, customer} = this.request;
+    const {usage} = response;
     this.tracker.advance('response_completed');
-    const usage = response.usage;
-    const cost =
-      this.request.call === undefined || usage === undefined
-        ? this.request.estimate
-        : modelCallCost(customer.template, usage);
-    const timed = stream.outputTokens > 0;
-    const {firstTokenMs, betweenTokensMs} = stream;
-    const times = timed ? {firstTokenMs, betweenTokensMs} : undefined;
+    const cost = finalCost(this.request, usage);
+    const times = tokenTimesOf(stream);
     this.cell?.finish(slot.grantId, {outcome: 'answered', cost, times});
     if (usage !== undefined) {
       this.deps.estimator.observe(customer.name, cls.name, usage.outputTokens);
     }
-    if (timed) {
+    if (times !== undefined) {
       const {firstTokenSeconds, betweenTokensSeconds} = this.deps.metrics;
-      firstTokenSeconds.observe(firstTokenMs / MS_PER_S);
-      betweenTokensSeconds.observe(betweenTokensMs / MS_PER_S);
+      firstTokenSeconds.observe(times.firstTokenMs / MS_PER_S);
+      betweenTokensSeconds.observe(times.betweenTokensMs / MS_PER_S);
     }
     this.gate.recordResponse(response);
   }
@@ -266,7 +266,7 @@
     slot: GrantedSlot,
     stream: EngineStream,
     reason: NoResponseReason
-  ): Promise<{done: boolean; refusal?: Refusal | undefined}> {
+  ): Promise<AttemptResult> {
     const recorded = this.releaseFailedSlot(slot, stream, reason === 'lost');
     if (reason === 'mismatched') this.deps.metrics.mismatchedResponses.inc();
     const refused = noResponseRefusal(reason, this.tracker.ran);
@@ -275,7 +275,7 @@
       this.tracker.advance('connection_lost');
       return {done: true, refusal: refused};
     }
-    this.avoid.push(slot.target);
+    this.history.onTargetFailed(slot.target);
     this.deps.metrics.retries.inc({reason});
     this.tracker.advance('requeued');
     return {done: false};
@@ -290,7 +290,8 @@
     stream: EngineStream,
     lost: boolean
   ): Promise<boolean> {
-    this.release(slot, lost ? 'target_lost' : 'failed', this.costOf(stream));
+    const cost = costSoFar(this.request, stream);
+    this.release(slot, lost ? 'target_lost' : 'failed', cost);
     if (!lost) return true;
     this.log.warn('target_lost', {target: slot.target});
     const {fingerprint} = this.request;
@@ -301,18 +302,12 @@
 
   private canRetry(): boolean {
     if (!this.tracker.state.idempotent) return false;
-    return this.attempts < MAX_ATTEMPTS && this.deps.budget.tryAcquire();
+    return this.history.tryRetry();
   }
 
   /** Queues an unsent request again, or refuses it if that is not allowed. */
-  private requeueUnsent(reason: 'unreachable' | 'lapsed'): {
-    done: boolean;
-    refusal?: Refusal;
-  } {
-    const limited = reason === 'unreachable';
-    const allowed =
-      !limited ||
-      (this.attempts < MAX_ATTEMPTS && this.deps.budget.tryAcquire());
+  private requeueUnsent(reason: 'unreachable' | 'lapsed'): AttemptResult {
+    const allowed = reason !== 'unreachable' || this.history.tryRetry();
     if (this.gate.claimExpired || !allowed) {
       const message = 'no target could be reached';
       const {ran} = this.tracker;
@@ -335,15 +330,6 @@
     this.request.caller.refuse(refused);
   }
 
-  private costOf(stream: EngineStream): number {
-    const {customer, call, estimate, body} = this.request;
-    if (call === undefined) return estimate;
-    return modelCallCost(customer.template, {
-      inputTokens: stream.inputTokens ?? estimateInputTokens(body.length),
-      outputTokens: stream.outputTokens,
-    });
-  }
-
   private get cell(): CellTask | undefined {
     return this.deps.cellOf(this.request.serviceName);
   }
