Readiness and fleet views split from the daemon

Besides creating and connecting the parts it decided whether the instance is ready and when cells get a new fleet view.

--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -5,6 +5,7 @@
 import {BusyMeter, sleep, systemClock} from '@applebend/utils';
 import {AdminServer} from './admin/admin_server.js';
 import {CellRegistry} from './cells/cell_registry.js';
+import {FleetPublisher} from './cells/fleet_publisher.js';
 import {ClaimTask} from './claims/claim_task.js';
 import {ConfigTask} from './config/config_task.js';
 import {daemonStatus, collectGauges} from './admin/status.js';
@@ -13,9 +14,9 @@
 import {MembershipTask} from './membership/membership_task.js';
 import {PeerEventHandler} from './peers/peer_event_handler.js';
 import {PeerMesh} from './peers/peer_mesh.js';
+import {Readiness} from './readiness.js';
 
 import type {PeerState} from '@applebend/core';
-import type {FleetView} from './cells/fleet_view.js';
 import type {Settings} from './settings/settings.js';
 
 const INCARNATION_BYTES = 6;
@@ -48,12 +49,12 @@
   readonly busyMeter = BusyMeter.create();
   private readonly clock = systemClock;
   private readonly peerEvents: PeerEventHandler;
+  private readonly readiness: Readiness;
+  private readonly fleet: FleetPublisher;
   private readonly timers: NodeJS.Timeout[] = [];
-  private isDraining = false;
   private stopped: Promise<void> | undefined;
   /** Whether messages can be sent to peers: from start to stop. */
   private meshReady = false;
-  private lastFleetKey = '';
   private readonly stoppedCallbacks: (() => void)[] = [];
 
   private constructor(readonly settings: Settings) {
@@ -91,7 +92,7 @@
       logger: this.log,
       metrics: this.metrics,
       snapshotEveryMs: timing.snapshot_every_ms,
-      snapshotCandidates: () => this.fleetView().candidates,
+      snapshotCandidates: () => this.fleet.viewFor().candidates,
       requestPeerState: () => this.mesh?.broadcast({type: 'config_request'}),
       onChange: () => this.onConfigChange(),
     });
@@ -121,6 +122,15 @@
       config: () => this.config.config,
     });
     const {membership, config, cells, losses} = this;
+    this.readiness = Readiness.create({config, membership, losses});
+    this.fleet = FleetPublisher.create({
+      membership,
+      cells,
+      clock,
+      revision: () => config.state.revision,
+      canDispatch: () => this.readiness.canDispatch,
+      sessionOf: peer => this.mesh.sessionOf(peer),
+    });
     this.peerEvents = PeerEventHandler.create({
       membership,
       config,
@@ -139,14 +149,12 @@
   }
 
   get draining(): boolean {
-    return this.isDraining;
+    return this.readiness.draining;
   }
 
   /** Returns why this instance should get no new callers; empty if it may. */
   unreadiness(): string[] {
-    const reasons = this.missingPrerequisites();
-    if (this.isDraining) reasons.push('draining');
-    return reasons;
+    return this.readiness.unreadiness();
   }
 
   /** Drains open requests, then stops; resolves when the daemon has stopped. */
@@ -155,42 +163,11 @@
     return this.stopped;
   }
 
-  /** Whether this instance has all the data that a request needs. */
-  private get canServe(): boolean {
-    return this.missingPrerequisites().length === 0;
-  }
-
-  /** Returns a reason for each kind of data that was not read yet. */
-  private missingPrerequisites(): string[] {
-    const reasons: string[] = [];
-    if (!this.config.ready) reasons.push('configuration not caught up');
-    if (!this.membership.listRead) reasons.push('instance list not read');
-    if (!this.losses.ready) reasons.push('losses not read');
-    return reasons;
-  }
-
-  private get canDispatch(): boolean {
-    return this.canServe && !this.isDraining;
-  }
-
   /** Registers a callback that runs once the daemon has stopped. */
   onStopped(callback: () => void): void {
     this.stoppedCallbacks.push(callback);
   }
 
-  /** Returns the fleet as this instance sees it, with one service's targets. */
-  fleetView(service = ''): FleetView {
-    const nowMs = this.clock.monotonicMs();
-    const {view, targets} = this.membership;
-    return {
-      candidates: view.dispatcherCandidates(nowMs, this.canDispatch),
-      slotOwners: view.slotOwners(nowMs),
-      targets: targets.viewsOf(service),
-      isAlive: id => view.isAlive(id, nowMs),
-      isGone: id => view.isGone(id, nowMs),
-    };
-  }
-
   private async start(): Promise<void> {
     const {settings, metrics, log} = this;
     const {instance, listen} = settings;
@@ -241,7 +218,7 @@
       log: this.log,
       metrics,
       tracing: this.tracing,
-      ready: () => this.canServe,
+      ready: () => this.readiness.canServe,
       admission: {
         config: () => this.config.config,
         customerOf: keyHash => this.config.customerOf(keyHash),
@@ -264,8 +241,8 @@
 
   private ownState(): PeerState {
     return {
-      ready: this.canServe,
-      draining: this.isDraining,
+      ready: this.readiness.canServe,
+      draining: this.readiness.draining,
       revision: this.config.state.revision,
       leavingTargets: this.membership.targets.leavingIds,
     };
@@ -278,31 +255,8 @@
     if (this.meshReady) this.membership.sendHeartbeat();
   }
 
-  /** Updates the cells, and their view of the fleet if it has changed. */
   private refreshCells(): void {
-    if (!this.meshReady) return;
-    const fleetKey = this.fleetKey();
-    const changed = fleetKey !== this.lastFleetKey;
-    this.lastFleetKey = fleetKey;
-    for (const [service, cell] of this.cells) {
-      cell.heartbeatOwnEntry();
-      if (changed) cell.onFleet(this.fleetView(service));
-    }
-  }
-
-  /** Returns a key that changes whenever the fleet view of a cell changes. */
-  private fleetKey(): string {
-    const {candidates, slotOwners} = this.fleetView();
-    const {targets} = this.membership;
-    const sessions = slotOwners.map(id => this.mesh.sessionOf(id) ?? '');
-    return [
-      this.config.state.revision,
-      candidates.join(),
-      slotOwners.join(),
-      sessions.join(),
-      targets.version,
-      this.membership.routersKey,
-    ].join(';');
+    if (this.meshReady) this.fleet.publish();
   }
 
   /** Whether the incarnation that owns a claim is still alive. */
@@ -322,7 +276,7 @@
 
   private async drainAndStop(): Promise<void> {
     this.log.info('draining');
-    this.isDraining = true;
+    this.readiness.startDraining();
     this.entry.startDraining();
     this.membership.sendHeartbeat();
     this.refreshCells();
