One base class starts the servers of all stand-ins

Cause: log, instance list, engine and plain service each had the same code to create their server and return it. Change: StandIn has it once; the four stand-ins extend it.

--- a/apps/standins/src/lib/instance_list.ts
+++ b/apps/standins/src/lib/instance_list.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {StandInServer} from './stand_in_server.js';
+import {StandIn} from './stand_in.js';
 
 import type {
   StandInResponse,
@@ -37,24 +37,15 @@
  * was `lagMs` ago.
  * @public
  */
-export class InstanceListService {
+export class InstanceListService extends StandIn {
   private versions: ListVersion[] = [{atMs: -Infinity, instances: []}];
-  private standIn!: StandInServer;
 
-  private constructor(private readonly options: InstanceListOptions) {}
-
-  static async create(
-    options: InstanceListOptions
-  ): Promise<InstanceListService> {
-    const service = new InstanceListService(options);
-    service.standIn = await StandInServer.create(options, request =>
-      service.handle(request)
-    );
-    return service;
+  private constructor(private readonly options: InstanceListOptions) {
+    super();
   }
 
-  get server(): StandInServer {
-    return this.standIn;
+  static create(options: InstanceListOptions): Promise<InstanceListService> {
+    return new InstanceListService(options).listen(options);
   }
 
   /** The list with all changes applied, regardless of the lag. */
@@ -77,7 +68,7 @@
     this.versions.push({atMs: Date.now(), instances});
   }
 
-  private async handle(request: StandInRequest): Promise<StandInResponse> {
+  protected async handle(request: StandInRequest): Promise<StandInResponse> {
     const {pathname} = request.url;
     if (pathname === '/instances' && request.method === 'GET') {
       return {status: 200, body: {instances: this.delayedList()}};
--- a/apps/standins/src/lib/log_service.ts
+++ b/apps/standins/src/lib/log_service.ts
@@ -1,5 +1,5 @@
 import {match} from 'ts-pattern';
-import {StandInServer} from './stand_in_server.js';
+import {StandIn} from './stand_in.js';
 
 import type {
   StandInResponse,
@@ -38,30 +38,23 @@
  * polling and limited retention.
  * @public
  */
-export class LogService {
+export class LogService extends StandIn {
   private readonly streams = new Map<string, Stream>();
   /** Unix time in whole seconds that `appendsThisSecond` counts for. */
   private currentSecond = 0;
   private appendsThisSecond = 0;
   /** Total number of accepted appends. */
   appends = 0;
-  private standIn!: StandInServer;
 
-  private constructor(private readonly options: LogServiceOptions) {}
-
-  static async create(options: LogServiceOptions): Promise<LogService> {
-    const service = new LogService(options);
-    service.standIn = await StandInServer.create(options, request =>
-      service.handle(request)
-    );
-    return service;
+  private constructor(private readonly options: LogServiceOptions) {
+    super();
   }
 
-  get server(): StandInServer {
-    return this.standIn;
+  static create(options: LogServiceOptions): Promise<LogService> {
+    return new LogService(options).listen(options);
   }
 
-  private async handle(request: StandInRequest): Promise<StandInResponse> {
+  protected async handle(request: StandInRequest): Promise<StandInResponse> {
     const {pathname} = request.url;
     if (pathname === '/stats') {
       return {status: 200, body: {appends: this.appends}};
--- a/apps/standins/src/lib/model_engine.ts
+++ b/apps/standins/src/lib/model_engine.ts
@@ -5,7 +5,7 @@
 import {recordOf, textOf, usageOf, writeEnd, writeToken} from './generation.js';
 import {LaggingLoad} from './lagging_load.js';
 import {PromptCache} from './prompt_cache.js';
-import {StandInServer} from './stand_in_server.js';
+import {StandIn} from './stand_in.js';
 
 import type {ServerResponse} from 'node:http';
 import type {EngineSpeed, Job} from './engine_batch.js';
@@ -49,29 +49,21 @@
  * DELETE on the same path.
  * @public
  */
-export class ModelEngine {
+export class ModelEngine extends StandIn {
   private readonly batch: EngineBatch;
   private readonly generations = new Map<string, Generation>();
   private readonly endedRecords: EngineRecord[] = [];
   private readonly promptCache = PromptCache.create();
   private readonly reportedLoad: LaggingLoad;
-  private standIn!: StandInServer;
 
   private constructor(private readonly options: ModelEngineOptions) {
+    super();
     this.batch = EngineBatch.create(options.speed);
     this.reportedLoad = LaggingLoad.create(options.reportLagMs);
   }
 
-  static async create(options: ModelEngineOptions): Promise<ModelEngine> {
-    const engine = new ModelEngine(options);
-    engine.standIn = await StandInServer.create(options, request =>
-      engine.handle(request)
-    );
-    return engine;
-  }
-
-  get server(): StandInServer {
-    return this.standIn;
+  static create(options: ModelEngineOptions): Promise<ModelEngine> {
+    return new ModelEngine(options).listen(options);
   }
 
   get running(): number {
@@ -93,10 +85,10 @@
 
   async close(): Promise<void> {
     this.batch.stop();
-    await this.standIn.close();
+    await this.server.close();
   }
 
-  private async handle(
+  protected async handle(
     request: StandInRequest
   ): Promise<StandInResponse | undefined> {
     const {pathname, searchParams} = request.url;
@@ -132,7 +124,7 @@
     const prompt = call.messages.map(m => m.content).join('\n');
     this.options.onRun(call.user);
     const generation = this.admit(request.body, prompt, call);
-    const {faults} = this.standIn;
+    const {faults} = this.server;
     const responseId = faults.crossAnswers
       ? randomUUID()
       : (request.headers['x-request-id'] ?? '');
@@ -245,9 +237,8 @@
   }
 
   private onToken(generation: Generation, token: string): void {
-    if (generation.res === undefined || this.standIn.faults.stallStreams)
-      return;
-    if (this.standIn.faults.severStreams) {
+    if (generation.res === undefined || this.server.faults.stallStreams) return;
+    if (this.server.faults.severStreams) {
       generation.res.destroy();
       return;
     }
@@ -255,7 +246,7 @@
   }
 
   private onDone(generation: Generation): void {
-    if (this.standIn.faults.stallStreams) return;
+    if (this.server.faults.stallStreams) return;
     this.finish(generation);
     writeEnd(generation);
   }
--- a/apps/standins/src/lib/plain_service.ts
+++ b/apps/standins/src/lib/plain_service.ts
@@ -1,5 +1,5 @@
 import {sleep} from '@applebend/utils';
-import {StandInServer} from './stand_in_server.js';
+import {StandIn} from './stand_in.js';
 
 import type {
   StandInResponse,
@@ -30,26 +30,19 @@
  * detect requests that ran more than once.
  * @public
  */
-export class PlainService {
+export class PlainService extends StandIn {
   readonly records: PlainRecord[] = [];
   running = 0;
-  private standIn!: StandInServer;
 
-  private constructor(private readonly options: PlainServiceOptions) {}
-
-  static async create(options: PlainServiceOptions): Promise<PlainService> {
-    const service = new PlainService(options);
-    service.standIn = await StandInServer.create(options, request =>
-      service.handle(request)
-    );
-    return service;
+  private constructor(private readonly options: PlainServiceOptions) {
+    super();
   }
 
-  get server(): StandInServer {
-    return this.standIn;
+  static create(options: PlainServiceOptions): Promise<PlainService> {
+    return new PlainService(options).listen(options);
   }
 
-  private async handle(request: StandInRequest): Promise<StandInResponse> {
+  protected async handle(request: StandInRequest): Promise<StandInResponse> {
     const {pathname} = request.url;
     if (pathname === '/records') return {status: 200, body: this.records};
     if (pathname === '/load') {
