--- a/apps/cli/src/lib/commands/config_commands.ts
+++ b/apps/cli/src/lib/commands/config_commands.ts
@@ -6,7 +6,7 @@
 import {waitUntilInForce} from '../admin_client.js';
 import {describeIssues, loadToolSettings, readToml} from '../tool_settings.js';
 
-import type {ChangeOutcome, FleetConfig} from '@applebend/core';
+import type {ChangeOutcome, ConfigState, FleetConfig} from '@applebend/core';
 import type {Result} from '@applebend/utils';
 import type {CommandOutput, ToolError} from '../command_result.js';
 import type {ToolSettings} from '../tool_settings.js';
@@ -58,9 +58,7 @@
   summary: 'print the configuration in force and its revision',
   requiredArgs: [],
   run: async (_args, options) => {
-    const settings = toolSettings(options);
-    if (!settings.ok) return settings;
-    const state = await ConfigStream.create(settings.value).read();
+    const state = await readState(options);
     if (!state.ok) return state;
     const {revision, config} = state.value;
     const lines = [`# revision ${revision}`, stringify(config)];
@@ -74,9 +72,7 @@
   summary: 'list the latest changes and what became of them',
   requiredArgs: [],
   run: async (_args, options) => {
-    const settings = toolSettings(options);
-    if (!settings.ok) return settings;
-    const state = await ConfigStream.create(settings.value).read();
+    const state = await readState(options);
     if (!state.ok) return state;
     const {outcomes} = state.value;
     return ok({lines: outcomes.map(describeOutcome), data: outcomes});
@@ -104,6 +100,15 @@
   return fail({kind: 'usage', message});
 }
 
+/** Reads the configuration from the log that the options name. */
+async function readState(
+  options: CommandOptions
+): Promise<Result<ConfigState, ToolError>> {
+  const settings = toolSettings(options);
+  if (!settings.ok) return settings;
+  return ConfigStream.create(settings.value).read();
+}
+
 async function publish(
   settings: ToolSettings,
   config: FleetConfig,
