Measure, soak and slopes share fleet set-up, crash and router samples

Cause: measure and soak each set up the site's fleet, measure wrote out the crash of a router that Fleet.crash has, and slopes read all router states as the sampler does. Change: createSiteFleet and sampleRouters serve both; measure calls Fleet.crash.

--- a/apps/rig/src/lib/load/sampler.ts
+++ b/apps/rig/src/lib/load/sampler.ts
@@ -96,13 +96,10 @@
     const engines = this.fleet.targets.filter(
       target => target.options.service === MODEL_SERVICE && target.running
     );
-    const [loads, statuses] = await Promise.all([
+    const [loads, routers] = await Promise.all([
       Promise.all(engines.map(engine => engine.runningNow())),
-      Promise.all(this.fleet.routers.map(router => router.status())),
+      sampleRouters(this.fleet),
     ]);
-    const routers = statuses.filter(
-      (status): status is RouterSample => status !== undefined
-    );
     let busySlots = 0;
     for (const running of loads) {
       busySlots += Math.min(running, SLOTS_PER_ENGINE);
@@ -117,3 +114,9 @@
     return {atMs, service, waiting, busySlots, slots, queued, routers};
   }
 }
+
+/** Returns the status of all routers that respond. */
+export async function sampleRouters(fleet: Fleet): Promise<RouterSample[]> {
+  const statuses = await Promise.all(fleet.routers.map(r => r.status()));
+  return statuses.filter((s): s is RouterSample => s !== undefined);
+}
--- a/apps/rig/src/lib/slopes/fleet_slopes.ts
+++ b/apps/rig/src/lib/slopes/fleet_slopes.ts
@@ -1,5 +1,6 @@
 import {sleep} from '@applebend/utils';
 import {Fleet} from '../fleet.js';
+import {sampleRouters} from '../load/sampler.js';
 import {SAMPLE_CONFIG} from '../sample_config.js';
 import {recordSlope} from './slope_table.js';
 
@@ -20,9 +21,9 @@
       services: [],
     });
     await sleep(IDLE_SETTLE_MS);
-    const before = await statusesOf(fleet);
+    const before = await sampleRouters(fleet);
     await sleep(IDLE_MS);
-    const after = await statusesOf(fleet);
+    const after = await sampleRouters(fleet);
     await fleet.stop();
     const meanOf = (figure: (status: RouterSample) => number) =>
       after.reduce((sum, status) => sum + figure(status), 0) / routers;
@@ -46,8 +47,3 @@
     recordSlope('idle instance, memory', routers, 'MB', memory);
   }
 }
-
-async function statusesOf(fleet: Fleet): Promise<RouterSample[]> {
-  const statuses = await Promise.all(fleet.routers.map(r => r.status()));
-  return statuses.filter((s): s is RouterSample => s !== undefined);
-}
--- a/apps/rig/src/measure.ts
+++ b/apps/rig/src/measure.ts
@@ -2,19 +2,14 @@
 import {parseArgs} from 'node:util';
 import {POLICY_NAME} from '@applebend/core';
 import {sleep} from '@applebend/utils';
-import {Fleet} from './lib/fleet.js';
 import {fairnessGap, figuresOf, slotFigures} from './lib/load/figures.js';
 import {LoadRunner} from './lib/load/load_runner.js';
 import {Sampler} from './lib/load/sampler.js';
 import {planCalls} from './lib/load/schedule.js';
-import {
-  ENGINES,
-  PLAIN_TARGETS,
-  ROUTERS,
-  siteConfig,
-  siteServices,
-} from './lib/load/site.js';
+import {ROUTERS, siteConfig} from './lib/load/site.js';
+import {createSiteFleet} from './lib/load/site_fleet.js';
 
+import type {Fleet} from './lib/fleet.js';
 import type {Figures} from './lib/load/figures.js';
 import type {FleetSample} from './lib/load/sampler.js';
 
@@ -70,11 +65,7 @@
     faultStarts.push({name, atMs: performance.now()});
   await sleep(quarterMs);
   recordFault('kill');
-  await fleet.router(1).kill();
-  await sleep(OUTAGE_MS / 2);
-  fleet.list.remove(fleet.router(1).id);
-  await sleep(OUTAGE_MS / 2);
-  await fleet.restart(1);
+  await fleet.crash(1, OUTAGE_MS);
   await sleep(quarterMs - OUTAGE_MS);
   recordFault('freeze');
   fleet.router(3).freeze();
@@ -112,16 +103,13 @@
   const seconds = Number(values.seconds);
   const seed = Number(values.seed);
   const calls = planCalls({seconds, seed, scale: 1, routers: ROUTERS});
-  const fleet = await Fleet.create({
-    routers: ROUTERS,
+  const fleet = await createSiteFleet({
     policy,
-    services: siteServices(ENGINES, PLAIN_TARGETS),
     config: siteConfig(
       Number(values['short-call-slots']),
       Number(values['max-slots'])
     ),
     logLevel: 'error',
-    onLog: (router, line) => console.error(`${router}: ${line}`),
   });
   try {
     await sleep(2 * MS_PER_S);
--- a/apps/rig/src/soak.ts
+++ b/apps/rig/src/soak.ts
@@ -3,22 +3,16 @@
 import {CRASH_MARKER} from '@applebend/standins';
 import {sleep} from '@applebend/utils';
 import {Balancer} from './lib/balancer.js';
-import {Fleet} from './lib/fleet.js';
 import {FaultSchedule} from './lib/load/fault_schedule.js';
 import {LoadRunner} from './lib/load/load_runner.js';
 import {Sampler} from './lib/load/sampler.js';
 import {planCalls} from './lib/load/schedule.js';
-import {
-  ENGINES,
-  MODEL_SERVICE,
-  PLAIN_TARGETS,
-  ROUTERS,
-  siteConfig,
-  siteServices,
-} from './lib/load/site.js';
+import {MODEL_SERVICE, ROUTERS, siteConfig} from './lib/load/site.js';
+import {createSiteFleet} from './lib/load/site_fleet.js';
 import {checkResults, refusalOf} from './lib/promise_checks.js';
 import {adminPage, callModel} from './lib/sample_calls.js';
 
+import type {Fleet} from './lib/fleet.js';
 import type {FleetSample} from './lib/load/sampler.js';
 
 const {values} = parseArgs({
@@ -238,14 +232,11 @@
  * all were kept.
  */
 async function soak(seconds: number, seed: number): Promise<boolean> {
-  const fleet = await Fleet.create({
-    routers: ROUTERS,
+  const fleet = await createSiteFleet({
     policy: POLICY_NAME.dispatched,
-    services: siteServices(ENGINES, PLAIN_TARGETS),
     config: siteConfig(1),
     listLagMs: LIST_LAG_MS,
     logLevel: values.verbose ? 'debug' : 'error',
-    onLog: (router, line) => console.error(`${router}: ${line}`),
   });
   const balancer = Balancer.create(fleet);
   const verdict = new Verdict();
