--- a/packages/core/src/lib/dispatch/testing/simulated_fleet.ts
+++ b/packages/core/src/lib/dispatch/testing/simulated_fleet.ts
@@ -11,21 +11,24 @@
   SLOTS,
   TARGETS,
 } from './fleet_settings.js';
-import {linkOf} from './fleet_types.js';
+import {SimulatedNetwork} from './simulated_network.js';
+import {SuspectRecord} from './suspect_record.js';
 
 import type {DispatchCommand, DispatchEvent} from '../dispatch_events.js';
-import type {
-  Announcement,
-  DispatcherMessage,
-  EntryMessage,
-  SlotOutcome,
-} from '../dispatch_types.js';
+import type {Announcement, SlotOutcome} from '../dispatch_types.js';
 import type {
   DispatcherClientCommand,
   DispatcherClientEvent,
 } from '../dispatcher_client.js';
 import type {Step} from './fleet_steps.js';
-import type {Channel, RunningRequest} from './fleet_types.js';
+
+/** A request that really runs on a target. */
+interface RunningRequest {
+  readonly entry: string;
+  readonly grantId: string;
+  readonly target: string;
+  readonly announcement: Announcement;
+}
 
 /**
  * Simulates entries and dispatchers that exchange messages over an unreliable
@@ -40,9 +43,8 @@
   readonly clockSkewMs = new Map(INSTANCES.map((id, i) => [id, i * 12345]));
   readonly entries = new Map<string, DispatcherClient>();
   readonly dispatchers = new Map<string, Dispatcher>();
-  /** Link of two instances to the number of times that it was replaced. */
-  readonly sessions = new Map<string, number>();
-  channels: Channel[] = [];
+  private readonly network = SimulatedNetwork.create();
+  private readonly suspects = SuspectRecord.create();
   /** By grant id. */
   readonly running = new Map<string, RunningRequest>();
   /** Requests not started, refused or cancelled yet, with their entries. */
@@ -50,16 +52,6 @@
   /** All requests so far, by id. */
   readonly submitted = new Map<string, Announcement>();
   readonly leaving = new Set<string>();
-  /** The target on which each request was last granted a slot. */
-  readonly lastTargets = new Map<string, string>();
-  readonly targetsByGrant = new Map<string, string>();
-  /**
-   * Requests granted a slot on a target before its loss was reported. They run
-   * apart from each other, so a slot may stay free while they wait.
-   */
-  readonly suspects = new Set<string>();
-  /** Weighted tokens of finished requests, by customer. */
-  readonly served = new Map<string, number>();
   private sequence = 0;
   private incarnations = 0;
 
@@ -123,8 +115,12 @@
   onEntryCommand(entry: string, command: DispatcherClientCommand): void {
     if (command.type === 'send') {
       const {peer, session} = command.dispatcher;
-      this.channel(entry, peer, session, true)?.queue.push({
+      this.network.send({
+        from: entry,
+        to: peer,
+        session,
         sentAtMs: this.clockOf(entry),
+        receiver: 'dispatcher',
         message: command.message,
       });
     } else if (command.type === 'refused') {
@@ -144,38 +140,20 @@
   onDispatchCommand(id: string, {entry, message}: DispatchCommand): void {
     if (message.type === 'grant') {
       assert.ok(!this.leaving.has(message.target), 'granted target is leaving');
-      this.lastTargets.set(message.requestId, message.target);
-      this.targetsByGrant.set(message.grantId, message.target);
+      this.suspects.onGrant(message);
     }
-    const session = this.sessions.get(linkOf(id, entry)) ?? 0;
-    this.channel(id, entry, session, false)?.queue.push({
+    this.network.send({
+      from: id,
+      to: entry,
+      session: this.network.sessionOf(id, entry),
       sentAtMs: this.nowMs,
+      receiver: 'entry',
       message,
     });
   }
 
-  /** Returns undefined if the link has ended; its messages are lost. */
-  channel(
-    from: string,
-    to: string,
-    session: number,
-    toDispatcher: boolean
-  ): Channel | undefined {
-    if ((this.sessions.get(linkOf(from, to)) ?? 0) !== session)
-      return undefined;
-    let channel = this.channels.find(
-      c => c.from === from && c.to === to && c.toDispatcher === toDispatcher
-    );
-    if (channel === undefined) {
-      channel = {from, to, session, toDispatcher, queue: []};
-      this.channels.push(channel);
-    }
-    return channel;
-  }
-
   setDispatcher(entry: string, peer: string, notifyPrevious: boolean): void {
-    const session = this.sessions.get(linkOf(entry, peer)) ?? 0;
-    const dispatcher = {peer, session};
+    const dispatcher = {peer, session: this.network.sessionOf(entry, peer)};
     this.handleEntryEvent(entry, {
       type: 'set_dispatcher',
       dispatcher,
@@ -186,9 +164,7 @@
   /** Replaces the link between two instances by a new one. */
   breakLink(a: string, b: string): void {
     if (a === b) return;
-    const link = linkOf(a, b);
-    this.sessions.set(link, (this.sessions.get(link) ?? 0) + 1);
-    this.channels = this.channels.filter(c => linkOf(c.from, c.to) !== link);
+    this.network.replaceLink(a, b);
     this.handleDispatchEvent(a, {type: 'entry_silent', entry: b});
     this.handleDispatchEvent(b, {type: 'entry_silent', entry: a});
     for (const [entry, other] of [
@@ -203,44 +179,27 @@
 
   /** Delivers the first message of one channel; false if there is none. */
   deliver(pick: number): boolean {
-    const full = this.channels.filter(c => c.queue.length > 0);
-    const channel = full[pick % Math.max(1, full.length)];
-    const item = channel?.queue.shift();
-    if (channel === undefined || item === undefined) return false;
-    const {from, to, session} = channel;
-    if (channel.toDispatcher) {
-      this.recordLoss(item.message as EntryMessage);
+    const envelope = this.network.receive(pick);
+    if (envelope === undefined) return false;
+    const {from, to, session, sentAtMs} = envelope;
+    if (envelope.receiver === 'dispatcher') {
+      this.suspects.onEntryMessage(envelope.message);
       this.handleDispatchEvent(to, {
         type: 'entry_message',
         entry: from,
-        sentAtMs: item.sentAtMs,
-        message: item.message as EntryMessage,
+        sentAtMs,
+        message: envelope.message,
       });
     } else {
-      const dispatcher = {peer: from, session};
-      const message = item.message as DispatcherMessage;
       this.handleEntryEvent(to, {
         type: 'dispatcher_message',
-        dispatcher,
-        message,
+        dispatcher: {peer: from, session},
+        message: envelope.message,
       });
     }
     return true;
   }
 
-  /**
-   * Marks all requests last granted on a target as suspects when its loss is
-   * reported, however late the report is.
-   */
-  recordLoss(message: EntryMessage): void {
-    if (message.type !== 'finished' || message.outcome !== 'target_lost')
-      return;
-    const lost = this.targetsByGrant.get(message.grantId);
-    for (const [requestId, target] of this.lastTargets) {
-      if (target === lost) this.suspects.add(requestId);
-    }
-  }
-
   submit(s: Extract<Step, {type: 'submit'}>): void {
     this.sequence += 1;
     const requestId = `r${this.sequence}`;
@@ -266,8 +225,6 @@
     const job = all[pick % Math.max(1, all.length)];
     if (job === undefined) return false;
     this.running.delete(job.grantId);
-    const {customer} = job.announcement;
-    this.served.set(customer, (this.served.get(customer) ?? 0) + cost);
     const {grantId} = job;
     this.handleEntryEvent(job.entry, {type: 'finish', grantId, outcome, cost});
     return true;
@@ -285,7 +242,7 @@
       if (entry === id) this.open.delete(requestId);
     }
     this.start(id);
-    this.channels = this.channels.filter(c => c.from !== id && c.to !== id);
+    this.network.dropMessagesOf(id);
     for (const other of INSTANCES) this.breakLink(id, other);
     for (const other of INSTANCES) {
       if (other !== id)
@@ -338,7 +295,7 @@
   checkNoIdleSlot(): void {
     const {held} = this.dispatchers.get('a')!.stats;
     const runnable = [...this.open.keys()].filter(
-      requestId => !this.suspects.has(requestId)
+      requestId => !this.suspects.isSuspect(requestId)
     );
     if (runnable.length === 0) return;
     assert.ok(
