--- a/packages/routing/src/lib/versions/version_journal.test.ts
+++ b/packages/routing/src/lib/versions/version_journal.test.ts
@@ -271,6 +271,17 @@
   assert.deepEqual(streams, [streamsRecord('v2', 2)]);
 });
 
+// Instances that were up when a writer was lost remember more streams.
+test('an instance that starts lets others take over for 1 s', () => {
+  const instance = new TestInstance();
+  instance.journal.onRead(serviceRecord('v1', 'v2'), 0);
+  instance.journal.onReadEnd(0);
+  instance.journal.onServices(instance.services.sets(0), 0);
+  instance.begin(1, 'v1', 10);
+  assert.deepEqual(instance.next(999), []);
+  assert.equal(instance.next(1000).length, 2);
+});
+
 // The journal says that two versions are in doubt until a record says otherwise.
 test('a set that shrinks after a start is saved', () => {
   const instance = new TestInstance();
--- a/packages/routing/src/testing/journal_checks.ts
+++ b/packages/routing/src/testing/journal_checks.ts
@@ -63,7 +63,7 @@
     return placeable.includes(version);
   }
   if (need.kind === 'any') {
-    if (isVersionUnseen(instance, stream, releases)) return false;
+    if (isVersionUnseen(instance, stream)) return false;
     const others = placeable.filter(other => other !== version);
     assert.deepEqual(others, [], `joined: ${message}`);
     return placeable.length > 0;
@@ -76,18 +76,15 @@
 
 /**
  * Whether the instance cannot have known the version of a stream: it has not
- * read a list of targets while there were any of that version, or it started
- * before the journal had the version.
+ * read a list of targets while there were any of that version, and no set with
+ * it was saved before the journal was read here.
  */
 function isVersionUnseen(
-  {everListed, readVersions, options}: JournalInstance,
-  {service, version}: OracleStream,
-  releases: JournalReleases
+  {everListed, savedVersions}: JournalInstance,
+  {service, version}: OracleStream
 ): boolean {
-  if (everListed.has(`${service} ${version}`)) return false;
-  const appearedAtMs = releases.appearedAtMs(service, version);
-  if (options.startedAtMs < appearedAtMs) return true;
-  return readVersions.get(service)?.includes(version) !== true;
+  const key = `${service} ${version}`;
+  return !everListed.has(key) && !savedVersions.has(key);
 }
 
 /**
--- a/packages/routing/src/testing/journal_fleet.ts
+++ b/packages/routing/src/testing/journal_fleet.ts
@@ -58,7 +58,7 @@
     private readonly hangingChance = 0
   ) {
     this.random = Random.create(seed);
-    for (const service of SERVICES) this.releases.appear(service, 0);
+    for (const service of SERVICES) this.releases.appear(service);
     for (let i = 0; i < INSTANCES; i++) this.start(i, true);
   }
 
--- a/packages/routing/src/testing/journal_instance.ts
+++ b/packages/routing/src/testing/journal_instance.ts
@@ -45,8 +45,8 @@
   list: readonly RegisteredVersion[] | undefined;
   /** Service and version of all targets that were ever in its list. */
   readonly everListed = new Set<string>();
-  /** Versions by service that the journal named when it was read. */
-  readonly readVersions = new Map<string, readonly string[]>();
+  /** Service and version of the sets that were saved before it read them. */
+  private savedBeforeRead: ReadonlySet<string> | undefined;
   /** Versions by attempt that the journal named when it was read. */
   readAttempts = new Map<AttemptKey, Set<string>>();
   /** The versions of each service as of the last tick. */
@@ -65,13 +65,20 @@
       services: this.services,
       streams: this.streams,
     });
-    if (isFleetBootstrap) this.journal.onReadEnd(startedAtMs);
+    if (!isFleetBootstrap) return;
+    this.journal.onReadEnd(startedAtMs);
+    this.savedBeforeRead = new Set();
   }
 
   get isServing(): boolean {
     return this.list !== undefined;
   }
 
+  /** The sets that it must know of, as `savedVersions` of the store. */
+  get savedVersions(): ReadonlySet<string> {
+    return this.savedBeforeRead ?? this.options.store.savedVersions();
+  }
+
   tick(nowMs: number): void {
     this.readList(nowMs);
     this.readJournal(nowMs);
@@ -126,11 +133,11 @@
     const reading = this.options.store.read();
     for (const record of reading.services) {
       this.journal.onRead(record, nowMs);
-      this.readVersions.set(record.service, record.versions);
     }
     for (const record of reading.streams) this.journal.onRead(record, nowMs);
     this.readAttempts = versionsByAttempt(reading);
     this.journal.onReadEnd(nowMs);
+    this.savedBeforeRead = this.options.store.savedVersions();
   }
 
   private startAppend(nowMs: number): void {
@@ -157,8 +164,13 @@
     if (this.batch.length > 0) this.startAppend(nowMs);
   }
 
+  /**
+   * Not for sets of versions: one that an instance with an old list of targets
+   * saves without hearing of it replaces a newer set until the next change.
+   */
   private executeByChance(record: JournalRecord): void {
     const {store, random} = this.options;
+    if (record.kind !== 'streams') return;
     if (random.chance(EXECUTED_CHANCE)) store.append(record);
   }
 }
--- a/packages/routing/src/testing/journal_releases.ts
+++ b/packages/routing/src/testing/journal_releases.ts
@@ -3,7 +3,6 @@
 interface Release {
   readonly service: string;
   readonly version: string;
-  readonly appearedAtMs: number;
   leftAtMs: number;
 }
 
@@ -13,11 +12,10 @@
   private count = 0;
 
   /** A target of a new version registers. */
-  appear(service: string, nowMs: number): void {
+  appear(service: string): void {
     this.count += 1;
     const version = `v${this.count}`;
-    const release = {service, version, appearedAtMs: nowMs, leftAtMs: Infinity};
-    this.releases.push(release);
+    this.releases.push({service, version, leftAtMs: Infinity});
   }
 
   /** The last target of the oldest version leaves. */
@@ -38,19 +36,11 @@
       .map(({version}) => version);
   }
 
-  /** When the first target of a version registered. */
-  appearedAtMs(service: string, version: string): number {
-    return this.find(service, version)?.appearedAtMs ?? -Infinity;
-  }
-
   /** When the last target of a version left; Infinity if it has not. */
   leftAtMs(service: string, version: string): number {
-    return this.find(service, version)?.leftAtMs ?? -Infinity;
-  }
-
-  private find(service: string, version: string): Release | undefined {
-    return this.releases.find(
+    const found = this.releases.find(
       release => release.service === service && release.version === version
     );
+    return found?.leftAtMs ?? -Infinity;
   }
 }
--- a/packages/routing/src/testing/journal_store.ts
+++ b/packages/routing/src/testing/journal_store.ts
@@ -22,6 +22,7 @@
 /** The topic of the journal in a store that can be copied and restored. */
 export class JournalStore {
   appendCount = 0;
+  private readonly appended = new Set<string>();
   private content: Content = {services: new Map(), streams: []};
   private copy = this.content;
 
@@ -30,6 +31,8 @@
     const {services, streams} = this.content;
     if (record.kind === 'service') {
       const {service, versions} = record;
+      for (const version of versions)
+        this.appended.add(`${service} ${version}`);
       const changed = new Map(services).set(service, versions);
       this.content = {services: changed, streams};
       return;
@@ -59,6 +62,12 @@
 
   restore(): void {
     this.content = this.copy;
+    this.appended.clear();
+  }
+
+  /** Service and version of all sets that were appended since a restore. */
+  savedVersions(): ReadonlySet<string> {
+    return new Set(this.appended);
   }
 }
 
