--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -107,6 +107,7 @@
   RegisteredVersion,
   SeenVersion,
 } from './lib/versions/service_versions.js';
+export {streamRetentionMs} from './lib/versions/stream_retention.js';
 export {attemptKeyOf, StreamVersions} from './lib/versions/stream_versions.js';
 export type {AttemptKey} from './lib/versions/stream_versions.js';
 export {VersionJournal} from './lib/versions/version_journal.js';
--- a/packages/routing/src/lib/versions/stream_retention.ts
+++ b/packages/routing/src/lib/versions/stream_retention.ts
@@ -5,7 +5,7 @@
  * For how long a stream can be resumed after it began, and its version matters.
  *
  * @param longestTimeoutMs - the longest timeout of any route
- * @internal
+ * @public
  */
 export function streamRetentionMs(longestTimeoutMs: number): number {
   return Math.max(MIN_RETENTION_MS, longestTimeoutMs);
--- a/packages/routing/src/lib/versions/stream_versions.ts
+++ b/packages/routing/src/lib/versions/stream_versions.ts
@@ -77,9 +77,12 @@
    * were only read from the journal.
    */
   remembered(versions: ReadonlySet<string>): Map<AttemptKey, string> {
-    const streams = new Map([...this.previous, ...this.current]);
-    for (const [attempt, version] of streams) {
-      if (!versions.has(version)) streams.delete(attempt);
+    const streams = new Map<AttemptKey, string>();
+    for (const generation of [this.previous, this.current]) {
+      for (const [attempt, version] of generation) {
+        if (versions.has(version)) streams.set(attempt, version);
+        else streams.delete(attempt);
+      }
     }
     return streams;
   }
