Peers hear of a target that refuses connections

Cause: a target that ended while nothing ran there broke no connection, so no loss was told; an instance whose requests found it closed kept that for itself, and the others sent to the returned target as to a warm one. Change: notice 'refused' (code 11) with the incarnation, for services with a cold rate only; peers that start are told as well. Older instances ignore it.

--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -78,7 +78,9 @@
   }
 
   onFailure({kind, isDisconnected}: AttemptFailure): void {
-    if (isDisconnected) this.record.coldStart.onLost(this.nowMs);
+    const {record, deps} = this;
+    if (isDisconnected) record.coldStart.onLost(this.nowMs);
+    if (isDisconnected && kind === 'connect_failed') deps.onRefused(record);
     if (kind !== 'target_paused') this.recordFailure();
   }
 
--- a/packages/gateway/src/lib/front/cold_send.test.ts
+++ b/packages/gateway/src/lib/front/cold_send.test.ts
@@ -61,6 +61,7 @@
     clock: systemClock,
     random: () => 0,
     onPlaced: () => undefined,
+    onRefused: () => undefined,
     // Called after the request was placed and before it is sent.
     onUsage: onPlaced,
     onEnd: () => undefined,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,4 +1,5 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
+import {incarnationOf} from './crash/loss_checks.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
@@ -99,6 +100,7 @@
         this.countLimited(target);
         this.peers.onPlaced(target, context.prompt, isCacheMiss);
       },
+      onRefused: record => this.onRefused(record),
       onUsage: usage => {
         this.peers.onUsage(usage);
         this.usageLog.onUsage(usage);
@@ -196,6 +198,12 @@
     this.metrics.onTargetLeaving();
   }
 
+  /** Tells the peers of a target that may be back before they send to it. */
+  private onRefused({target, coldStart}: TargetRecord): void {
+    if (!coldStart.isLimited) return;
+    this.peers.announce({kind: 'refused', target: incarnationOf(target)});
+  }
+
   /** Tells the peers before the callers of the lost requests can return. */
   private onLosses(losses: readonly TargetLoss[]): void {
     this.metrics.onTargetLost();
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -25,6 +25,12 @@
       readonly limitPerS: number;
     }
   | {readonly kind: 'loss'; readonly loss: TargetLoss}
+  | {
+      /** The target refused a connection, so it may have restarted. */
+      readonly kind: 'refused';
+      /** As `incarnationOf` names it. */
+      readonly target: string;
+    }
   | {readonly kind: 'quarantine'; readonly quarantine: Quarantine}
   | {readonly kind: 'survivals'; readonly survivals: readonly BlockSurvival[]}
   | {readonly kind: 'version'; readonly seen: SeenVersion}
@@ -63,6 +69,9 @@
     case 'limit':
       targets.onPeerLimit(notice.target, notice.limitPerS, nowMs);
       return;
+    case 'refused':
+      targets.cold.onPeerLoss(notice.target, nowMs);
+      return;
     case 'loss':
       targets.cold.onPeerLoss(notice.loss.target, nowMs);
       applyCrashNotice(notice, crashGuard);
@@ -110,6 +119,9 @@
   for (const [target, limitPerS] of targets.limits(nowMs)) {
     notices.push({kind: 'limit', target, limitPerS});
   }
+  for (const target of targets.cold.lost(nowMs)) {
+    notices.push({kind: 'refused', target});
+  }
   return [...notices, ...crashNoticesForStart(crashGuard)];
 }
 
--- a/packages/gateway/src/lib/peers/notice_codec.ts
+++ b/packages/gateway/src/lib/peers/notice_codec.ts
@@ -18,6 +18,7 @@
   streams: 7,
   survivals: 8,
   limit: 9,
+  refused: 11,
 } as const;
 
 /** A notice as it stands in a message. @public */
@@ -25,6 +26,7 @@
   | [code: number, target: string, startedAtMs: number, storeEra: number]
   | [code: number, target: string, pauseMs: number]
   | [code: number, target: string, limitPerS: number]
+  | [code: number, target: string, zero: number]
   | [
       code: number,
       target: string,
@@ -71,6 +73,8 @@
         blocks,
       ];
     }
+    case 'refused':
+      return [NOTICE_CODE.refused, notice.target, 0];
     case 'quarantine': {
       const {fingerprint, leftMs, losses} = notice.quarantine;
       return [NOTICE_CODE.quarantine, fingerprint, Math.round(leftMs), losses];
@@ -130,6 +134,7 @@
     const loss = {fingerprint, target, seenAtMs, hasProgressed, blocks};
     return {kind: 'loss', loss};
   },
+  [NOTICE_CODE.refused]: target => ({kind: 'refused', target}),
   [NOTICE_CODE.quarantine]: (fingerprint, leftMs, losses) => {
     if (typeof losses !== 'number') return undefined;
     return {kind: 'quarantine', quarantine: {fingerprint, losses, leftMs}};
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -54,6 +54,7 @@
         return;
       case 'departure':
       case 'loss':
+      case 'refused':
       case 'quarantine':
       case 'version':
         this.repeat(notice, nowMs);
@@ -120,6 +121,8 @@
       const {fingerprint, target} = notice.loss;
       return `loss ${fingerprint} ${target}`;
     }
+    case 'refused':
+      return `refused ${notice.target}`;
     case 'quarantine':
       return `quarantine ${notice.quarantine.fingerprint}`;
     case 'version': {
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -75,6 +75,7 @@
         target: id,
         limitPerS: fc.oneof(fc.constant(Infinity), count),
       }),
+      fc.record({kind: fc.constant('refused' as const), target: id}),
       fc.record({
         kind: fc.constant('survivals' as const),
         survivals: fc.array(fc.record({block: id, ageMs: count}), {
--- a/packages/gateway/src/lib/state/cold_targets.test.ts
+++ b/packages/gateway/src/lib/state/cold_targets.test.ts
@@ -3,7 +3,7 @@
 import {RouteTable, TARGET_STATE} from '@applebend/routing';
 import {sampleTarget} from '../../testing/sample_target.js';
 import {secondsUntilResumed} from '../front/pause_advice.js';
-import {applyNotice} from '../peers/notice.js';
+import {applyNotice, noticesForStart} from '../peers/notice.js';
 import {candidatesFor} from '../upstream/candidates.js';
 import {FleetState} from './fleet_state.js';
 
@@ -178,6 +178,18 @@
   assert.equal(instance.coldStart.isCold(10_100), false);
 });
 
+test('a refused connection that a peer tells of makes the target cold, also at peers that start', () => {
+  const instance = new TestInstance();
+  instance.register({}, 0);
+  const notices = () =>
+    noticesForStart(instance.state, 100).filter(n => n.kind === 'refused');
+  assert.deepEqual(notices(), []);
+  const notice = {kind: 'refused', target: 't-1 1'} as const;
+  applyNotice(notice, instance.state, 100);
+  assert.equal(instance.coldStart.isCold(100), true);
+  assert.deepEqual(notices(), [notice]);
+});
+
 test('a registration of a new start replaces a loss, but not what was sent', () => {
   const instance = new TestInstance();
   instance.listOwners();
--- a/packages/gateway/src/lib/state/cold_targets.ts
+++ b/packages/gateway/src/lib/state/cold_targets.ts
@@ -77,6 +77,13 @@
     }
   }
 
+  /** Incarnations of targets that were lost, for peers that start. */
+  lost(nowMs: number): string[] {
+    return [...this.records()]
+      .filter(({coldStart}) => coldStart.isLost(nowMs))
+      .map(({target}) => incarnationOf(target));
+  }
+
   /** Records that the evacuation of a failure domain ended. */
   onEvacuationEnded(failureDomain: string, nowMs: number): void {
     for (const {target, coldStart} of this.records()) {
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -54,6 +54,8 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Misdirected Request: the server is not the addressed target. */
 const STATUS_MISDIRECTED = 421;
+/** Errors of a connection that the target refused or reset. */
+const LOST_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
 /** Failures in which the target says that it did not run the request. */
 const NOT_RUN_KINDS: ReadonlySet<AttemptFailure['kind']> = new Set([
   'not_executed',
@@ -173,11 +175,12 @@
     if (status !== STATUS_MISDIRECTED) this.events.onSignals(signals);
   }
 
-  private onError(err: Error): void {
+  private onError(err: NodeJS.ErrnoException): void {
     // Node reports a reset as the end of a response that has no length.
     if (this.res?.complete === false) this.wasReset = true;
     const kind = this.sent ? 'reset' : 'connect_failed';
-    this.fail(kind, err.message, true);
+    const isDisconnected = this.sent || LOST_CODES.has(err.code ?? '');
+    this.fail(kind, err.message, isDisconnected);
   }
 
   private fail(
--- a/packages/routing/src/lib/health/cold_start.ts
+++ b/packages/routing/src/lib/health/cold_start.ts
@@ -124,6 +124,17 @@
     this.bucket.setRate(ratePerS, BURST, nowMs);
   }
 
+  /** Whether its service is configured to limit it while it is cold. */
+  get isLimited(): boolean {
+    return this.durationMs !== undefined;
+  }
+
+  /** Whether it counts as cold because it was lost. */
+  isLost(nowMs: number): boolean {
+    const untilMs = this.assumed.get(COLD_REASON.lost)?.untilMs ?? -Infinity;
+    return this.isLimited && nowMs < untilMs;
+  }
+
   isCold(nowMs: number): boolean {
     return this.reason(nowMs) !== undefined;
   }
@@ -211,8 +222,7 @@
    * times, which does not prolong its time.
    */
   onPeerLost(nowMs: number): void {
-    const untilMs = this.assumed.get(COLD_REASON.lost)?.untilMs ?? -Infinity;
-    if (nowMs >= untilMs) this.onLost(nowMs);
+    if (!this.isLost(nowMs)) this.onLost(nowMs);
   }
 
   /** Records that the evacuation of the target's failure domain ended. */
