--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -78,7 +78,11 @@
   }
 
   onFailure({kind, isRefused}: AttemptFailure): void {
-    if (isRefused) this.record.coldStart.onLost(this.nowMs);
+    const {record, deps} = this;
+    if (isRefused) {
+      record.coldStart.onLost(this.nowMs);
+      deps.onRefused(record);
+    }
     if (kind !== 'target_paused') this.recordFailure();
   }
 
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -177,7 +177,8 @@
     // Node reports a reset as the end of a response that has no length.
     if (this.res?.complete === false) this.wasReset = true;
     const kind = this.sent ? 'reset' : 'connect_failed';
-    this.fail(kind, err.message, err.code === 'ECONNREFUSED');
+    const isRefused = err.code === 'ECONNREFUSED';
+    this.fail(kind, err.message, isRefused);
   }
 
   private fail(
