Stream versions: a shorter route timeout does not shorten the retention

A configuration with a shorter longest timeout took effect at once on the retention of versions. A stream that began under the longer timeout could then be resumed when its version was already forgotten: its service counted as one of a single version, and the stream continued at any target.

--- a/packages/routing/src/lib/versions/stream_versions.ts
+++ b/packages/routing/src/lib/versions/stream_versions.ts
@@ -40,9 +40,12 @@
     return new StreamVersions();
   }
 
-  /** Sets for how long a stream can be resumed after it began. */
+  /**
+   * Sets for how long a stream can be resumed after it began. A shorter time than
+   * before is ignored: streams that began under the former one may still run.
+   */
   setLongestStreamMs(longestMs: number): void {
-    this.retentionMs = streamRetentionMs(longestMs);
+    this.retentionMs = Math.max(this.retentionMs, streamRetentionMs(longestMs));
   }
 
   /** Records the version to which an attempt was sent; the last one counts. */
--- a/packages/routing/src/lib/versions/versions.test.ts
+++ b/packages/routing/src/lib/versions/versions.test.ts
@@ -59,6 +59,24 @@
   assert.equal(versions.hasSeveral('llm', 110_001), false);
 });
 
+// A stream that began under the longer time would be joined as "any version".
+test('a shorter longest stream does not end the retention of running streams', () => {
+  const services = ServiceVersions.create();
+  const streams = StreamVersions.create();
+  services.setLongestStreamMs(120_000);
+  streams.setLongestStreamMs(120_000);
+  services.setRegistered([{service: 'llm', version: 'v1'}], 0);
+  streams.add(1, 'v1', 0);
+  services.setRegistered([{service: 'llm', version: 'v2'}], 10_000);
+  services.setLongestStreamMs(30_000);
+  streams.setLongestStreamMs(30_000);
+  for (let nowMs = 30_000; nowMs <= 110_000; nowMs += 10_000) {
+    streams.add(nowMs, 'v2', nowMs);
+  }
+  assert.equal(services.hasSeveral('llm', 110_000), true);
+  assert.equal(streams.versionOf(1), 'v1');
+});
+
 // An unchanged list of targets is not applied again while peers confirm it.
 test('registered versions do not age while the list of targets is unchanged', () => {
   const versions = ServiceVersions.create();
