ServiceVersions keeps each registered version once

Each caller resume and each retry of a stream refreshed one entry per registered target; now it is one per version.

--- a/packages/routing/src/lib/versions/service_versions.ts
+++ b/packages/routing/src/lib/versions/service_versions.ts
@@ -20,6 +20,7 @@
 export class ServiceVersions {
   /** Service to version to when it was last seen. */
   private readonly seen = new Map<string, Map<string, number>>();
+  /** Without duplicates: all are refreshed whenever a request asks. */
   private registered: readonly RegisteredVersion[] = [];
   private retentionMs = streamRetentionMs(0);
 
@@ -43,7 +44,7 @@
    */
   setRegistered(registered: readonly RegisteredVersion[], nowMs: number): void {
     this.refreshRegistered(nowMs);
-    this.registered = registered;
+    this.registered = distinct(registered);
     this.refreshRegistered(nowMs);
   }
 
@@ -96,3 +97,13 @@
     }
   }
 }
+
+function distinct(
+  registered: readonly RegisteredVersion[]
+): RegisteredVersion[] {
+  const byKey = new Map<string, RegisteredVersion>();
+  for (const {service, version} of registered) {
+    byKey.set(JSON.stringify([service, version]), {service, version});
+  }
+  return [...byKey.values()];
+}
