VersionArchive: a writer that steps down ends its batch

After a store outage several instances can be writers, each with a batch of all streams that it remembers. It now stops after the append that is under way; the other writer saves the rest.

--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -150,6 +150,25 @@
   });
 });
 
+// After a store outage several instances write at once, each all that it knows.
+test('a writer that steps down leaves the rest of its batch to the other', async () => {
+  const store = MemoryArchive.create();
+  await withInstances(store, async start => {
+    const instance = start('entry-2');
+    const append = store.append.bind(store);
+    store.append = async (topic, key, value) => {
+      const result = await append(topic, key, value);
+      const nowMs = systemClock.monotonicMs();
+      instance.versionJournal.onPeerSaved('entry-1', nowMs);
+      return result;
+    };
+    for (let i = 0; i < 20_000; i++) instance.begin(i, 'v1');
+    instance.see('v1', 'v2');
+    await sleep(SAVED_MS);
+    assert.equal(store.calls.append, 1);
+  });
+});
+
 test('streams that could not be saved are saved once the store is back', async () => {
   const store = MemoryArchive.create();
   await withInstances(store, async start => {
--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -128,11 +128,14 @@
     this.appended = this.appended.then(() => this.append(records));
   }
 
-  /** Appends in order; after a failure the journal returns the rest again. */
+  /**
+   * Appends in order; after a failure the journal returns the rest again. If
+   * another instance has become the writer, it saves the rest.
+   */
   private async append(records: readonly JournalRecord[]): Promise<void> {
     const {archive, state, onAppended} = this.options;
     for (const record of records) {
-      if (this.batch !== records) return;
+      if (this.batch !== records || !state.versionJournal.isWriter) return;
       const {key, value} = encodeJournalRecord(record);
       const result = await archive.append(RECORD_TOPIC.versions, key, value);
       if (this.timer === undefined) return;
