JournalReader reads streams that peers append during a start

An instance that restarts alone while a service has several versions missed streams whose notices were sent before it could receive any, and which were appended after its read.

--- a/packages/gateway/src/lib/archive/journal_reader.ts
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -17,6 +17,8 @@
 const BATCHES_PER_S = 5;
 /** Two instances may write for a short time, see `VersionJournal`. */
 const MAX_WRITERS = 2;
+/** Longer than it takes to append a stream that began just before the read. */
+const LATE_READ_DELAY_MS = 1000;
 
 /** @internal */
 export interface JournalReaderOptions {
@@ -35,10 +37,12 @@
   malformed: number;
 }
 
-/** Reads the journal of stream versions once, at a start. @internal */
+/** Reads the journal of stream versions at a start. @internal */
 export class JournalReader {
   private stopped = false;
   private restores = 0;
+  /** Offset after the streams that were read; undefined if none were needed. */
+  private nextOffset: number | undefined;
   private counts: ReadCounts = {services: 0, streamRecords: 0, malformed: 0};
 
   private constructor(private readonly options: JournalReaderOptions) {}
@@ -72,6 +76,22 @@
     return false;
   }
 
+  /**
+   * Reads the streams that peers appended while the journal was read. Their
+   * notices may have been sent before this instance could receive any. It is
+   * tried once; streams that are missed are refused at this instance.
+   */
+  async readLate(): Promise<void> {
+    const {nextOffset, restores} = this;
+    if (nextOffset === undefined) return;
+    await sleep(LATE_READ_DELAY_MS);
+    if (this.stopped || this.restores !== restores) return;
+    const {archive} = this.options;
+    const page = await archive.read(RECORD_TOPIC.versions, nextOffset);
+    if (!page.ok || this.stopped || this.restores !== restores) return;
+    for (const archived of page.value.records) this.onStreams(archived);
+  }
+
   /** Returns false if it has to be read anew. */
   private async readOnce(isCurrent: () => boolean): Promise<boolean> {
     const {archive} = this.options;
@@ -79,6 +99,7 @@
       archive.newest(RECORD_TOPIC.versions)
     );
     if (newest?.ok !== true) return false;
+    this.nextOffset = undefined;
     let hasSeveral = false;
     for (const archived of newest.value.records) {
       const record = this.decode(archived);
@@ -112,6 +133,7 @@
       for (const archived of records) this.onStreams(archived);
       from += records.length;
     }
+    this.nextOffset = from;
     return isCurrent();
   }
 
--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -258,6 +258,24 @@
   });
 });
 
+// Peers sent their notices of these streams before the instance could hear them.
+test('streams that a peer saves while an instance starts are read as well', async () => {
+  const store = MemoryArchive.create();
+  put(store, twoVersions);
+  put(store, streams('v1', [7]));
+  await withInstances(store, async start => {
+    const {streamVersions, journalReadiness} = start();
+    await sleep(100);
+    assert.equal(journalReadiness.isComplete, true);
+    put(store, streams('v2', [8]));
+    await sleep(1500);
+    assert.equal(streamVersions.versionOf(7), 'v1');
+    assert.equal(streamVersions.versionOf(8), 'v2');
+    const {newest, read} = store.calls;
+    assert.deepEqual({newest, read}, {newest: 1, read: 2});
+  });
+});
+
 test('where the store dropped history, the rest is read', async () => {
   const store = MemoryArchive.create();
   put(store, twoVersions);
--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -98,7 +98,9 @@
   }
 
   private async read(): Promise<void> {
-    if (await this.reader.readAll()) this.onReadEnd();
+    if (!(await this.reader.readAll())) return;
+    this.onReadEnd();
+    await this.reader.readLate();
   }
 
   private onReadEnd(): void {
