--- a/packages/gateway/src/lib/archive/journal_codec.ts
+++ b/packages/gateway/src/lib/archive/journal_codec.ts
@@ -4,7 +4,7 @@
 import type {JournalRecord} from '@applebend/routing';
 import type {ArchivedRecord} from '../ports.js';
 
-/** Key of all records with streams; only the newest is kept for good. @public */
+/** Key of all records with streams; the store keeps the newest forever. @public */
 export const STREAMS_KEY = 'streams';
 const SERVICE_PREFIX = 'service/';
 
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -106,13 +106,9 @@
   const newest = {configVersion, targetsKey, targets};
   const origin = {storeEra, restoredBefore, targetsAgeMs};
   const evacuations = decodeEvacuations(evacuated);
-  // Without them the requester reads the store itself.
-  if (
-    evacuations === undefined &&
-    evacuated !== undefined &&
-    evacuated !== null
-  )
-    return undefined;
+  const isMissing = evacuated === undefined || evacuated === null;
+  // Malformed ones confirm nothing, so the requester reads the store itself.
+  if (evacuations === undefined && !isMissing) return undefined;
   return {nonce, state: {...newest, ...origin}, evacuations};
 }
 
--- a/packages/routing/src/lib/versions/journaled_services.ts
+++ b/packages/routing/src/lib/versions/journaled_services.ts
@@ -19,10 +19,10 @@
    * Services whose record may name several versions. Without an own save, it is
    * not certain that a set that has shrunk to one version was saved.
    */
-  private readonly several = new Set<string>();
+  private readonly mayHoldSeveral = new Set<string>();
   /** Services whose records have to be written whatever the journal holds. */
   private readonly forced = new Set<string>();
-  private versions: ReadonlySet<string> = new Set();
+  private versionsToJournal: ReadonlySet<string> = new Set();
 
   private constructor() {}
 
@@ -30,9 +30,9 @@
     return new JournaledServices();
   }
 
-  /** The versions of all services that have several. */
-  get severalVersions(): ReadonlySet<string> {
-    return this.versions;
+  /** The versions whose streams are saved: of all services with several. */
+  get journaledVersions(): ReadonlySet<string> {
+    return this.versionsToJournal;
   }
 
   onServices(sets: VersionSets): void {
@@ -40,37 +40,37 @@
     const versions = new Set<string>();
     for (const [service, set] of sets) {
       if (set.length < 2) continue;
-      this.several.add(service);
+      this.mayHoldSeveral.add(service);
       for (const version of set) versions.add(version);
     }
-    this.versions = versions;
+    this.versionsToJournal = versions;
   }
 
   /** Called with a record that the journal holds. */
   onHeld({service, versions}: ServiceRecord): void {
     this.held.set(service, versions);
     this.forced.delete(service);
-    if (versions.length > 1) this.several.add(service);
-    else this.several.delete(service);
+    if (versions.length > 1) this.mayHoldSeveral.add(service);
+    else this.mayHoldSeveral.delete(service);
   }
 
   /** Called when the writer of the fleet has saved what it knows. */
   assumeSaved(): void {
     this.forced.clear();
-    for (const service of this.several) {
+    for (const service of this.mayHoldSeveral) {
       this.held.set(service, this.currentOf(service));
     }
   }
 
   /** Has all records written that name several versions, or may do so. */
   forceAll(): void {
-    for (const service of this.several) this.forced.add(service);
+    for (const service of this.mayHoldSeveral) this.forced.add(service);
   }
 
   /** The records to write. */
   unsaved(): ServiceRecord[] {
     const records: ServiceRecord[] = [];
-    for (const service of this.several) {
+    for (const service of this.mayHoldSeveral) {
       const versions = this.currentOf(service);
       const isHeld = isSame(versions, this.held.get(service) ?? NO_VERSIONS);
       if (isHeld && !this.forced.has(service)) continue;
--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -64,7 +64,7 @@
     sets: ReadonlyMap<string, readonly string[]>,
     nowMs: number
   ): void {
-    const before = this.services.severalVersions;
+    const before = this.services.journaledVersions;
     this.services.onServices(sets);
     if (this.isWriter) this.addRemembered(before);
     if (this.services.unsaved().length > 0) this.onUnsaved(nowMs);
@@ -75,7 +75,7 @@
    * remembered streams.
    */
   onStream(attempt: AttemptKey, version: string, nowMs: number): void {
-    if (!this.services.severalVersions.has(version)) return;
+    if (!this.services.journaledVersions.has(version)) return;
     if (this.isWriter) this.unsavedStreams.add(attempt, version);
     else this.onUnsaved(nowMs);
   }
@@ -104,7 +104,7 @@
       return;
     }
     this.selection.postponeTakeover(nowMs);
-    if (this.services.severalVersions.size > 0) this.onUnsaved(nowMs);
+    if (this.services.journaledVersions.size > 0) this.onUnsaved(nowMs);
   }
 
   /** Applies a record that was read at startup. */
@@ -137,7 +137,7 @@
     const isJournaled = this.services.unsaved().length === 0;
     if (isJournaled) this.selection.postponeTakeover(nowMs);
     // Streams may have begun in the meantime.
-    if (this.services.severalVersions.size > 0) this.onUnsaved(nowMs);
+    if (this.services.journaledVersions.size > 0) this.onUnsaved(nowMs);
   }
 
   /**
@@ -195,7 +195,7 @@
 
   /** Adds the remembered streams of services that have come to have several. */
   private addRemembered(before: ReadonlySet<string>): void {
-    const added = new Set(this.services.severalVersions);
+    const added = new Set(this.services.journaledVersions);
     for (const version of before) added.delete(version);
     if (added.size === 0) return;
     this.unsavedStreams.addAll(this.options.streams.remembered(added));
--- a/packages/routing/src/testing/journal_checks.ts
+++ b/packages/routing/src/testing/journal_checks.ts
@@ -19,7 +19,7 @@
 
 /** Until then, not all instances and the journal know of a second send. */
 export const RESEND_SETTLES_MS = 2000;
-/** `StreamVersions` and `ServiceVersions` without longer routes. */
+/** Retention time of a configuration whose routes have shorter timeouts. */
 export const RETENTION_MS = 30_000;
 /** No caller resumes a stream without an event. */
 const FIRST_EVENT_MS = 400;
