--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -150,6 +150,25 @@
   });
 });
 
+// After a store outage several instances write at once, each all that it knows.
+test('a writer that steps down leaves the rest of its batch to the other', async () => {
+  const store = MemoryArchive.create();
+  await withInstances(store, async start => {
+    const instance = start('entry-2');
+    const append = store.append.bind(store);
+    store.append = async (topic, key, value) => {
+      const result = await append(topic, key, value);
+      const nowMs = systemClock.monotonicMs();
+      instance.versionJournal.onPeerSaved('entry-1', nowMs);
+      return result;
+    };
+    for (let i = 0; i < 20_000; i++) instance.begin(i, 'v1');
+    instance.see('v1', 'v2');
+    await sleep(SAVED_MS);
+    assert.equal(store.calls.append, 1);
+  });
+});
+
 test('streams that could not be saved are saved once the store is back', async () => {
   const store = MemoryArchive.create();
   await withInstances(store, async start => {
@@ -239,6 +258,24 @@
   });
 });
 
+// Peers sent their notices of these streams before the instance could hear them.
+test('streams that a peer saves while an instance starts are read as well', async () => {
+  const store = MemoryArchive.create();
+  put(store, twoVersions);
+  put(store, streams('v1', [7]));
+  await withInstances(store, async start => {
+    const {streamVersions, journalReadiness} = start();
+    await sleep(100);
+    assert.equal(journalReadiness.isComplete, true);
+    put(store, streams('v2', [8]));
+    await sleep(1500);
+    assert.equal(streamVersions.versionOf(7), 'v1');
+    assert.equal(streamVersions.versionOf(8), 'v2');
+    const {newest, read} = store.calls;
+    assert.deepEqual({newest, read}, {newest: 1, read: 2});
+  });
+});
+
 test('where the store dropped history, the rest is read', async () => {
   const store = MemoryArchive.create();
   put(store, twoVersions);
--- a/packages/routing/src/lib/versions/service_versions.ts
+++ b/packages/routing/src/lib/versions/service_versions.ts
@@ -20,6 +20,7 @@
 export class ServiceVersions {
   /** Service to version to when it was last seen. */
   private readonly seen = new Map<string, Map<string, number>>();
+  /** Without duplicates: all are refreshed whenever a request asks. */
   private registered: readonly RegisteredVersion[] = [];
   private retentionMs = streamRetentionMs(0);
 
@@ -29,9 +30,12 @@
     return new ServiceVersions();
   }
 
-  /** Sets for how long a stream can be resumed after it began. */
+  /**
+   * Sets for how long a stream can be resumed after it began. A shorter time than
+   * before is ignored: streams that began under the former one may still run.
+   */
   setLongestStreamMs(longestMs: number): void {
-    this.retentionMs = streamRetentionMs(longestMs);
+    this.retentionMs = Math.max(this.retentionMs, streamRetentionMs(longestMs));
   }
 
   /**
@@ -40,7 +44,7 @@
    */
   setRegistered(registered: readonly RegisteredVersion[], nowMs: number): void {
     this.refreshRegistered(nowMs);
-    this.registered = registered;
+    this.registered = distinct(registered);
     this.refreshRegistered(nowMs);
   }
 
@@ -93,3 +97,13 @@
     }
   }
 }
+
+function distinct(
+  registered: readonly RegisteredVersion[]
+): RegisteredVersion[] {
+  const byKey = new Map<string, RegisteredVersion>();
+  for (const {service, version} of registered) {
+    byKey.set(JSON.stringify([service, version]), {service, version});
+  }
+  return [...byKey.values()];
+}
