Prefix caches of cold targets are not queried

Every instance queried the prefix cache of an engine as soon as its registration was read, so an engine that restarted got one request from each instance of the fleet within its first second, beside its bound. The query now waits until the engine is warm, as it waits for the end of an evacuation.

cached_block_query.test failed before (queried at once) and passes.

--- a/packages/gateway/src/lib/state/cached_block_loader.ts
+++ b/packages/gateway/src/lib/state/cached_block_loader.ts
@@ -8,7 +8,7 @@
   readonly inspector: TargetInspector;
   readonly log: Logger;
   readonly onSignals: TargetSignalListener;
-  /** Whether a target, which may not respond any more, is queried later. */
+  /** Whether a target must not be queried now; a later `load` asks again. */
   readonly isSkipped: (record: TargetRecord) => boolean;
 }
 
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -7,6 +7,7 @@
   TARGET_STATE,
   TargetDepartures,
 } from '@applebend/routing';
+import {systemClock} from '@applebend/utils';
 import {CachedBlockLoader} from './cached_block_loader.js';
 import {ColdTargets} from './cold_targets.js';
 import {TargetRecord} from './target_record.js';
@@ -67,7 +68,9 @@
       inspector,
       log,
       onSignals,
-      isSkipped: ({target}) => this.evacuations.has(target.failureDomain),
+      isSkipped: ({target, coldStart}) =>
+        this.evacuations.has(target.failureDomain) ||
+        coldStart.isCold(systemClock.monotonicMs()),
     });
     this.cold = ColdTargets.create(settings, () => this.all(), log);
   }
