--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -159,12 +159,13 @@
 
   private send({candidate}: Placement): void {
     const {context, deps} = this;
-    const record = deps.state.targets.get(candidate.id);
-    const obstacle = reserveSend(record, this.leftMs, this.nowMs);
-    if (record === undefined || obstacle !== undefined) {
-      if (obstacle !== undefined) this.giveUp(obstacle);
+    const chosen = deps.state.targets.get(candidate.id);
+    const reserved = reserveSend(chosen, this.leftMs, this.nowMs);
+    if (!reserved.ok) {
+      this.giveUp(reserved.err);
       return;
     }
+    const record = reserved.value;
     this.ending.notePlacement(candidate);
     this.target = record.target;
     this.resumedAfter = this.relay.lastEventId;
--- a/packages/gateway/src/lib/front/send_check.ts
+++ b/packages/gateway/src/lib/front/send_check.ts
@@ -1,5 +1,7 @@
+import {fail, ok} from '@applebend/utils';
 import {attemptFailure, EXECUTION} from '../errors.js';
 
+import type {Result} from '@applebend/utils';
 import type {AttemptFailure} from '../errors.js';
 import type {TargetRecord} from '../state/target_record.js';
 
@@ -7,8 +9,9 @@
 const MIN_LEFT_TO_SEND_MS = 5;
 
 /**
- * Takes what the send costs at its target. Returns why the request cannot be
- * sent after all, or undefined if it can.
+ * Checks once more that a request may be sent to the target that was chosen, and
+ * counts it against the target's cold rate. Returns the record of the target, or
+ * why the request cannot be sent.
  *
  * @param record - undefined if the target was removed since it was chosen
  * @param leftMs - time left until the deadline of the request
@@ -18,14 +21,15 @@
   record: TargetRecord | undefined,
   leftMs: number,
   nowMs: number
-): AttemptFailure | undefined {
+): Result<TargetRecord, AttemptFailure> {
   const {notRun} = EXECUTION;
   if (record === undefined) {
-    return attemptFailure('connect_failed', notRun, 'target was removed');
+    return fail(attemptFailure('connect_failed', notRun, 'target was removed'));
   }
   if (leftMs < MIN_LEFT_TO_SEND_MS) {
-    return attemptFailure('timeout', notRun, 'too little time left to send');
+    const message = 'too little time left to send';
+    return fail(attemptFailure('timeout', notRun, message));
   }
-  if (record.coldStart.trySend(nowMs)) return undefined;
-  return attemptFailure('target_paused', notRun, 'target is cold');
+  if (record.coldStart.trySend(nowMs)) return ok(record);
+  return fail(attemptFailure('target_paused', notRun, 'target is cold'));
 }
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -106,13 +106,9 @@
   const newest = {configVersion, targetsKey, targets};
   const origin = {storeEra, restoredBefore, targetsAgeMs};
   const evacuations = decodeEvacuations(evacuated);
-  // Without them the requester reads the store itself.
-  if (
-    evacuations === undefined &&
-    evacuated !== undefined &&
-    evacuated !== null
-  )
-    return undefined;
+  const hasEvacuations = evacuated !== undefined && evacuated !== null;
+  // A malformed state confirms nothing, so the requester reads the store itself.
+  if (hasEvacuations && evacuations === undefined) return undefined;
   return {nonce, state: {...newest, ...origin}, evacuations};
 }
 
@@ -124,8 +120,8 @@
 function decodeEvacuations(wire: unknown): EvacuationState | undefined {
   if (!Array.isArray(wire)) return undefined;
   const [asOf, storeEra, domains] = wire as unknown[];
-  if (typeof asOf !== 'number' || typeof storeEra !== 'number')
-    return undefined;
+  if (typeof asOf !== 'number') return undefined;
+  if (typeof storeEra !== 'number') return undefined;
   if (!Array.isArray(domains) || !domains.every(isString)) return undefined;
   return {asOf, storeEra, domains};
 }
--- a/packages/gateway/src/lib/state/cold_targets.ts
+++ b/packages/gateway/src/lib/state/cold_targets.ts
@@ -78,7 +78,7 @@
   onLoss(incarnation: string, nowMs: number): void {
     for (const {target, coldStart} of this.records()) {
       if (incarnationOf(target) !== incarnation) continue;
-      coldStart.onPeerLost(nowMs);
+      coldStart.onTargetLoss(nowMs);
     }
   }
 
--- a/packages/gateway/src/lib/state/target_record.ts
+++ b/packages/gateway/src/lib/state/target_record.ts
@@ -36,7 +36,7 @@
     public target: Target,
     readonly firstEventModel: FirstEventModel,
     private readonly peerLoads: PeerLoadTotals,
-    /** Whether it takes few requests yet, and which this instance may send. */
+    /** Whether it is cold, and what this instance may send to it meanwhile. */
     readonly coldStart: ColdStart
   ) {}
 
--- a/packages/routing/src/lib/health/cold_start.test.ts
+++ b/packages/routing/src/lib/health/cold_start.test.ts
@@ -107,11 +107,11 @@
 
 test('a lost target is cold for 10 s at most, however often peers tell of it', () => {
   const coldStart = createOwned();
-  coldStart.onPeerLost(1000);
-  coldStart.onPeerLost(3000);
+  coldStart.onTargetLoss(1000);
+  coldStart.onTargetLoss(3000);
   assert.equal(coldStart.reason(10_999), COLD_REASON.lost);
   assert.equal(coldStart.isCold(11_000), false);
-  // Its connections here broke again.
+  // It refused two connections of this instance.
   coldStart.onLost(12_000);
   coldStart.onLost(13_000);
   assert.equal(coldStart.isCold(22_999), true);
--- a/packages/routing/src/lib/health/cold_start.ts
+++ b/packages/routing/src/lib/health/cold_start.ts
@@ -6,7 +6,7 @@
 export const COLD_REASON = {
   /** Its registration says so. */
   registered: 'registered',
-  /** It refused or reset a connection, so it may have restarted. */
+  /** Nothing listened at its address, so it may have restarted. */
   lost: 'lost',
   /** The evacuation of its failure domain ended. */
   evacuationEnded: 'evacuation_ended',
@@ -37,13 +37,16 @@
   readonly coldLeftMs: number;
 }
 
-/** A registration may be read so much before the target counts its time. */
+/** A target may be warm this much later than its registration, as read, says. */
 const REGISTERED_MARGIN_MS = 500;
 /** A lost target is registered anew, or removed, within this time. */
 const MAX_LOST_MS = 10_000;
 /** The first renewal after an event may have been written before it. */
 const RENEWALS_TO_TRUST = 2;
-/** Callers that are refused by an instance without a share may reach an owner. */
+/**
+ * Longest advice of an instance without a share: at a retry the caller may reach
+ * an owner.
+ */
 const MAX_RETRY_MS = 300;
 /** Requests that an owner may send at once. */
 const BURST = 1;
@@ -80,8 +83,8 @@
 /**
  * Whether a target is cold, and what this instance may send to it meanwhile. The
  * owners of its rate send at most one request at once and their share of the
- * rate; no other instance sends any. Requests are counted at all times, so that
- * no second has more, also if the target becomes cold between two requests.
+ * rate; no other instance sends any. The bucket also counts the requests that are
+ * sent while the target is warm, since it may become cold right after them.
  *
  * @public
  */
@@ -199,18 +202,18 @@
   }
 
   /**
-   * Records that the target refused or reset a connection of this instance: it
-   * may be back before its new registration is read.
+   * Records that the target refused a connection of this instance: it may be back
+   * before its new registration is read.
    */
   onLost(nowMs: number): void {
     this.assume(COLD_REASON.lost, nowMs + MAX_LOST_MS);
   }
 
   /**
-   * Records that the target is lost at a peer. The peers tell of a loss several
-   * times, which does not prolong its time.
+   * Records a `TargetLoss`, of this instance or a peer. The same loss is reported
+   * several times, which does not prolong the cold time.
    */
-  onPeerLost(nowMs: number): void {
+  onTargetLoss(nowMs: number): void {
     const untilMs = this.assumed.get(COLD_REASON.lost)?.untilMs ?? -Infinity;
     if (nowMs >= untilMs) this.onLost(nowMs);
   }
