--- a/packages/gateway/src/lib/front/send_check.ts
+++ b/packages/gateway/src/lib/front/send_check.ts
@@ -9,8 +9,9 @@
 const MIN_LEFT_TO_SEND_MS = 5;
 
 /**
- * Takes what the send costs at its target. Returns the record of that target, or
- * why the request cannot be sent after all.
+ * Checks once more that a request may be sent to the target that was chosen, and
+ * counts it against the target's cold rate. Returns the record of the target, or
+ * why the request cannot be sent.
  *
  * @param record - undefined if the target was removed since it was chosen
  * @param leftMs - time left until the deadline of the request
@@ -26,9 +27,8 @@
     return fail(attemptFailure('connect_failed', notRun, 'target was removed'));
   }
   if (leftMs < MIN_LEFT_TO_SEND_MS) {
-    return fail(
-      attemptFailure('timeout', notRun, 'too little time left to send')
-    );
+    const message = 'too little time left to send';
+    return fail(attemptFailure('timeout', notRun, message));
   }
   if (record.coldStart.trySend(nowMs)) return ok(record);
   return fail(attemptFailure('target_paused', notRun, 'target is cold'));
