TargetReporter split from the gateway; Evacuations forgets ended ones

Change: what an instance observes of targets and tells its peers is a class of its own; the unused time is removed, with the three lines of the test that read it.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,27 +1,24 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
 import {VersionArchive} from './archive/version_archive.js';
 import {QuarantineArchive} from './archive/quarantine_archive.js';
-import {incarnationOf} from './crash/loss_checks.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
-import {streamKeyOf} from './front/stream_version.js';
 import {LoopMonitor} from './loop_monitor.js';
 import {GatewayMetrics} from './metrics/gateway_metrics.js';
 import {startMetricsServer} from './metrics/metrics_server.js';
 import {startConfigServer} from './peers/config_transfer.js';
 import {PeerExchange} from './peers/peer_exchange.js';
+import {TargetReporter} from './peers/target_reporter.js';
 import {FleetState} from './state/fleet_state.js';
 import {TargetAgent} from './upstream/target_agent.js';
 
 import type http from 'node:http';
-import type {FleetConfig, TargetList, TargetLoss} from '@applebend/routing';
+import type {FleetConfig, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
-import type {RequestContext} from './front/request_context.js';
-import type {TargetRecord} from './state/target_record.js';
 import type {
   GatewaySettings,
   HeaderCodec,
@@ -29,7 +26,6 @@
   RecordArchive,
   StateSource,
   TargetInspector,
-  TargetSignals,
 } from './ports.js';
 
 /** The settings and platform adapters of a gateway. @public */
@@ -59,6 +55,7 @@
 export class Gateway {
   private readonly state: FleetState;
   private readonly peers: PeerExchange;
+  private readonly reporter: TargetReporter;
   private readonly quarantines: QuarantineArchive;
   private readonly versionArchive: VersionArchive;
   private readonly loop: LoopMonitor;
@@ -76,8 +73,6 @@
     this.requestLog = RequestLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
-    this.state.onTargetSignals = (record, signals) =>
-      this.onTargetSignals(record, signals);
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
       this.state.shareLevels(systemClock.monotonicMs())
     );
@@ -88,9 +83,17 @@
       source: stateSource,
       incarnation: random.int(1, 0x7fffffff),
     });
+    this.reporter = TargetReporter.create({
+      state: this.state,
+      peers: this.peers,
+      metrics: this.metrics,
+      clock: systemClock,
+    });
+    this.state.onTargetSignals = (record, signals) =>
+      this.reporter.onSignals(record, signals);
     this.quarantines = QuarantineArchive.create(archive, log);
     const {crashGuard} = this.state;
-    crashGuard.onLosses = losses => this.onLosses(losses);
+    crashGuard.onLosses = losses => this.reporter.onLosses(losses);
     crashGuard.onSurvivals = survivals =>
       this.peers.announce({kind: 'survivals', survivals});
     crashGuard.onQuarantined = quarantine =>
@@ -109,12 +112,9 @@
       agent: TargetAgent.create(),
       clock: systemClock,
       random: () => random.uniform(),
-      onPlaced: (target, context, isCacheMiss) => {
-        this.noteStream(target, context);
-        this.countLimited(target);
-        this.peers.onPlaced(target, context.prompt, isCacheMiss);
-      },
-      onRefused: record => this.onRefused(record),
+      onPlaced: (target, context, isCacheMiss) =>
+        this.reporter.onPlaced(target, context, isCacheMiss),
+      onRefused: record => this.reporter.onRefused(record),
       onUsage: usage => {
         this.peers.onUsage(usage);
         this.usageLog.onUsage(usage);
@@ -187,63 +187,6 @@
     log.info('started');
   }
 
-  /** Notes for all instances at which software version a stream begins. */
-  private noteStream(targetId: string, context: RequestContext): void {
-    const {targets} = this.state;
-    const attempt = streamKeyOf(context);
-    const version = targets.get(targetId)?.target.softwareVersion;
-    if (attempt === undefined || version === undefined) return;
-    this.state.addStream(attempt, version, systemClock.monotonicMs());
-    this.peers.announce({kind: 'streams', version, attempts: [attempt]});
-  }
-
-  /** Counts a request, for all instances, to a target that limits their rate. */
-  private countLimited(targetId: string): void {
-    const limit = this.state.targets.get(targetId)?.rateLimit;
-    const nowMs = systemClock.monotonicMs();
-    if (limit?.isInForce(nowMs) !== true) return;
-    limit.onSent(nowMs);
-    this.peers.onLimitedSend(targetId);
-  }
-
-  /** Applies what a target says of itself, and tells the peers. */
-  private onTargetSignals(
-    record: TargetRecord,
-    {isLeaving, pauseMs, limitPerS}: TargetSignals
-  ): void {
-    const {targets} = this.state;
-    const nowMs = systemClock.monotonicMs();
-    const {id} = record.target;
-    if (pauseMs !== undefined) {
-      targets.onPause(record, pauseMs, nowMs);
-      this.peers.announce({kind: 'pause', target: id, pauseMs});
-      this.metrics.onTargetPaused();
-    }
-    if (limitPerS !== undefined && targets.onLimit(record, limitPerS, nowMs)) {
-      this.peers.announce({kind: 'limit', target: id, limitPerS});
-    }
-    if (!isLeaving) return;
-    const departure = targets.onLeaving(record, nowMs);
-    if (departure === undefined) return;
-    this.peers.announce({kind: 'departure', departure});
-    this.metrics.onTargetLeaving();
-  }
-
-  /** Tells the peers of a target that may be back before they send to it. */
-  private onRefused({target, coldStart}: TargetRecord): void {
-    if (!coldStart.isLimited) return;
-    this.peers.announce({kind: 'refused', target: incarnationOf(target)});
-  }
-
-  /** Tells the peers before the callers of the lost requests can return. */
-  private onLosses(losses: readonly TargetLoss[]): void {
-    this.metrics.onTargetLost();
-    const {cold} = this.state.targets;
-    const nowMs = systemClock.monotonicMs();
-    for (const {target} of losses) cold.onLoss(target, nowMs);
-    this.peers.announceNow(losses.map(loss => ({kind: 'loss', loss})));
-  }
-
   private async loadQuarantines(): Promise<void> {
     for (const quarantine of await this.quarantines.load()) {
       this.state.crashGuard.onQuarantine(quarantine);
--- a/packages/routing/src/lib/membership/evacuations.test.ts
+++ b/packages/routing/src/lib/membership/evacuations.test.ts
@@ -44,10 +44,7 @@
   const ended = evacuations.onRead(later({a: false, c: false}, 7), 30);
   assert.deepEqual(ended, {begun: [], ended: ['a']});
   assert.equal(evacuations.has('a'), false);
-  assert.equal(evacuations.endedAtMs('a'), 30);
-  assert.equal(evacuations.endedAtMs('b'), undefined);
   assert.deepEqual(evacuations.onRead(later({a: true}, 8), 40).begun, ['a']);
-  assert.equal(evacuations.endedAtMs('a'), undefined);
 });
 
 test('a complete read ends what it lacks, once the history is gone', () => {
--- a/packages/routing/src/lib/membership/evacuations.ts
+++ b/packages/routing/src/lib/membership/evacuations.ts
@@ -42,7 +42,6 @@
 export class Evacuations {
   /** Domain to whether its record was seen in the present era. */
   private readonly domains = new Map<string, boolean>();
-  private readonly endedAt = new Map<string, number>();
   private asOf = -Infinity;
   private storeEra = -Infinity;
   private keptUntilMs = -Infinity;
@@ -78,14 +77,6 @@
     return this.domains.has(domain);
   }
 
-  /**
-   * When the last evacuation of a domain was seen to end, in monotonic
-   * milliseconds; undefined if there was none, or one is in force.
-   */
-  endedAtMs(domain: string): number | undefined {
-    return this.endedAt.get(domain);
-  }
-
   /** Applies the state that a peer holds. */
   onState(
     {domains, asOf, storeEra}: EvacuationState,
@@ -117,7 +108,6 @@
       if (!isWritten) continue;
       if (!this.domains.has(domain)) begun.push(domain);
       this.domains.set(domain, true);
-      this.endedAt.delete(domain);
     }
     return begun;
   }
@@ -130,7 +120,6 @@
       const isMissing = isSeen ? isComplete : nowMs >= this.keptUntilMs;
       if (isWritten === undefined && !isMissing) continue;
       this.domains.delete(domain);
-      this.endedAt.set(domain, nowMs);
       ended.push(domain);
     }
     return ended;
