--- a/packages/externals/src/lib/engine_api.ts
+++ b/packages/externals/src/lib/engine_api.ts
@@ -1,3 +1,4 @@
+import {parseJson} from '@applebend/utils';
 import {z} from 'zod';
 
 /** Assumed if the caller sets no limit on output tokens. */
@@ -90,11 +91,3 @@
 export function streamResumePath(streamId: string, tokens: number): string {
   return `/v1/streams/${encodeURIComponent(streamId)}?after=${tokens}`;
 }
-
-function parseJson(body: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(body).toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/lib/archive/journal_reader.ts
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -1,4 +1,4 @@
-import {streamRetentionMs} from '@applebend/routing';
+import {JOURNAL_BATCH_INTERVAL_MS, streamRetentionMs} from '@applebend/routing';
 import {sleep} from '@applebend/utils';
 import {RECORD_TOPIC} from '../ports.js';
 import {decodeJournalRecord} from './journal_codec.js';
@@ -13,8 +13,6 @@
 const RETRY_FACTOR = 1.5;
 /** How often a reader checks whether the configuration has arrived. */
 const CONFIG_POLL_MS = 20;
-/** Batches of streams that one writer appends in a second. */
-const BATCHES_PER_S = 5;
 /** Two instances may write for a short time, see `VersionJournal`. */
 const MAX_WRITERS = 2;
 /** Longer than it takes to append a stream that began just before the read. */
@@ -165,8 +163,8 @@
       config = this.options.config();
     }
     const longestMs = config?.routes.longestTimeoutMs ?? 0;
-    const retentionS = streamRetentionMs(longestMs) / 1000;
-    return Math.ceil(retentionS * BATCHES_PER_S * MAX_WRITERS);
+    const batches = streamRetentionMs(longestMs) / JOURNAL_BATCH_INTERVAL_MS;
+    return Math.ceil(batches * MAX_WRITERS);
   }
 
   /**
--- a/packages/gateway/src/lib/archive/quarantine_codec.ts
+++ b/packages/gateway/src/lib/archive/quarantine_codec.ts
@@ -1,3 +1,4 @@
+import {parseJson} from '@applebend/utils';
 import * as z from 'zod';
 
 import type {Quarantine} from '@applebend/routing';
@@ -34,12 +35,3 @@
   const leftMs = untilMs - wallMs;
   return leftMs > 0 ? {fingerprint: key, losses, leftMs} : undefined;
 }
-
-/** Returns undefined, which meets no schema, if the value is not JSON. */
-function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -124,7 +124,10 @@
 export {streamRetentionMs} from './lib/versions/stream_retention.js';
 export {attemptKeyOf, StreamVersions} from './lib/versions/stream_versions.js';
 export type {AttemptKey} from './lib/versions/stream_versions.js';
-export {VersionJournal} from './lib/versions/version_journal.js';
+export {
+  JOURNAL_BATCH_INTERVAL_MS,
+  VersionJournal,
+} from './lib/versions/version_journal.js';
 export type {VersionJournalOptions} from './lib/versions/version_journal.js';
 export {resumedVersionNeed} from './lib/versions/version_need.js';
 export type {ResumedStream, VersionNeed} from './lib/versions/version_need.js';
--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -18,7 +18,8 @@
   readonly streams: StreamVersions;
 }
 
-const BATCH_INTERVAL_MS = 200;
+/** Least time between two batches of one writer. @public */
+export const JOURNAL_BATCH_INTERVAL_MS = 200;
 
 /**
  * Decides what this instance appends to the journal of stream versions. One
@@ -157,7 +158,7 @@
     const records = [...this.services.unsaved(), ...this.unsavedStreams.take()];
     if (records.length === 0) return [];
     for (const record of records) this.inFlight.add(record);
-    this.nextBatchAtMs = nowMs + BATCH_INTERVAL_MS;
+    this.nextBatchAtMs = nowMs + JOURNAL_BATCH_INTERVAL_MS;
     this.selection.onAppend(nowMs);
     return records;
   }
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -10,6 +10,7 @@
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
 export {limitInformation} from './lib/limit_information.js';
 export {Mailbox} from './lib/mailbox.js';
+export {parseJson} from './lib/parse_json.js';
 export {Random} from './lib/random.js';
 export {readAll} from './lib/read_all.js';
 export {fail, ok} from './lib/result.js';
