--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -59,6 +59,7 @@
   private readonly server: http.Server;
   private stoppingSinceMs = Infinity;
   private active = 0;
+  private accepted = 0;
 
   private constructor(private readonly deps: ExchangeDeps) {
     this.server = http.createServer(
@@ -73,6 +74,7 @@
       (req, res) => void this.serve(req, res)
     );
     this.server.on('connection', socket => {
+      this.accepted += 1;
       deps.state.callerConnections += 1;
       socket.on('close', () => (deps.state.callerConnections -= 1));
     });
@@ -93,6 +95,11 @@
     return this.active;
   }
 
+  /** Number of connections that were accepted since the start. */
+  get acceptedCount(): number {
+    return this.accepted;
+  }
+
   /** Applies the connection timeouts of a new configuration. */
   onLimits(idleTimeoutMs: number, headerTimeoutMs: number): void {
     this.server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,6 +3,7 @@
 import {QuarantineArchive} from './archive/quarantine_archive.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
+import {ListenerProbe} from './front/listener_probe.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
 import {LoopMonitor} from './loop_monitor.js';
@@ -63,6 +64,7 @@
   private readonly requestLog: RequestLog;
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
+  private readonly listenerProbe: ListenerProbe;
   private readonly servers: http.Server[] = [];
   private front: FrontServer | undefined;
   private shutdown: Promise<void> | undefined;
@@ -111,6 +113,12 @@
       onAppended: isSaved => this.onJournalAppended(isSaved),
     });
     this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
+    this.listenerProbe = ListenerProbe.create({
+      address: settings.callers,
+      clock: systemClock,
+      log,
+      figures: () => this.loadFigures(),
+    });
     this.exchangeDeps = {
       state: this.state,
       codec,
@@ -182,6 +190,7 @@
     void this.loadQuarantines();
     this.versionArchive.start(settings.isFleetBootstrap);
     this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
+    this.listenerProbe.start();
     this.applyLimits();
     this.servers.push(
       await startConfigServer(settings.peers, () => stateSource.configRecord()),
@@ -233,8 +242,20 @@
     return this.state.targets.cold.update(systemClock.monotonicMs());
   }
 
+  /** How busy this instance is, beside its listener. */
+  private loadFigures() {
+    const {overloadGuard, callerConnections} = this.state;
+    return {
+      acceptedConnections: this.front?.acceptedCount ?? 0,
+      callerConnections,
+      active: this.front?.activeCount ?? 0,
+      loopLagMs: overloadGuard.lagMs,
+      loopBusyPart: overloadGuard.busyFraction,
+    };
+  }
+
   private metricsText(): Promise<string> {
-    const {state, front} = this;
+    const {state} = this;
     return this.metrics.text({
       configAgeMs: this.ports.stateSource.configAgeMs(),
       configVersion: state.config?.version ?? 0,
@@ -243,9 +264,8 @@
       targets: [...state.targets.all()].length,
       coldTargets: this.updateCold(),
       evacuatedDomains: state.targets.evacuations.count,
-      active: front?.activeCount ?? 0,
-      loopLagMs: state.overloadGuard.lagMs,
-      loopBusyPart: state.overloadGuard.busyFraction,
+      listenerDelayMs: this.listenerProbe.delayMs,
+      ...this.loadFigures(),
     });
   }
 
@@ -293,6 +313,7 @@
       server.closeAllConnections();
     }
     this.loop.stop();
+    this.listenerProbe.stop();
     clearInterval(this.coldTimer);
     this.ports.stateSource.stop();
     this.quarantines.stop();
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -22,6 +22,12 @@
   readonly evacuatedDomains: number;
   /** Requests whose response is not complete. */
   readonly active: number;
+  /** Connections of callers that were accepted since the start. */
+  readonly acceptedConnections: number;
+  /** Open connections of callers. */
+  readonly callerConnections: number;
+  /** How long a caller's new connection waits until it is served. */
+  readonly listenerDelayMs: number;
   /** Smoothed lag of the event loop. */
   readonly loopLagMs: number;
   /** Fraction of the time that the event loop is busy, 0 to 1. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -79,6 +79,7 @@
   ColdReason,
   ColdShare,
 } from './lib/health/cold_start.js';
+export {ListenerHealth} from './lib/health/listener_health.js';
 export {TargetHealth} from './lib/health/target_health.js';
 export {ReturnTimes} from './lib/health/return_times.js';
 export {TargetRateLimit} from './lib/health/target_rate_limit.js';
