--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -194,12 +194,17 @@
     this.applyLimits();
     this.servers.push(
       await startConfigServer(settings.peers, () => stateSource.configRecord()),
-      await startReadinessServer(settings.readiness, () => this.state.isReady),
+      await startReadinessServer(settings.readiness, () => this.isReady),
       await startMetricsServer(settings.metrics, () => this.metricsText())
     );
     log.info('started', {isFleetBootstrap: settings.isFleetBootstrap});
   }
 
+  /** Whether the balancer may send new connections here. */
+  private get isReady(): boolean {
+    return this.state.isReady && this.listenerProbe.isResponsive;
+  }
+
   private async loadQuarantines(): Promise<void> {
     for (const quarantine of await this.quarantines.load()) {
       this.state.crashGuard.onQuarantine(quarantine);
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -96,7 +96,7 @@
     return this.current;
   }
 
-  /** Whether the balancer may send new connections here. */
+  /** Whether requests can be decided here, and it is not being stopped. */
   get isReady(): boolean {
     return this.isLoaded && this.hasBeenConfirmed && !this.isStopping;
   }
