--- a/packages/gateway/src/lib/peers/confirmation_message.test.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.test.ts
@@ -60,3 +60,13 @@
     assert.equal(response, undefined);
   }
 });
+
+test('a response with a target that cannot be used confirms nothing', () => {
+  const wire = wireOf(1, EVACUATIONS);
+  const list = wire.findIndex(Array.isArray);
+  for (const fault of [{port: 70_000}, {port: 0}, {host: 'host'}, {id: 1}]) {
+    const targets = [sampleTarget(), {...sampleTarget(), ...fault}];
+    const faulty = wire.with(list, targets);
+    assert.equal(decodeConfirmationResponse(faulty), undefined);
+  }
+});
--- a/packages/gateway/src/lib/peers/confirmation_message.ts
+++ b/packages/gateway/src/lib/peers/confirmation_message.ts
@@ -1,4 +1,6 @@
+import {TARGET_STATE} from '@applebend/routing';
 import {pack} from 'msgpackr';
+import * as z from 'zod';
 import {MESSAGE_KIND} from './wire_rows.js';
 
 import type {EvacuationState, Target} from '@applebend/routing';
@@ -6,6 +8,7 @@
 
 /** A longer target list is not sent; the requester reads it from the store. */
 const MAX_LIST_BYTES = 32 * 1024;
+const MAX_PORT = 65_535;
 
 /** Asks a peer which state is the newest. @public */
 export interface ConfirmationRequest {
@@ -100,10 +103,14 @@
   if (typeof storeEra !== 'number') return undefined;
   if (typeof restoredBefore !== 'number') return undefined;
   if (typeof targetsAgeMs !== 'number') return undefined;
-  const targets = Array.isArray(list)
-    ? (list as Target[]).map(withDefaults)
-    : undefined;
-  const newest = {configVersion, targetsKey, targets};
+  const targets = Array.isArray(list) ? list.map(decodeTarget) : undefined;
+  // A list without one of its targets would not be the one that the key names.
+  if (targets?.every(isDefined) === false) return undefined;
+  const newest = {
+    configVersion,
+    targetsKey,
+    targets: targets?.filter(isDefined),
+  };
   const origin = {storeEra, restoredBefore, targetsAgeMs};
   const evacuations = decodeEvacuations(evacuated);
   const hasEvacuations = evacuated !== undefined && evacuated !== null;
@@ -130,8 +137,26 @@
   return typeof value === 'string';
 }
 
-/** Older instances send targets without a software version or a cold time. */
-function withDefaults(target: Target): Target {
-  const {softwareVersion = '', coldLeftMs = 0} = target;
-  return {...target, softwareVersion, coldLeftMs};
+const targetSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  host: z.ipv4(),
+  port: z.int().min(1).max(MAX_PORT),
+  failureDomain: z.string(),
+  /** Older instances send none, as for the cold time. */
+  softwareVersion: z.string().default(''),
+  slots: z.number(),
+  state: z.enum(TARGET_STATE),
+  startedAtMs: z.number(),
+  registeredAt: z.number(),
+  coldLeftMs: z.number().default(0),
+});
+
+/** Returns undefined if it describes no usable target. */
+function decodeTarget(wire: unknown): Target | undefined {
+  return targetSchema.safeParse(wire).data;
+}
+
+function isDefined<T>(value: T | undefined): value is T {
+  return value !== undefined;
 }
