--- a/packages/gateway/src/lib/crash/target_check.ts
+++ b/packages/gateway/src/lib/crash/target_check.ts
@@ -24,7 +24,16 @@
  *
  * @public
  */
-export function checkTarget({host, port}: Target): Promise<TargetCheck> {
+export async function checkTarget(target: Target): Promise<TargetCheck> {
+  try {
+    return await tryConnect(target);
+  } catch {
+    // Thrown for an address that nothing can listen at.
+    return TARGET_CHECK.unknown;
+  }
+}
+
+function tryConnect({host, port}: Target): Promise<TargetCheck> {
   return new Promise(resolve => {
     const socket = net.connect({host, port});
     const end = (result: TargetCheck) => {
--- a/packages/gateway/src/lib/peers/peer_socket.ts
+++ b/packages/gateway/src/lib/peers/peer_socket.ts
@@ -56,7 +56,16 @@
    */
   send(bytes: Buffer, {host, port}: PeerAddress): void {
     if (this.isClosed) return;
-    this.socket.send(bytes, port, host, this.onSent);
+    try {
+      this.socket.send(bytes, port, host, this.onSent);
+    } catch (err) {
+      // Thrown for an address that cannot be used; other peers are sent theirs.
+      this.log.warn('unusable peer address', {
+        host,
+        port,
+        cause: errorMessage(err),
+      });
+    }
   }
 
   private readonly onSent = (err: Error | null): void => {
