--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -81,7 +81,8 @@
     if (isRefused) this.record.coldStart.onLost(this.nowMs);
     // A failure that the head of the response showed is recorded already.
     if (kind === 'target_paused' || this.isConclusive) return;
-    this.recordFailure();
+    if (kind === 'connect_failed') this.recordUnreachable();
+    else this.recordFailure();
   }
 
   /** Records that the target is silent for too long; the attempt goes on. */
@@ -97,6 +98,11 @@
     this.record.health.onInconclusive();
   }
 
+  private recordUnreachable(): void {
+    this.isConclusive = true;
+    this.record.health.onUnreachable(this.nowMs);
+  }
+
   private recordFailure(): void {
     this.isConclusive = true;
     this.record.health.onFailure(this.nowMs);
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -1,11 +1,11 @@
 import http from 'node:http';
-import {limitInformation} from '@applebend/utils';
+import {errorMessage, fail, limitInformation, ok} from '@applebend/utils';
 import {EXECUTION, attemptFailure} from '../errors.js';
 import {drainBody} from './drain_body.js';
 
 import type {Socket} from 'node:net';
 import type {Target} from '@applebend/routing';
-import type {Contain} from '@applebend/utils';
+import type {Contain, Result} from '@applebend/utils';
 import type {AttemptFailure, Execution} from '../errors.js';
 import type {HeaderCodec, TargetResponseHead, TargetSignals} from '../ports.js';
 
@@ -70,7 +70,8 @@
  * @public
  */
 export class TargetCall {
-  private readonly req: http.ClientRequest;
+  /** Undefined if no connection can be opened to the target's address. */
+  private readonly req: http.ClientRequest | undefined;
   private silenceTimer: NodeJS.Timeout | undefined;
   private connectTimer: NodeJS.Timeout | undefined;
   /** Whether the target may have received the request. */
@@ -85,34 +86,34 @@
     private readonly options: TargetCallOptions,
     private readonly events: TargetCallEvents
   ) {
-    const {target, method, url, headers, agent, body} = options;
-    this.req = http.request({
-      host: target.host,
-      port: target.port,
-      method,
-      path: url,
-      headers,
-      agent,
-    });
-    limitInformation(this.req);
-    const {silenceMs, contain} = options;
-    this.req.on(
+    const {contain} = options;
+    const opened = openRequest(options);
+    if (!opened.ok) {
+      const message = opened.err;
+      setImmediate(contain(() => this.fail('connect_failed', message)));
+      return;
+    }
+    const req = opened.value;
+    this.req = req;
+    limitInformation(req);
+    req.on(
       'socket',
       contain((socket: Socket) => this.onSocket(socket))
     );
-    this.req.on(
+    req.on(
       'response',
-      contain((res: http.IncomingMessage) => this.onHead(res))
+      contain((res: http.IncomingMessage) => this.onHead(res, req.reusedSocket))
     );
-    this.req.on(
+    req.on(
       'error',
       contain((err: NodeJS.ErrnoException) => this.onError(err))
     );
+    const {silenceMs} = options;
     if (silenceMs !== undefined) {
       const onSilence = contain(() => events.onSilence());
       this.silenceTimer = setInterval(onSilence, silenceMs);
     }
-    this.req.end(body);
+    req.end(options.body);
   }
 
   static create(
@@ -130,17 +131,19 @@
   /** Closes the connection, so that the target cancels the request. */
   abort(): void {
     this.settle();
-    this.req.destroy();
+    this.req?.destroy();
   }
 
   private onSocket(socket: Socket): void {
+    // A connection that fails at once is destroyed before this is called.
+    if (socket.destroyed) return;
     if (!socket.connecting) {
       this.sent = true;
       return;
     }
     const onTimeout = this.options.contain(() => {
       this.fail('connect_failed', 'connection timed out');
-      this.req.destroy();
+      this.req?.destroy();
     });
     this.connectTimer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
@@ -149,7 +152,7 @@
     });
   }
 
-  private onHead(res: http.IncomingMessage): void {
+  private onHead(res: http.IncomingMessage, isReusedSocket: boolean): void {
     res.on('error', ignoreError);
     if (this.settled) {
       res.destroy();
@@ -160,10 +163,10 @@
       status,
       res.rawHeaders
     );
-    const fault = this.responseFault(status, head);
+    const fault = this.responseFault(status, head, isReusedSocket);
     if (fault !== undefined) {
       this.fail(fault, `invalid response with status ${status}`);
-      this.req.destroy();
+      this.req?.destroy();
       return;
     }
     this.reportSignals(status, head.signals);
@@ -185,13 +188,14 @@
   /** Why a response is not valid for this attempt, or undefined if it is. */
   private responseFault(
     status: number,
-    head: TargetResponseHead
+    head: TargetResponseHead,
+    isReusedSocket: boolean
   ): AttemptFailure['kind'] | undefined {
     const isOwn = head.attemptId === this.options.attemptId;
     if (!isOwn && head.attemptId !== undefined) return 'crossed_answer';
     const isRefusal = head.notExecuted || status === STATUS_MISDIRECTED;
     // Without an id, it may belong to an earlier request on the connection.
-    if (isRefusal && (isOwn || !this.req.reusedSocket)) return undefined;
+    if (isRefusal && (isOwn || !isReusedSocket)) return undefined;
     if (!isOwn || !head.signed || head.contentEncoded) return 'bad_answer';
     return undefined;
   }
@@ -232,6 +236,21 @@
   }
 }
 
+/** Opens a request; fails if the target's address cannot be used. */
+function openRequest({
+  target: {host, port},
+  method,
+  url: path,
+  headers,
+  agent,
+}: TargetCallOptions): Result<http.ClientRequest, string> {
+  try {
+    return ok(http.request({host, port, method, path, headers, agent}));
+  } catch (err) {
+    return fail(errorMessage(err));
+  }
+}
+
 /** Why a target that says so did not run a request. */
 function notRunKind(head: TargetResponseHead): AttemptFailure['kind'] {
   if (!head.notExecuted) return 'wrong_target';
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -28,6 +28,7 @@
 export class ExchangeRig {
   /** Messages of the exceptions that were reported. */
   readonly faults: string[] = [];
+  agent = new http.Agent({keepAlive: false});
 
   private constructor(
     readonly state: FleetState,
@@ -63,7 +64,7 @@
     const deps = {
       state,
       codec,
-      agent: new http.Agent({keepAlive: false}),
+      agent: this.agent,
       clock: systemClock,
       random: () => 0,
       onPlaced: () => undefined,
--- a/packages/routing/src/lib/health/target_health.ts
+++ b/packages/routing/src/lib/health/target_health.ts
@@ -7,7 +7,7 @@
 
 /**
  * Tracks a target's health by the outcomes of its requests. A target with
- * several failures in a row is ejected for a while; then a single request
+ * several failures in a row, or one that cannot be reached, is ejected for a while; then a single request
  * probes it. Each further failure doubles the time of ejection, up to a limit,
  * and a success ends it and resets its time.
  *
@@ -57,8 +57,17 @@
 
   /** Records a request that the target failed. */
   onFailure(nowMs: number): void {
+    this.addFailures(1, nowMs);
+  }
+
+  /** Records that no connection to the target could be opened, which ejects it. */
+  onUnreachable(nowMs: number): void {
+    this.addFailures(FAILURES_TO_EJECT, nowMs);
+  }
+
+  private addFailures(count: number, nowMs: number): void {
     this.smoothedFailureRate += FAILURE_WEIGHT * (1 - this.smoothedFailureRate);
-    this.consecutiveFailures += 1;
+    this.consecutiveFailures += count;
     this.isProbing = false;
     if (this.consecutiveFailures < FAILURES_TO_EJECT) return;
     this.ejectedUntilMs = nowMs + this.ejectionMs;
