--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -100,6 +100,12 @@
     return this.accepted;
   }
 
+  /** Whether a request that is sent now has most of the grace period. */
+  private get acceptsRequests(): boolean {
+    const stoppingMs = this.deps.clock.monotonicMs() - this.stoppingSinceMs;
+    return stoppingMs <= ACCEPT_AFTER_STOP_MS;
+  }
+
   /** Applies the connection timeouts of a new configuration. */
   onLimits(idleTimeoutMs: number, headerTimeoutMs: number): void {
     this.server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
@@ -162,7 +168,7 @@
     const {deps} = this;
     const {state, clock, codec} = deps;
     const arrivedAtMs = clock.monotonicMs();
-    if (arrivedAtMs - this.stoppingSinceMs > ACCEPT_AFTER_STOP_MS) {
+    if (!this.acceptsRequests) {
       sendResponse(res, STOPPING, true);
       return;
     }
@@ -189,6 +195,11 @@
       deps.onCallerDisconnected();
       return;
     }
+    // The body may take long, so the grace period may have become too short.
+    if (!this.acceptsRequests) {
+      sendResponse(res, STOPPING, true);
+      return;
+    }
     if (body.ok) {
       Exchange.create(context, {req, res, body: body.value}, deps);
       return;
--- a/packages/gateway/src/lib/peers/peer_socket.ts
+++ b/packages/gateway/src/lib/peers/peer_socket.ts
@@ -40,7 +40,9 @@
     this.socket.bind(port, host);
   }
 
+  /** Repeated calls have no effect. */
   close(): void {
+    if (this.isClosed) return;
     this.isClosed = true;
     this.socket.close();
   }
