--- a/packages/gateway/src/lib/archive/journal_reader.ts
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -181,9 +181,16 @@
       if (!isCurrent()) return undefined;
       if (result.ok || result.err.kind === 'history_gone') return result;
       this.options.log.warn('version journal not readable', {...result.err});
-      await sleep(retryMs);
+      await this.pause(retryMs);
       retryMs = Math.min(MAX_RETRY_MS, retryMs * RETRY_FACTOR);
     }
     return undefined;
   }
+
+  /** Ends early, but not at once, when another call finds the archive available. */
+  private async pause(retryMs: number): Promise<void> {
+    const available = this.options.archive.whenAvailable();
+    await sleep(INITIAL_RETRY_MS);
+    await Promise.race([sleep(retryMs - INITIAL_RETRY_MS), available]);
+  }
 }
--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -290,3 +290,16 @@
     assert.equal(streamVersions.versionOf(9), 'v1');
   });
 });
+
+test('the journal is read as soon as another call finds the store available', async () => {
+  const store = MemoryArchive.create();
+  store.isDown = true;
+  await withInstances(store, async start => {
+    const instance = start();
+    // By then the pause between two reads is 1 s or longer.
+    await sleep(2200);
+    store.comeBack();
+    await sleep(400);
+    assert.equal(instance.versionJournal.isRead, true);
+  });
+});
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -262,6 +262,8 @@
     key: string,
     value: Buffer
   ): Promise<Result<void, ArchiveError>>;
+  /** Resolves at the next response, to any call, that shows it available. */
+  whenAvailable(): Promise<void>;
   /**
    * Adds a listener that is called when the archive was restored from an older
    * copy, which voids all offsets.
--- a/packages/gateway/src/testing/memory_archive.ts
+++ b/packages/gateway/src/testing/memory_archive.ts
@@ -23,6 +23,7 @@
   readonly calls = {newest: 0, read: 0, append: 0};
   private readonly topics = new Map<string, Topic>();
   private readonly listeners: (() => void)[] = [];
+  private onAvailable = (): void => undefined;
 
   private constructor() {}
 
@@ -91,6 +92,16 @@
     return ok(undefined);
   }
 
+  /** Ends an outage, and lets callers know by another call's response. */
+  comeBack(): void {
+    this.isDown = false;
+    this.onAvailable();
+  }
+
+  whenAvailable(): Promise<void> {
+    return new Promise(resolve => (this.onAvailable = resolve));
+  }
+
   onRestored(listener: () => void): void {
     this.listeners.push(listener);
   }
