--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -133,14 +133,19 @@
     context: RequestContext,
     res: http.ServerResponse
   ): void {
-    const {state, random, onOverloaded} = this.deps;
+    const {state, random, clock, onOverloaded} = this.deps;
+    const nowMs = clock.monotonicMs();
     onOverloaded();
     recordUsage(this.deps, context, false);
     const response = {
       status: STATUS.unavailable,
       kind: 'overloaded',
       execution: EXECUTION.notRun,
-      retryAfterS: state.overloadGuard.retryAfterS(random()),
+      retryAfterS: state.overloadGuard.retryAfterS({
+        noticeLeftMs: state.rotationNotice.leftMs(nowMs),
+        leftMs: context.deadlineAtMs - nowMs,
+        spread: random(),
+      }),
     };
     sendResponse(res, response, state.closesConnections);
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -194,15 +194,19 @@
     this.applyLimits();
     this.servers.push(
       await startConfigServer(settings.peers, () => stateSource.configRecord()),
-      await startReadinessServer(settings.readiness, () => this.isReady),
+      await startReadinessServer(settings.readiness, () =>
+        this.checkReadiness()
+      ),
       await startMetricsServer(settings.metrics, () => this.metricsText())
     );
     log.info('started', {isFleetBootstrap: settings.isFleetBootstrap});
   }
 
-  /** Whether the balancer may send new connections here. */
-  private get isReady(): boolean {
-    return this.state.isReady && this.listenerProbe.isResponsive;
+  /** Whether the balancer, which asks, may send new connections here. */
+  private checkReadiness(): boolean {
+    const isReady = this.state.isReady && this.listenerProbe.isResponsive;
+    this.state.rotationNotice.onCheck(isReady, systemClock.monotonicMs());
+    return isReady;
   }
 
   private async loadQuarantines(): Promise<void> {
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -4,6 +4,7 @@
   FleetRetryBudget,
   OverloadGuard,
   ReturnTimes,
+  RotationNotice,
   StreamVersions,
   VersionJournal,
 } from '@applebend/routing';
@@ -35,6 +36,7 @@
   readonly peerLoads = PeerLoadTotals.create();
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
+  readonly rotationNotice = RotationNotice.create();
   readonly crashGuard: CrashGuard;
   /** The software versions at which streams of all instances were begun. */
   readonly streamVersions = StreamVersions.create();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,6 +20,7 @@
 } from './lib/admission/request_decision.js';
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {EventLoopSample} from './lib/admission/overload_guard.js';
+export {RotationNotice} from './lib/admission/rotation_notice.js';
 export {CustomerShares, ENGINE_POOL} from './lib/admission/customer_shares.js';
 export type {
   ShareLevels,
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -1,3 +1,5 @@
+import {honoredRetryAfterMs} from './retry_after.js';
+
 /**
  * The inputs of an admission decision. Times in milliseconds.
  *
@@ -95,12 +97,6 @@
 const MIN_RETRY_AFTER_MS = 250;
 /** Longest random time added, so that refused callers do not retry together. */
 const RETRY_AFTER_SPREAD_MS = 1200;
-/**
- * Callers ignore a Retry-After longer than this fraction of the time left
- * until their deadline.
- */
-const MAX_RETRY_AFTER_FRACTION = 1 / 3;
-
 /**
  * Admits a request, or refuses it at once with a time after which to retry.
  * Requests are refused rather than queued because, when more is requested than
@@ -177,15 +173,9 @@
   return from + (to - from) * fraction;
 }
 
-/**
- * Returns when to retry: after the delay and a random time, but early enough
- * for callers to honor it. The limit is spread as well, so that callers with
- * the same deadline do not retry together. At least 50 ms.
- */
-function retryAfterMs(delayMs: number, input: AdmissionInput): number {
-  const {leftMs, spread} = input;
+/** Returns when to retry: after the delay and a random time. */
+function retryAfterMs(delayMs: number, {leftMs, spread}: AdmissionInput) {
   const baseMs = Math.max(MIN_RETRY_AFTER_MS, delayMs);
   const spreadMs = baseMs + spread * RETRY_AFTER_SPREAD_MS;
-  const maxMs = leftMs * MAX_RETRY_AFTER_FRACTION * (0.75 + 0.25 * spread);
-  return Math.max(50, Math.min(spreadMs, maxMs));
+  return honoredRetryAfterMs(spreadMs, leftMs, spread);
 }
--- a/packages/routing/src/lib/admission/overload_guard.test.ts
+++ b/packages/routing/src/lib/admission/overload_guard.test.ts
@@ -12,7 +12,9 @@
   assert.equal(guard.isOverloaded, true);
   for (let i = 0; i < 3; i++) onLag(0);
   assert.equal(guard.isOverloaded, false);
-  assert.ok(guard.retryAfterS(0) > 0 && guard.retryAfterS(1) <= 0.3);
+  const retryAfterS = (spread: number) =>
+    guard.retryAfterS({noticeLeftMs: 0, leftMs: 10_000, spread});
+  assert.ok(retryAfterS(0) > 0 && retryAfterS(1) <= 0.3);
 });
 
 test('a loop that is never idle refuses requests, a busy one does not', () => {
--- a/packages/routing/src/lib/admission/overload_guard.ts
+++ b/packages/routing/src/lib/admission/overload_guard.ts
@@ -1,4 +1,5 @@
 import {ArrivalShares} from './arrival_shares.js';
+import {honoredRetryAfterMs} from './retry_after.js';
 
 /** A sample of the event loop's load. @public */
 export interface EventLoopSample {
@@ -8,6 +9,16 @@
   readonly busyFraction: number;
 }
 
+/** What the time depends on after which a refused caller may retry. @public */
+export interface RefusedCaller {
+  /** Time until the balancer has noticed, see `RotationNotice`. */
+  readonly noticeLeftMs: number;
+  /** Time left until the caller's deadline. */
+  readonly leftMs: number;
+  /** Random number from 0 (inclusive) to 1, spreads the retries. */
+  readonly spread: number;
+}
+
 /** Event loop lag above which new requests are refused. */
 const LAG_LIMIT_MS = 120;
 /**
@@ -24,16 +35,16 @@
  * Fraction of requests served despite overload, so that work still gets done.
  */
 const SERVED_FRACTION = 0.25;
-const MIN_RETRY_AFTER_S = 0.05;
+const MIN_RETRY_AFTER_MS = 50;
 /** Longest random time added, so that refused callers do not retry together. */
-const RETRY_AFTER_SPREAD_S = 0.25;
+const RETRY_AFTER_SPREAD_MS = 250;
 
 /**
  * Detects when the instance itself is the bottleneck, and decides which new
  * requests it refuses then. This happens when all callers of one customer reach
  * the same instance: connections wait seconds to be accepted, and every request
- * on it is late. Refused callers reach other instances when they retry.
- * Customers with few requests are still served here.
+ * on it is late. Refused callers reach other instances once the balancer has
+ * taken this one out. Customers with few requests are still served here.
  *
  * @public
  */
@@ -88,12 +99,12 @@
   }
 
   /**
-   * Returns the seconds after which a refused caller may retry. They are few,
-   * since other instances have room.
-   *
-   * @param spread - random number from 0 (inclusive) to 1, spreads the retries
+   * Returns the seconds after which a refused caller may retry: once the balancer
+   * sends its new connections to other instances, which have room.
    */
-  retryAfterS(spread: number): number {
-    return MIN_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * spread;
+  retryAfterS({noticeLeftMs, leftMs, spread}: RefusedCaller): number {
+    const spreadMs = RETRY_AFTER_SPREAD_MS * spread;
+    const retryAfterMs = noticeLeftMs + MIN_RETRY_AFTER_MS + spreadMs;
+    return honoredRetryAfterMs(retryAfterMs, leftMs, spread) / 1000;
   }
 }
