--- a/packages/gateway/src/lib/upstream/target_agent.ts
+++ b/packages/gateway/src/lib/upstream/target_agent.ts
@@ -3,8 +3,10 @@
 import type {Socket} from 'node:net';
 
 const MAX_IDLE_PER_TARGET = 16;
-/** Shorter than the keep-alive timeout of every known target. */
-const MAX_IDLE_MS = 3000;
+/** For targets that do not name their idle timeout. */
+const DEFAULT_IDLE_MS = 3000;
+/** Longest time for which a connection is kept, whatever its target says. */
+const MAX_IDLE_MS = 30_000;
 /** An idle connection is closed this long before the target would close it. */
 const IDLE_MARGIN_MS = 1000;
 /** The idle timeout in a Keep-Alive header, in seconds. */
@@ -66,6 +68,6 @@
   const res = (message as {res?: http.IncomingMessage} | undefined)?.res;
   const hint = res?.headers['keep-alive'];
   const seconds = KEEP_ALIVE_HINT.exec(String(hint ?? ''))?.[1];
-  if (seconds === undefined) return MAX_IDLE_MS;
+  if (seconds === undefined) return DEFAULT_IDLE_MS;
   return Math.min(MAX_IDLE_MS, Number(seconds) * 1000 - IDLE_MARGIN_MS);
 }
