--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -121,7 +121,7 @@
       this.ending.refuse('quarantined', quarantineLeftMs / 1000);
       return;
     }
-    if (need.kind === 'unknown' || need.kind === 'pending') {
+    if (need.kind !== 'any' && need.kind !== 'exact') {
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
     }
--- a/packages/gateway/src/lib/front/stream_version.ts
+++ b/packages/gateway/src/lib/front/stream_version.ts
@@ -10,11 +10,18 @@
 
 const ANY: VersionNeed = {kind: 'any'};
 
-/** The version at which a stream that the caller takes up was begun. @public */
+/**
+ * The version at which a stream that the caller takes up was begun.
+ *
+ * @param isListCurrent - whether the list of targets was read after the stream
+ *     broke
+ * @public
+ */
 export function versionNeedOf(
   context: RequestContext,
   {streamVersions, targets, journalReadiness}: FleetState,
-  nowMs: number
+  nowMs: number,
+  isListCurrent: boolean
 ): VersionNeed {
   if (!isTakenUp(context)) return ANY;
   const {service, caller} = context;
@@ -27,6 +34,7 @@
     version,
     hasSeveralVersions: targets.versions.hasSeveral(service, nowMs),
     isJournalRead: journalReadiness.isComplete,
+    isListCurrent,
   });
 }
 
--- a/packages/gateway/src/lib/front/version_lookup.test.ts
+++ b/packages/gateway/src/lib/front/version_lookup.test.ts
@@ -23,6 +23,7 @@
     streamVersions: StreamVersions.create(),
     journalReadiness: JournalReadiness.create(),
     targets: {versions: ServiceVersions.create()},
+    confirmTargets: () => Promise.resolve(true),
   };
   const seen = {service: 'llm', version: 'v2', ageMs: 0};
   state.targets.versions.add(seen, systemClock.monotonicMs());
@@ -86,3 +87,34 @@
   await sleep(MAX_WAIT_MS + TIMER_LAG_MS);
   assert.equal(needs.length, 0);
 });
+
+test('an unknown attempt goes on at the only version once the list is confirmed', async () => {
+  const state = createState();
+  state.journalReadiness.onComplete();
+  const {needs} = lookUp(state, resumed);
+  assert.equal(needs.length, 0);
+  await sleep(10);
+  assert.deepEqual(needs[0]?.need, {kind: 'any'});
+});
+
+test('an unknown attempt goes on at no version that the confirmed list adds to', async () => {
+  const state = createState();
+  state.journalReadiness.onComplete();
+  state.confirmTargets = async () => {
+    const joined = {service: 'llm', version: 'v3', ageMs: 0};
+    state.targets.versions.add(joined, systemClock.monotonicMs());
+    return true;
+  };
+  const {needs} = lookUp(state, resumed);
+  await sleep(10);
+  assert.equal(needs[0]?.need.kind, 'unknown');
+});
+
+test('an unknown attempt is refused where the list cannot be confirmed', async () => {
+  const state = createState();
+  state.journalReadiness.onComplete();
+  state.confirmTargets = async () => false;
+  const {needs} = lookUp(state, resumed);
+  await sleep(10);
+  assert.equal(needs[0]?.need.kind, 'unconfirmed');
+});
--- a/packages/gateway/src/lib/front/version_lookup.ts
+++ b/packages/gateway/src/lib/front/version_lookup.ts
@@ -17,33 +17,78 @@
   readonly clock: Clock;
 }
 
+/** A confirmation passes over up to two relays. */
+const MAX_CONFIRMATION_WAIT_MS = 800;
+
 /**
  * Determines where a request may run, and calls back: at once, unless the
- * request resumes a stream that only the journal may know and the journal is
- * still being read. Returns a function that ends the wait without a call.
+ * request resumes a stream that is not known here. It then waits while the
+ * journal is still being read, and until the list of targets is confirmed.
+ * Returns a function that ends the wait without a call.
  *
  * @public
  */
 export function lookUpVersion(
   context: RequestContext,
-  {state, clock}: VersionLookupDeps,
+  deps: VersionLookupDeps,
   onNeed: (need: VersionNeed) => void
 ): () => void {
-  const currentNeed = () => versionNeedOf(context, state, clock.monotonicMs());
-  const need = currentNeed();
-  if (need.kind !== 'pending') {
-    onNeed(need);
-    return () => undefined;
+  const lookup = new VersionLookup(context, deps, onNeed);
+  lookup.start();
+  return () => lookup.end();
+}
+
+class VersionLookup {
+  private timer: NodeJS.Timeout | undefined;
+  private removeListener = (): void => undefined;
+  private hasEnded = false;
+
+  constructor(
+    private readonly context: RequestContext,
+    private readonly deps: VersionLookupDeps,
+    private readonly onNeed: (need: VersionNeed) => void
+  ) {}
+
+  start(): void {
+    const need = this.currentNeed(false);
+    if (need.kind !== 'pending') {
+      this.confirm(need);
+      return;
+    }
+    const onJournal = () => this.confirm(this.currentNeed(false));
+    this.timer = setTimeout(onJournal, MAX_WAIT_MS);
+    const {journalReadiness} = this.deps.state;
+    this.removeListener = journalReadiness.whenComplete(onJournal);
+  }
+
+  end(): void {
+    this.hasEnded = true;
+    clearTimeout(this.timer);
+    this.removeListener();
+  }
+
+  private currentNeed(isListCurrent: boolean): VersionNeed {
+    const {context} = this;
+    const {state, clock} = this.deps;
+    return versionNeedOf(context, state, clock.monotonicMs(), isListCurrent);
+  }
+
+  private confirm(need: VersionNeed): void {
+    clearTimeout(this.timer);
+    this.removeListener();
+    if (need.kind !== 'unconfirmed') {
+      this.decide(need);
+      return;
+    }
+    this.timer = setTimeout(() => this.decide(need), MAX_CONFIRMATION_WAIT_MS);
+    void this.deps.state
+      .confirmTargets()
+      .then(isCurrent => this.decide(this.currentNeed(isCurrent)));
+  }
+
+  private decide(need: VersionNeed): void {
+    if (this.hasEnded) return;
+    this.end();
+    this.onNeed(need);
   }
-  const cancel = () => {
-    clearTimeout(timer);
-    removeListener();
-  };
-  const decide = () => {
-    cancel();
-    onNeed(currentNeed());
-  };
-  const timer = setTimeout(decide, MAX_WAIT_MS);
-  const removeListener = state.journalReadiness.whenComplete(decide);
-  return cancel;
 }
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -8,7 +8,7 @@
   StreamVersions,
   VersionJournal,
 } from '@applebend/routing';
-import {systemClock} from '@applebend/utils';
+import {errorMessage, systemClock} from '@applebend/utils';
 import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
 import {PeerLoadTotals} from './load_totals.js';
@@ -54,6 +54,8 @@
   groupInstanceCount = 1;
   isStopping = false;
   private wasConfirmed = false;
+  /** The confirmation that is under way, which later callers share. */
+  private confirming: Promise<boolean> | undefined;
   /** Called with what a target says of itself, in any of its responses. */
   onTargetSignals: TargetSignalListener = () => undefined;
   /** Number of open connections of callers. */
@@ -140,6 +142,26 @@
     return this.source.configAgeMs() <= this.settings.maxConfigAgeForDenialMs;
   }
 
+  /**
+   * Resolves to whether the list of targets was confirmed as the newest, or
+   * replaced by it, since the call or shortly before.
+   */
+  confirmTargets(): Promise<boolean> {
+    this.confirming ??= this.confirmOnce();
+    return this.confirming;
+  }
+
+  private async confirmOnce(): Promise<boolean> {
+    try {
+      return (await this.source.confirm()) !== undefined;
+    } catch (err) {
+      this.log.error('confirmation fault', {cause: errorMessage(err)});
+      return false;
+    } finally {
+      this.confirming = undefined;
+    }
+  }
+
   /** The share levels of customers of the engines at a monotonic time. */
   shareLevels(nowMs: number): ShareLevels {
     const tokensPerS = this.current?.limits.tokensPerS ?? Infinity;
--- a/packages/routing/src/lib/versions/version_need.test.ts
+++ b/packages/routing/src/lib/versions/version_need.test.ts
@@ -9,6 +9,7 @@
         version: 'v1',
         hasSeveralVersions,
         isJournalRead,
+        isListCurrent: true,
       });
       assert.deepEqual(need, {kind: 'exact', version: 'v1'});
     }
@@ -17,7 +18,11 @@
 
 // Guards against text joined from two versions.
 test('a stream of unknown version continues only if its service had one', () => {
-  const unknown = {version: undefined, isJournalRead: true};
+  const unknown = {
+    version: undefined,
+    isJournalRead: true,
+    isListCurrent: true,
+  };
   const several = resumedVersionNeed({...unknown, hasSeveralVersions: true});
   assert.equal(several.kind, 'unknown');
   const one = resumedVersionNeed({...unknown, hasSeveralVersions: false});
@@ -31,7 +36,19 @@
       version: undefined,
       hasSeveralVersions,
       isJournalRead: false,
+      isListCurrent: true,
     });
     assert.equal(need.kind, 'pending');
   }
 });
+
+// Another version may have joined, and begun streams, since the list was read.
+test('a stream of unknown version waits until the list of targets is current', () => {
+  const need = resumedVersionNeed({
+    version: undefined,
+    hasSeveralVersions: false,
+    isJournalRead: true,
+    isListCurrent: false,
+  });
+  assert.equal(need.kind, 'unconfirmed');
+});
--- a/packages/routing/src/lib/versions/version_need.ts
+++ b/packages/routing/src/lib/versions/version_need.ts
@@ -5,7 +5,9 @@
   /** It resumes a stream, and it is not known where that began. */
   | {readonly kind: 'unknown'}
   /** As `unknown`, but the journal that may tell has not been read yet. */
-  | {readonly kind: 'pending'};
+  | {readonly kind: 'pending'}
+  /** As `unknown`, but the list of targets may lack a version that has joined. */
+  | {readonly kind: 'unconfirmed'};
 
 /** What is known of a stream that a caller resumes. @public */
 export interface ResumedStream {
@@ -15,6 +17,8 @@
   readonly hasSeveralVersions: boolean;
   /** Whether the journal has been read completely, or need not be read. */
   readonly isJournalRead: boolean;
+  /** Whether the list of targets was read after the stream broke. */
+  readonly isListCurrent: boolean;
 }
 
 /** Decides where a stream that a caller resumes may continue. @public */
@@ -22,10 +26,14 @@
   version,
   hasSeveralVersions,
   isJournalRead,
+  isListCurrent,
 }: ResumedStream): VersionNeed {
   if (version !== undefined) return {kind: 'exact', version};
   // One version in the list of targets proves nothing: the others may have left
   // while this instance was down.
   if (!isJournalRead) return {kind: 'pending'};
-  return hasSeveralVersions ? {kind: 'unknown'} : {kind: 'any'};
+  if (hasSeveralVersions) return {kind: 'unknown'};
+  // An instance that hears no peers may not know where a stream began that
+  // began at a version which joined after it read the list.
+  return isListCurrent ? {kind: 'any'} : {kind: 'unconfirmed'};
 }
--- a/packages/routing/src/testing/journal_instance.ts
+++ b/packages/routing/src/testing/journal_instance.ts
@@ -109,6 +109,7 @@
       version: this.streams.versionOf(attempt),
       hasSeveralVersions: this.services.hasSeveral(service, nowMs),
       isJournalRead: this.journal.isRead,
+      isListCurrent: true,
     });
   }
 
