--- a/packages/gateway/src/lib/peers/aggregate_exchange.ts
+++ b/packages/gateway/src/lib/peers/aggregate_exchange.ts
@@ -29,6 +29,8 @@
  */
 const MIN_INTERVAL_MS = 40;
 const INTERVAL_PER_GROUP_MS = 4;
+/** Interval at which an instance that is no relay checks whether it is one now. */
+const ROLE_CHECK_INTERVAL_MS = 160;
 /**
  * Interval at which all load rows are sent instead of the changed ones, which
  * corrects the load after lost messages.
@@ -91,16 +93,18 @@
     return new AggregateExchange(options);
   }
 
-  /** Schedules the next tick, by the present number of groups. */
+  /** Schedules the next tick, by the role and the present number of groups. */
   start(): void {
-    const intervalMs = Math.max(
-      MIN_INTERVAL_MS,
-      INTERVAL_PER_GROUP_MS * this.options.directory.groupCount
-    );
     this.timer = setTimeout(() => {
       this.tick();
       this.start();
-    }, intervalMs);
+    }, this.intervalMs);
+  }
+
+  private get intervalMs(): number {
+    if (!this.isRelay) return ROLE_CHECK_INTERVAL_MS;
+    const {groupCount} = this.options.directory;
+    return Math.max(MIN_INTERVAL_MS, INTERVAL_PER_GROUP_MS * groupCount);
   }
 
   stop(): void {
