--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -70,10 +70,10 @@
       targets.onDeparture(notice.departure, nowMs);
       return;
     case 'pause':
-      targets.onPeerPause(notice.target, notice.pauseMs, nowMs);
+      targets.backpressure.onPeerPause(notice.target, notice.pauseMs, nowMs);
       return;
     case 'limit':
-      targets.onPeerLimit(notice.target, notice.limitPerS, nowMs);
+      targets.backpressure.onPeerLimit(notice.target, notice.limitPerS, nowMs);
       return;
     case 'refused':
       targets.cold.onLoss(notice.target, nowMs);
@@ -127,7 +127,7 @@
   for (const seen of targets.versions.recent(nowMs)) {
     notices.push({kind: 'version', seen});
   }
-  for (const [target, limitPerS] of targets.limits(nowMs)) {
+  for (const [target, limitPerS] of targets.backpressure.limits(nowMs)) {
     notices.push({kind: 'limit', target, limitPerS});
   }
   for (const target of targets.cold.lost(nowMs)) {
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -238,7 +238,7 @@
     const sent = 30;
     const limitPerS = 10;
     const limits = fleet.map(({state}) => {
-      state.targets.onPeerLimit(
+      state.targets.backpressure.onPeerLimit(
         TARGET.id,
         limitPerS,
         systemClock.monotonicMs()
--- a/packages/gateway/src/lib/peers/target_reporter.ts
+++ b/packages/gateway/src/lib/peers/target_reporter.ts
@@ -54,11 +54,14 @@
     const {nowMs} = this;
     const {id} = record.target;
     if (pauseMs !== undefined) {
-      targets.onPause(record, pauseMs, nowMs);
+      targets.backpressure.onPause(record, pauseMs, nowMs);
       peers.announce({kind: 'pause', target: id, pauseMs});
       metrics.onTargetPaused();
     }
-    if (limitPerS !== undefined && targets.onLimit(record, limitPerS, nowMs)) {
+    if (
+      limitPerS !== undefined &&
+      targets.backpressure.onLimit(record, limitPerS, nowMs)
+    ) {
       peers.announce({kind: 'limit', target: id, limitPerS});
     }
     if (!isLeaving) return;
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -4,13 +4,13 @@
   FirstEventModel,
   ServiceVersions,
   incarnationOf,
-  isExcessivePause,
   TARGET_STATE,
   TargetDepartures,
 } from '@applebend/routing';
 import {systemClock} from '@applebend/utils';
 import {CachedBlockLoader} from './cached_block_loader.js';
 import {ColdTargets} from './cold_targets.js';
+import {TargetBackpressure} from './target_backpressure.js';
 import {TargetRecord} from './target_record.js';
 
 import type {
@@ -37,9 +37,6 @@
   signals: TargetSignals
 ) => void;
 
-/** Longest time for which a pause asked of a peer keeps requests away. */
-const MAX_PEER_PAUSE_MS = 1000;
-
 /** The registered targets, by id and by service. @public */
 export class TargetDirectory {
   private records = new Map<string, TargetRecord>();
@@ -52,6 +49,8 @@
   readonly evacuations = Evacuations.create();
   /** Which targets are cold, and what this instance may send to them. */
   readonly cold: ColdTargets;
+  /** The pauses and rates that targets ask for. */
+  readonly backpressure: TargetBackpressure;
   private readonly blockLoader: CachedBlockLoader;
   private config: FleetConfig | undefined;
   private loaded = false;
@@ -74,6 +73,7 @@
         coldStart.isCold(systemClock.monotonicMs()),
     });
     this.cold = ColdTargets.create(settings, () => this.all(), log);
+    this.backpressure = TargetBackpressure.create(() => this.records, log);
   }
 
   static create(
@@ -219,59 +219,6 @@
     return true;
   }
 
-  /** Records the pause that a target asked of this instance. */
-  onPause({target, pause}: TargetRecord, pauseMs: number, nowMs: number): void {
-    if (isExcessivePause(pauseMs)) {
-      this.log.warn('pause shortened', {target: target.id, pauseMs});
-    }
-    const {id, service} = target;
-    if (pause.endsAtMs < nowMs) {
-      this.log.info('target paused', {target: id, service, pauseMs});
-    }
-    pause.start(pauseMs, nowMs);
-  }
-
-  /** Records a pause that a target asked of a peer, which is only a hint. */
-  onPeerPause(id: string, pauseMs: number, nowMs: number): void {
-    const record = this.records.get(id);
-    if (record === undefined) return;
-    const endsAtMs = nowMs + Math.min(pauseMs, MAX_PEER_PAUSE_MS);
-    record.peerPauseEndsAtMs = Math.max(record.peerPauseEndsAtMs, endsAtMs);
-  }
-
-  /**
-   * Records the rate that a target names, here or to a peer; Infinity if it names
-   * none. Returns whether the peers should hear of it.
-   */
-  onLimit(record: TargetRecord, limitPerS: number, nowMs: number): boolean {
-    const {target, rateLimit} = record;
-    const {id, service} = target;
-    if (limitPerS === Infinity) {
-      const isLifted = rateLimit.onNotNamed(nowMs);
-      if (isLifted) this.log.info('target limit lifted', {target: id, service});
-      return isLifted;
-    }
-    if (!rateLimit.isInForce(nowMs)) {
-      this.log.info('target limited', {target: id, service, limitPerS});
-    }
-    return rateLimit.onNamed(limitPerS, nowMs);
-  }
-
-  /** Records the rate that a target named to a peer; Infinity if it ended. */
-  onPeerLimit(id: string, limitPerS: number, nowMs: number): void {
-    const record = this.records.get(id);
-    if (record === undefined) return;
-    if (limitPerS === Infinity) record.rateLimit.lift();
-    else this.onLimit(record, limitPerS, nowMs);
-  }
-
-  /** The rates that targets name, by target, for peers that start. */
-  limits(nowMs: number): [target: string, limitPerS: number][] {
-    return [...this.records.values()]
-      .filter(({rateLimit}) => rateLimit.isInForce(nowMs))
-      .map(({target, rateLimit}) => [target.id, rateLimit.rate(nowMs)]);
-  }
-
   private applyEvacuations(
     {begun, ended}: EvacuationChanges,
     nowMs: number
