--- a/packages/gateway/src/lib/front/version_lookup.ts
+++ b/packages/gateway/src/lib/front/version_lookup.ts
@@ -33,22 +33,31 @@
   deps: VersionLookupDeps,
   onNeed: (need: VersionNeed) => void
 ): () => void {
-  const lookup = new VersionLookup(context, deps, onNeed);
+  const lookup = VersionLookup.create(context, deps, onNeed);
   lookup.start();
   return () => lookup.end();
 }
 
+/** The lookup for one request, which may wait twice. */
 class VersionLookup {
   private timer: NodeJS.Timeout | undefined;
   private removeListener = (): void => undefined;
   private hasEnded = false;
 
-  constructor(
+  private constructor(
     private readonly context: RequestContext,
     private readonly deps: VersionLookupDeps,
     private readonly onNeed: (need: VersionNeed) => void
   ) {}
 
+  static create(
+    context: RequestContext,
+    deps: VersionLookupDeps,
+    onNeed: (need: VersionNeed) => void
+  ): VersionLookup {
+    return new VersionLookup(context, deps, onNeed);
+  }
+
   start(): void {
     const need = this.currentNeed(false);
     if (need.kind !== 'pending') {
@@ -73,6 +82,7 @@
     return versionNeedOf(context, state, clock.monotonicMs(), isListCurrent);
   }
 
+  /** Decides, after the list of targets is confirmed if the need depends on it. */
   private confirm(need: VersionNeed): void {
     clearTimeout(this.timer);
     this.removeListener();
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -54,6 +54,12 @@
   onFailure(failure: AttemptFailure): void;
 }
 
+/** Why a request could not be opened. */
+interface UnusableAddress {
+  readonly kind: 'unusable_address';
+  readonly message: string;
+}
+
 const CONNECT_TIMEOUT_MS = 400;
 /** Misdirected Request: the server is not the addressed target. */
 const STATUS_MISDIRECTED = 421;
@@ -89,7 +95,7 @@
     const {contain} = options;
     const opened = openRequest(options);
     if (!opened.ok) {
-      const message = opened.err;
+      const {message} = opened.err;
       setImmediate(contain(() => this.fail('connect_failed', message)));
       return;
     }
@@ -243,11 +249,11 @@
   url: path,
   headers,
   agent,
-}: TargetCallOptions): Result<http.ClientRequest, string> {
+}: TargetCallOptions): Result<http.ClientRequest, UnusableAddress> {
   try {
     return ok(http.request({host, port, method, path, headers, agent}));
   } catch (err) {
-    return fail(errorMessage(err));
+    return fail({kind: 'unusable_address', message: errorMessage(err)});
   }
 }
 
