--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -112,13 +112,19 @@
       log,
       onAppended: isSaved => this.onJournalAppended(isSaved),
     });
-    this.loop = LoopMonitor.create(this.state.overloadGuard, systemClock, log);
     this.listenerProbe = ListenerProbe.create({
       address: settings.callers,
       clock: systemClock,
       log,
       figures: () => this.loadFigures(),
     });
+    const {overloadGuard, overloadHealth} = this.state;
+    this.loop = LoopMonitor.create(
+      overloadGuard,
+      overloadHealth,
+      systemClock,
+      log
+    );
     this.exchangeDeps = {
       state: this.state,
       codec,
@@ -204,8 +210,10 @@
 
   /** Whether the balancer, which asks, may send new connections here. */
   private checkReadiness(): boolean {
-    const isReady = this.state.isReady && this.listenerProbe.isResponsive;
-    this.state.rotationNotice.onCheck(isReady, systemClock.monotonicMs());
+    const {isReady: isLoaded, overloadHealth, rotationNotice} = this.state;
+    const {isResponsive} = this.listenerProbe;
+    const isReady = isLoaded && isResponsive && overloadHealth.isHealthy;
+    rotationNotice.onCheck(isReady, systemClock.monotonicMs());
     return isReady;
   }
 
--- a/packages/gateway/src/lib/loop_monitor.ts
+++ b/packages/gateway/src/lib/loop_monitor.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 
-import type {OverloadGuard} from '@applebend/routing';
+import type {OverloadGuard, OverloadHealth} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
@@ -9,8 +9,9 @@
 const MIN_LOG_INTERVAL_MS = 1000;
 
 /**
- * Samples the lag and the utilization of the event loop for an overload guard,
- * and logs when overload starts or ends, at most once a second.
+ * Samples the lag and the utilization of the event loop for an overload guard and
+ * the readiness that follows from it, and logs when overload starts or ends, at
+ * most once a second.
  *
  * @public
  */
@@ -22,12 +23,18 @@
 
   private constructor(
     private readonly guard: OverloadGuard,
+    private readonly health: OverloadHealth,
     private readonly clock: Clock,
     private readonly log: Logger
   ) {}
 
-  static create(guard: OverloadGuard, clock: Clock, log: Logger): LoopMonitor {
-    return new LoopMonitor(guard, clock, log);
+  static create(
+    guard: OverloadGuard,
+    health: OverloadHealth,
+    clock: Clock,
+    log: Logger
+  ): LoopMonitor {
+    return new LoopMonitor(guard, health, clock, log);
   }
 
   /** Takes samples until `stop` is called. */
@@ -44,16 +51,17 @@
   }
 
   private onSample(lagMs: number): void {
-    const {guard, clock, log} = this;
+    const {guard, health, clock, log} = this;
     const before = this.lastUtilization;
     this.lastUtilization = performance.eventLoopUtilization();
     const {utilization} = performance.eventLoopUtilization(
       this.lastUtilization,
       before
     );
+    const nowMs = clock.monotonicMs();
     guard.onSample({lagMs, busyFraction: utilization});
     const {isOverloaded} = guard;
-    const nowMs = clock.monotonicMs();
+    health.onSample({isOverloaded, busyFraction: guard.busyFraction}, nowMs);
     const isDue = nowMs - this.loggedAtMs >= MIN_LOG_INTERVAL_MS;
     if (isOverloaded === this.lastLoggedState || !isDue) return;
     this.lastLoggedState = isOverloaded;
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -3,6 +3,7 @@
   ENGINE_POOL,
   FleetRetryBudget,
   OverloadGuard,
+  OverloadHealth,
   ReturnTimes,
   RotationNotice,
   StreamVersions,
@@ -36,6 +37,7 @@
   readonly peerLoads = PeerLoadTotals.create();
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
+  readonly overloadHealth = OverloadHealth.create();
   readonly rotationNotice = RotationNotice.create();
   readonly crashGuard: CrashGuard;
   /** The software versions at which streams of all instances were begun. */
