--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -122,6 +122,7 @@
     this.loop = LoopMonitor.create(
       overloadGuard,
       overloadHealth,
+      () => this.listenerProbe.delayMs,
       systemClock,
       log
     );
--- a/packages/gateway/src/lib/loop_monitor.ts
+++ b/packages/gateway/src/lib/loop_monitor.ts
@@ -24,6 +24,7 @@
   private constructor(
     private readonly guard: OverloadGuard,
     private readonly health: OverloadHealth,
+    private readonly listenerDelayMs: () => number,
     private readonly clock: Clock,
     private readonly log: Logger
   ) {}
@@ -31,10 +32,11 @@
   static create(
     guard: OverloadGuard,
     health: OverloadHealth,
+    listenerDelayMs: () => number,
     clock: Clock,
     log: Logger
   ): LoopMonitor {
-    return new LoopMonitor(guard, health, clock, log);
+    return new LoopMonitor(guard, health, listenerDelayMs, clock, log);
   }
 
   /** Takes samples until `stop` is called. */
@@ -59,7 +61,8 @@
       before
     );
     const nowMs = clock.monotonicMs();
-    guard.onSample({lagMs, busyFraction: utilization});
+    const listenerDelayMs = this.listenerDelayMs();
+    guard.onSample({lagMs, busyFraction: utilization, listenerDelayMs}, nowMs);
     const {isOverloaded} = guard;
     health.onSample({isOverloaded, busyFraction: guard.busyFraction}, nowMs);
     const isDue = nowMs - this.loggedAtMs >= MIN_LOG_INTERVAL_MS;
--- a/packages/routing/src/instance_overload.test.ts
+++ b/packages/routing/src/instance_overload.test.ts
@@ -52,7 +52,8 @@
     }
     if (nowMs % SAMPLE_MS === 0) {
       const busyFraction = Math.min(1, busyMs / SAMPLE_MS);
-      guard?.onSample({lagMs: 0, busyFraction});
+      const listenerDelayMs = queue.length > 0 ? nowMs - queue[0] : 0;
+      guard?.onSample({lagMs: 0, busyFraction, listenerDelayMs}, nowMs);
       busyMs = 0;
     }
     while (freeAtMs <= nowMs) {
--- a/packages/routing/src/lib/admission/overload_guard.ts
+++ b/packages/routing/src/lib/admission/overload_guard.ts
@@ -7,6 +7,8 @@
   readonly lagMs: number;
   /** Fraction of the time since the last sample that was not idle, 0 to 1. */
   readonly busyFraction: number;
+  /** How long a caller's new connection waits, in milliseconds. */
+  readonly listenerDelayMs: number;
 }
 
 /** What the time depends on after which a refused caller may retry. @public */
@@ -32,9 +34,16 @@
 /** Limits a sample, so that one long pause alone does not count as overload. */
 const MAX_SAMPLE_MS = 400;
 /**
- * Fraction of requests served despite overload, so that work still gets done.
+ * Fraction of requests served despite overload. A refusal costs a good part of
+ * what serving the request does, and its caller soon returns.
  */
-const SERVED_FRACTION = 0.25;
+const MAX_SERVED_FRACTION = 0.75;
+/** The same if an overload with late connections lasts for `ROTATION_MS`. */
+const MIN_SERVED_FRACTION = 0.25;
+/** Callers leave after a second. */
+const LISTENER_DELAY_LIMIT_MS = 500;
+/** By then the balancer sends the new connections to other instances. */
+const ROTATION_MS = 2500;
 const MIN_RETRY_AFTER_MS = 50;
 /** Longest random time added, so that refused callers do not retry together. */
 const RETRY_AFTER_SPREAD_MS = 250;
@@ -44,13 +53,16 @@
  * requests it refuses then. This happens when all callers of one customer reach
  * the same instance: connections wait seconds to be accepted, and every request
  * on it is late. Refused callers reach other instances once the balancer has
- * taken this one out. Customers with few requests are still served here.
+ * taken this one out, see `OverloadHealth`. Customers with few requests are still
+ * served here.
  *
  * @public
  */
 export class OverloadGuard {
   private smoothedLagMs = 0;
   private smoothedBusy = 0;
+  /** Since when new connections have waited too long in the present overload. */
+  private lateSinceMs: number | undefined;
   private readonly shares = ArrivalShares.create();
 
   private constructor() {}
@@ -69,16 +81,32 @@
     return this.smoothedBusy;
   }
 
-  /** Whether the instance refuses most new requests. */
+  /** Whether the instance refuses a part of the new requests. */
   get isOverloaded(): boolean {
     return this.smoothedLagMs > LAG_LIMIT_MS || this.smoothedBusy > BUSY_LIMIT;
   }
 
   /** Adds a sample to the moving averages; call it at regular intervals. */
-  onSample({lagMs, busyFraction}: EventLoopSample): void {
+  onSample(
+    {lagMs, busyFraction, listenerDelayMs}: EventLoopSample,
+    nowMs: number
+  ): void {
     const sampleMs = Math.min(lagMs, MAX_SAMPLE_MS);
     this.smoothedLagMs += SAMPLE_WEIGHT * (sampleMs - this.smoothedLagMs);
     this.smoothedBusy += SAMPLE_WEIGHT * (busyFraction - this.smoothedBusy);
+    this.onListenerDelay(listenerDelayMs, nowMs);
+  }
+
+  /** Records since when new connections wait too long in an overload. */
+  private onListenerDelay(delayMs: number, nowMs: number): void {
+    if (!this.isOverloaded) this.lateSinceMs = undefined;
+    else if (delayMs > LISTENER_DELAY_LIMIT_MS) this.lateSinceMs ??= nowMs;
+  }
+
+  /** The fraction of requests that is served if the instance is overloaded. */
+  private servedFraction(nowMs: number): number {
+    const lateMs = nowMs - (this.lateSinceMs ?? nowMs);
+    return lateMs > ROTATION_MS ? MIN_SERVED_FRACTION : MAX_SERVED_FRACTION;
   }
 
   /**
@@ -90,7 +118,7 @@
     shares.onArrival(customer, nowMs);
     if (
       isOverloaded &&
-      !shares.isWithinShare(customer, SERVED_FRACTION, nowMs)
+      !shares.isWithinShare(customer, this.servedFraction(nowMs), nowMs)
     ) {
       return true;
     }
