--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -5,6 +5,7 @@
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
+import {whenTargetsCurrent} from './current_targets.js';
 import {decideRequest, findPlacement} from './placement.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {requestContent} from './request_content.js';
@@ -38,6 +39,7 @@
   private readonly relay: ResponseRelay;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private cancelLookup: (() => void) | undefined;
+  private cancelRefresh: (() => void) | undefined;
   private readonly contain = containFaults(err => this.onFault(err));
 
   private constructor(
@@ -101,10 +103,18 @@
     const onDeadline = this.contain(() => this.onDeadline());
     this.deadlineTimer = setTimeout(onDeadline, waitMs);
     const {context, deps} = this;
-    const onNeed = this.contain((need: VersionNeed) => this.admit(need));
+    const onNeed = this.contain((need: VersionNeed) =>
+      this.whenCurrent(() => this.admit(need))
+    );
     this.cancelLookup = lookUpVersion(context, deps, onNeed);
   }
 
+  /** Goes on once the targets may be chosen by the list that is held. */
+  private whenCurrent(next: () => void): void {
+    const onCurrent = this.contain(next);
+    this.cancelRefresh = whenTargetsCurrent(this.deps.state, onCurrent);
+  }
+
   private get placementInput(): PlacementInput {
     const {context, deps, attempts} = this;
     const {state, random} = deps;
@@ -165,6 +175,7 @@
       leftMs: this.leftMs,
       resumeAfter: this.resumedAfter,
       predictedMs: candidate.waitMs + candidate.prefillMs,
+      maySend: () => deps.state.targets.mayGetRequests(record),
       canFailOver: this.retries.isIdempotent && !this.attempts.isLastAttempt,
       contain,
     });
@@ -201,7 +212,7 @@
       this.crashes.onUnresolved(this.nowMs);
       this.endRunning();
       this.attempts.onExecuted();
-      this.retry();
+      this.whenCurrent(() => this.retry());
       return;
     }
     this.relay.forward(response);
@@ -214,7 +225,8 @@
    */
   private onSilence(): void {
     if (this.ending.hasEnded || !this.retries.isIdempotent) return;
-    const placement = this.placeAgain();
+    const isListCurrent = this.deps.state.areTargetsCurrent;
+    const placement = isListCurrent ? this.placeAgain() : undefined;
     if (placement === undefined || !this.retries.tryAcquire(true)) {
       this.feedback?.onSilence();
       return;
@@ -267,7 +279,7 @@
 
   private retryOrGiveUp(failure: AttemptFailure): void {
     if (!this.ending.hasEnded && this.retries.tryAcquireAfter(failure)) {
-      this.retry();
+      this.whenCurrent(() => this.retry());
       return;
     }
     this.ending.giveUp(failure);
@@ -330,6 +342,7 @@
   private onEnded(): void {
     clearTimeout(this.deadlineTimer);
     this.cancelLookup?.();
+    this.cancelRefresh?.();
     this.endRunning();
   }
 
--- a/packages/gateway/src/lib/front/target_call_options.ts
+++ b/packages/gateway/src/lib/front/target_call_options.ts
@@ -13,6 +13,8 @@
   readonly leftMs: number;
   /** Id of the last forwarded event, if the attempt resumes a stream. */
   readonly resumeAfter: string | undefined;
+  /** Whether the target may still get the request once it is connected. */
+  readonly maySend: () => boolean;
   /** Predicted time to the first event. */
   readonly predictedMs: number;
   /** Whether another target may run it, so that silence can end this attempt. */
@@ -56,6 +58,7 @@
     attemptId: caller.attemptId,
     agent,
     codec,
+    maySend: attempt.maySend,
     silenceMs: silenceMs(route, attempt),
     contain: attempt.contain,
   };
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -54,6 +54,10 @@
     return {storeEra: 0, configVersion: 7, targetList};
   }
   onPeerState(): void {}
+  areTargetsCurrent(): boolean {
+    return true;
+  }
+  async refreshTargets(): Promise<void> {}
   configRecord(): undefined {
     return undefined;
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -206,6 +206,13 @@
    * a newer configuration, and a read of the target list may be saved here.
    */
   onPeerState(state: HeldState): void;
+  /**
+   * Whether the list of targets is recent enough to send requests by it, see
+   * `maxTargetListAgeMs`, or the store is lost and no other one can be had.
+   */
+  areTargetsCurrent(): boolean;
+  /** Reads the targets from the store; resolves when the read has ended. */
+  refreshTargets(): Promise<void>;
   /**
    * Determines the newest state by a read, here or at the parent, that begins
    * after the call. Resolves to undefined if no read succeeds.
@@ -306,6 +313,8 @@
   readonly maxConfigAgeForKeyedMs: number;
   /** Maximum `configAgeMs` of the state source to deny a request for good. */
   readonly maxConfigAgeForDenialMs: number;
+  /** Age of the list of targets up to which requests are sent by it. */
+  readonly maxTargetListAgeMs: number;
   /** Window over which the fair shares of customers are computed. */
   readonly shareWindowMs: number;
   /**
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -144,6 +144,20 @@
     return this.source.configAgeMs() <= this.settings.maxConfigAgeForDenialMs;
   }
 
+  /** Whether requests may be sent by the list of targets that is held. */
+  get areTargetsCurrent(): boolean {
+    return this.source.areTargetsCurrent();
+  }
+
+  /** Resolves when a read of the targets has ended, whether or not it succeeded. */
+  async refreshTargets(): Promise<void> {
+    try {
+      await this.source.refreshTargets();
+    } catch (err) {
+      this.log.error('target refresh fault', {cause: errorMessage(err)});
+    }
+  }
+
   /**
    * Resolves to whether the list of targets was confirmed as the newest, or
    * replaced by it, since the call or shortly before.
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -103,6 +103,13 @@
     return this.records.get(id);
   }
 
+  /** Whether a target that was chosen may still get a request. */
+  mayGetRequests(record: TargetRecord): boolean {
+    const {id, state, failureDomain} = record.target;
+    if (this.records.get(id) !== record) return false;
+    return state === TARGET_STATE.ready && !this.evacuations.has(failureDomain);
+  }
+
   /** Whether an incarnation, see `incarnationOf`, is known to be leaving. */
   isLeaving(incarnation: string): boolean {
     return this.departures.isLeaving(incarnation);
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -36,6 +36,8 @@
    * called; undefined if nothing would follow from it.
    */
   readonly silenceMs: number | undefined;
+  /** Asked when a new connection is open, before the request is written to it. */
+  readonly maySend: () => boolean;
   /** Wraps the handlers of events. */
   readonly contain: Contain;
 }
@@ -154,10 +156,17 @@
     this.connectTimer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       clearTimeout(this.connectTimer);
-      this.sent = true;
+      if (this.options.maySend()) this.sent = true;
+      else this.withdraw();
     });
   }
 
+  /** Ends the call before anything is written. */
+  private withdraw(): void {
+    this.fail('connect_failed', 'target left while the connection was opened');
+    this.req?.destroy();
+  }
+
   private onHead(res: http.IncomingMessage, isReusedSocket: boolean): void {
     res.on('error', ignoreError);
     if (this.settled) {
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {RouteTable} from '@applebend/routing';
+import {RouteTable, TARGET_STATE} from '@applebend/routing';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {errorMessage, systemClock} from '@applebend/utils';
 import {Exchange} from '../lib/front/exchange.js';
@@ -24,6 +24,14 @@
 const COLD_START = {ratePerS: 8, durationMs: 60_000};
 const MAX_MS = 500;
 
+/** The list of targets of a rig's instance, and its source. */
+export interface RigSource {
+  /** Whether the list is recent enough to send requests by it. */
+  isCurrent: boolean;
+  /** Called to read the list. */
+  onRefresh: () => void;
+}
+
 /** Exchanges of one instance with one target of a service that limits cold ones. */
 export class ExchangeRig {
   /** Messages of the exceptions that were reported. */
@@ -32,13 +40,16 @@
 
   private constructor(
     readonly state: FleetState,
+    readonly source: RigSource,
     private readonly target: http.Server | undefined
   ) {}
 
   /** @param target - undefined if nothing listens at the target's address */
   static async create(target?: http.Server): Promise<ExchangeRig> {
     const address = target?.address() as AddressInfo | undefined;
-    return new ExchangeRig(createState(address?.port ?? 9), target);
+    const source: RigSource = {isCurrent: true, onRefresh: () => undefined};
+    const state = createState(address?.port ?? 9, source);
+    return new ExchangeRig(state, source, target);
   }
 
   get record() {
@@ -47,6 +58,14 @@
     return record;
   }
 
+  /** Reads a list of targets in which the target is leaving. */
+  readLeaving(): void {
+    const {state, record} = this;
+    const targets = [{...record.target, state: TARGET_STATE.leaving}];
+    const list = {targets, storeEra: 0, restoredBefore: 0};
+    state.onTargets(list, systemClock.monotonicMs());
+  }
+
   /** Requests that count as running at the target. */
   get running(): number {
     return this.record.ownLoad.load.running;
@@ -91,7 +110,7 @@
   }
 }
 
-function createState(port: number): FleetState {
+function createState(port: number, rigSource: RigSource): FleetState {
   const settings = {
     instance: 'entry-1',
     failureDomain: 'hall-a',
@@ -102,7 +121,10 @@
   } as unknown as GatewaySettings;
   const log = Logger.create(LOG_LEVEL.error, {});
   const inspector = {inspect: () => Promise.resolve(undefined)};
-  const source = {} as StateSource;
+  const source = {
+    areTargetsCurrent: () => rigSource.isCurrent,
+    refreshTargets: async () => rigSource.onRefresh(),
+  } as StateSource;
   const state = FleetState.create(settings, source, inspector, log);
   const service = {name: SERVICE, coldStart: COLD_START};
   const config = {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,6 +11,7 @@
 export {evictOldest} from './lib/evict_oldest.js';
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
 export {limitInformation} from './lib/limit_information.js';
+export {afterLoopTime} from './lib/loop_timer.js';
 export {Mailbox} from './lib/mailbox.js';
 export {parseJson} from './lib/parse_json.js';
 export {Random} from './lib/random.js';
