--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -276,6 +276,7 @@
     const {state} = this;
     return this.metrics.text({
       configAgeMs: this.ports.stateSource.configAgeMs(),
+      targetListAgeMs: this.ports.stateSource.targetsAgeMs(),
       configVersion: state.config?.version ?? 0,
       storeEra: this.ports.stateSource.heldState().storeEra,
       instances: state.instanceCount,
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -54,6 +54,9 @@
     return {storeEra: 0, configVersion: 7, targetList};
   }
   onPeerState(): void {}
+  targetsAgeMs(): number {
+    return 0;
+  }
   areTargetsCurrent(): boolean {
     return true;
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -206,6 +206,8 @@
    * a newer configuration, and a read of the target list may be saved here.
    */
   onPeerState(state: HeldState): void;
+  /** Milliseconds since the start of the read that the list of targets rests on. */
+  targetsAgeMs(): number;
   /**
    * Whether the list of targets is recent enough to send requests by it, see
    * `maxTargetListAgeMs`, or the store is lost and no other one can be had.
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -27,6 +27,9 @@
 import type {UsageRow} from '../peers/peer_message.js';
 import type {TargetSignalListener} from './target_directory.js';
 
+/** Minimum time between two log lines of one kind. */
+const MIN_LOG_INTERVAL_MS = 1000;
+
 /**
  * The state that all requests of one instance share: the configuration, the
  * targets, and what is known of the load and usage of the whole fleet.
@@ -56,6 +59,7 @@
   groupInstanceCount = 1;
   isStopping = false;
   private wasConfirmed = false;
+  private oldTargetsLoggedAtMs = -Infinity;
   /** The confirmation that is under way, which later callers share. */
   private confirming: Promise<boolean> | undefined;
   /** Called with what a target says of itself, in any of its responses. */
@@ -151,6 +155,7 @@
 
   /** Resolves when a read of the targets has ended, whether or not it succeeded. */
   async refreshTargets(): Promise<void> {
+    this.logOldTargets();
     try {
       await this.source.refreshTargets();
     } catch (err) {
@@ -158,6 +163,15 @@
     }
   }
 
+  private logOldTargets(): void {
+    const nowMs = systemClock.monotonicMs();
+    if (nowMs - this.oldTargetsLoggedAtMs < MIN_LOG_INTERVAL_MS) return;
+    this.oldTargetsLoggedAtMs = nowMs;
+    const ageMs = this.source.targetsAgeMs();
+    const {lagMs} = this.overloadGuard;
+    this.log.warn('target list too old', {ageMs, loopLagMs: lagMs});
+  }
+
   /**
    * Resolves to whether the list of targets was confirmed as the newest, or
    * replaced by it, since the call or shortly before.
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -122,6 +122,7 @@
   const log = Logger.create(LOG_LEVEL.error, {});
   const inspector = {inspect: () => Promise.resolve(undefined)};
   const source = {
+    targetsAgeMs: () => 0,
     areTargetsCurrent: () => rigSource.isCurrent,
     refreshTargets: async () => rigSource.onRefresh(),
   } as StateSource;
