--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -206,7 +206,7 @@
    * a newer configuration, and a read of the target list may be saved here.
    */
   onPeerState(state: HeldState): void;
-  /** Milliseconds since the start of the read that the list of targets rests on. */
+  /** Milliseconds since the start of a read, here or by a peer, of the same targets. */
   targetsAgeMs(): number;
   /**
    * Whether the list of targets is recent enough to send requests by it, see
