--- a/packages/gateway/src/lib/front/exchange_fault.test.ts
+++ b/packages/gateway/src/lib/front/exchange_fault.test.ts
@@ -41,6 +41,19 @@
   }
 });
 
+test('a fault while a connection opens is a refusal, and frees the target', async () => {
+  const rig = await ExchangeRig.create(await startTarget());
+  try {
+    rig.state.targets.mayGetRequests = fault;
+    const {status} = await rig.exchange();
+    assert.equal(status, 503);
+    assert.deepEqual(rig.faults, ['a fault']);
+    assert.equal(rig.running, 0);
+  } finally {
+    rig.close();
+  }
+});
+
 test('a fault while the response is read is no promise, and frees the target', async () => {
   const rig = await ExchangeRig.create(await startTarget());
   try {
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -149,21 +149,22 @@
       this.sent = true;
       return;
     }
-    const onTimeout = this.options.contain(() => {
-      this.fail('connect_failed', 'connection timed out');
-      this.req?.destroy();
-    });
+    const {contain} = this.options;
+    const onTimeout = contain(() => this.withdraw('connection timed out'));
     this.connectTimer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
-    socket.once('connect', () => {
-      clearTimeout(this.connectTimer);
-      if (this.options.maySend()) this.sent = true;
-      else this.withdraw();
-    });
+    const onConnect = contain(() => this.onConnect());
+    socket.once('connect', onConnect);
+  }
+
+  private onConnect(): void {
+    clearTimeout(this.connectTimer);
+    if (this.options.maySend()) this.sent = true;
+    else this.withdraw('target left while the connection was opened');
   }
 
   /** Ends the call before anything is written. */
-  private withdraw(): void {
-    this.fail('connect_failed', 'target left while the connection was opened');
+  private withdraw(message: string): void {
+    this.fail('connect_failed', message);
     this.req?.destroy();
   }
 
