--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -9,6 +9,7 @@
 export interface GaugeValues {
   /** Age of the last confirmation of the configuration. */
   readonly configAgeMs: number;
+  /** Age of the last read, here or by a peer, of the list of targets. */
   readonly targetListAgeMs: number;
   readonly configVersion: number;
   /** Rises when the store was restored from a copy. */
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -105,8 +105,14 @@
 
   /** Whether a target that was chosen may still get a request. */
   mayGetRequests(record: TargetRecord): boolean {
-    const {id, state, failureDomain} = record.target;
-    if (this.records.get(id) !== record) return false;
+    return (
+      this.records.get(record.target.id) === record && this.isEligible(record)
+    );
+  }
+
+  /** Whether a registered target is neither leaving nor in an evacuated domain. */
+  private isEligible({target}: TargetRecord): boolean {
+    const {state, failureDomain} = target;
     return state === TARGET_STATE.ready && !this.evacuations.has(failureDomain);
   }
 
@@ -277,9 +283,8 @@
   private indexServices(): void {
     this.byService = new Map();
     for (const record of this.records.values()) {
-      const {service, state, failureDomain} = record.target;
-      if (state !== TARGET_STATE.ready) continue;
-      if (this.evacuations.has(failureDomain)) continue;
+      if (!this.isEligible(record)) continue;
+      const {service} = record.target;
       const list = this.byService.get(service) ?? [];
       list.push(record);
       this.byService.set(service, list);
