--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -118,10 +118,8 @@
       log,
       figures: () => this.loadFigures(),
     });
-    const {overloadGuard, overloadHealth} = this.state;
     this.loop = LoopMonitor.create(
-      overloadGuard,
-      overloadHealth,
+      this.state.overloadGuard,
       () => this.listenerProbe.delayMs,
       systemClock,
       log
@@ -211,9 +209,9 @@
 
   /** Whether the balancer, which asks, may send new connections here. */
   private checkReadiness(): boolean {
-    const {isReady: isLoaded, overloadHealth, rotationNotice} = this.state;
+    const {isReady: isLoaded, overloadGuard, rotationNotice} = this.state;
     const {isResponsive} = this.listenerProbe;
-    const isReady = isLoaded && isResponsive && overloadHealth.isHealthy;
+    const isReady = isLoaded && isResponsive && overloadGuard.isHealthy;
     rotationNotice.onCheck(isReady, systemClock.monotonicMs());
     return isReady;
   }
--- a/packages/gateway/src/lib/loop_monitor.ts
+++ b/packages/gateway/src/lib/loop_monitor.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 
-import type {OverloadGuard, OverloadHealth} from '@applebend/routing';
+import type {OverloadGuard} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
@@ -9,9 +9,8 @@
 const MIN_LOG_INTERVAL_MS = 1000;
 
 /**
- * Samples the lag and the utilization of the event loop for an overload guard and
- * the readiness that follows from it, and logs when overload starts or ends, at
- * most once a second.
+ * Samples the lag and the utilization of the event loop for an overload guard,
+ * and logs when overload starts or ends, at most once a second.
  *
  * @public
  */
@@ -23,7 +22,6 @@
 
   private constructor(
     private readonly guard: OverloadGuard,
-    private readonly health: OverloadHealth,
     private readonly listenerDelayMs: () => number,
     private readonly clock: Clock,
     private readonly log: Logger
@@ -31,12 +29,11 @@
 
   static create(
     guard: OverloadGuard,
-    health: OverloadHealth,
     listenerDelayMs: () => number,
     clock: Clock,
     log: Logger
   ): LoopMonitor {
-    return new LoopMonitor(guard, health, listenerDelayMs, clock, log);
+    return new LoopMonitor(guard, listenerDelayMs, clock, log);
   }
 
   /** Takes samples until `stop` is called. */
@@ -53,7 +50,7 @@
   }
 
   private onSample(lagMs: number): void {
-    const {guard, health, clock, log} = this;
+    const {guard, clock, log} = this;
     const before = this.lastUtilization;
     this.lastUtilization = performance.eventLoopUtilization();
     const {utilization} = performance.eventLoopUtilization(
@@ -64,7 +61,6 @@
     const listenerDelayMs = this.listenerDelayMs();
     guard.onSample({lagMs, busyFraction: utilization, listenerDelayMs}, nowMs);
     const {isOverloaded} = guard;
-    health.onSample({isOverloaded, busyFraction: guard.busyFraction}, nowMs);
     const isDue = nowMs - this.loggedAtMs >= MIN_LOG_INTERVAL_MS;
     if (isOverloaded === this.lastLoggedState || !isDue) return;
     this.lastLoggedState = isOverloaded;
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -3,7 +3,6 @@
   ENGINE_POOL,
   FleetRetryBudget,
   OverloadGuard,
-  OverloadHealth,
   ReturnTimes,
   RotationNotice,
   StreamVersions,
@@ -40,7 +39,6 @@
   readonly peerLoads = PeerLoadTotals.create();
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
-  readonly overloadHealth = OverloadHealth.create();
   readonly rotationNotice = RotationNotice.create();
   readonly crashGuard: CrashGuard;
   /** The software versions at which streams of all instances were begun. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -80,8 +80,6 @@
   ColdReason,
   ColdShare,
 } from './lib/health/cold_start.js';
-export {OverloadHealth} from './lib/health/overload_health.js';
-export type {InstanceLoad} from './lib/health/overload_health.js';
 export {ListenerHealth} from './lib/health/listener_health.js';
 export {TargetHealth} from './lib/health/target_health.js';
 export {ReturnTimes} from './lib/health/return_times.js';
--- a/packages/routing/src/lib/admission/overload_guard.ts
+++ b/packages/routing/src/lib/admission/overload_guard.ts
@@ -1,3 +1,4 @@
+import {OverloadHealth} from '../health/overload_health.js';
 import {ArrivalShares} from './arrival_shares.js';
 import {honoredRetryAfterMs} from './retry_after.js';
 
@@ -64,6 +65,7 @@
   /** Since when new connections have waited too long in the present overload. */
   private lateSinceMs: number | undefined;
   private readonly shares = ArrivalShares.create();
+  private readonly health = OverloadHealth.create();
 
   private constructor() {}
 
@@ -81,6 +83,11 @@
     return this.smoothedBusy;
   }
 
+  /** Whether the balancer may send new connections, see `OverloadHealth`. */
+  get isHealthy(): boolean {
+    return this.health.isHealthy;
+  }
+
   /** Whether the instance refuses a part of the new requests. */
   get isOverloaded(): boolean {
     return this.smoothedLagMs > LAG_LIMIT_MS || this.smoothedBusy > BUSY_LIMIT;
@@ -95,6 +102,7 @@
     this.smoothedLagMs += SAMPLE_WEIGHT * (sampleMs - this.smoothedLagMs);
     this.smoothedBusy += SAMPLE_WEIGHT * (busyFraction - this.smoothedBusy);
     this.onListenerDelay(listenerDelayMs, nowMs);
+    this.health.onSample(this, nowMs);
   }
 
   /** Records since when new connections wait too long in an overload. */
--- a/packages/routing/src/lib/health/overload_health.ts
+++ b/packages/routing/src/lib/health/overload_health.ts
@@ -3,7 +3,7 @@
 /** Time for which it has to have room before it counts as healthy. */
 const RECOVERY_MS = 1000;
 
-/** The load of an instance, as an `OverloadGuard` sees it. @public */
+/** The load of an instance, as an `OverloadGuard` sees it. @internal */
 export interface InstanceLoad {
   readonly isOverloaded: boolean;
   /** Smoothed fraction of the time that the event loop is busy, 0 to 1. */
@@ -17,7 +17,7 @@
  * twice, would otherwise leave all callers of a customer at it. Times are
  * monotonic milliseconds.
  *
- * @public
+ * @internal
  */
 export class OverloadHealth {
   private healthy = true;
--- a/packages/routing/src/one_instance_customer.test.ts
+++ b/packages/routing/src/one_instance_customer.test.ts
@@ -3,7 +3,6 @@
 import {test} from 'node:test';
 import {OverloadGuard} from './lib/admission/overload_guard.js';
 import {RotationNotice} from './lib/admission/rotation_notice.js';
-import {OverloadHealth} from './lib/health/overload_health.js';
 import {Random} from '@applebend/utils';
 
 /** New requests of the customer; a refused one is sent once more. */
@@ -32,7 +31,6 @@
 
 class Instance {
   readonly guard = OverloadGuard.create();
-  readonly health = OverloadHealth.create();
   readonly notice = RotationNotice.create();
   readonly queue: Arrival[] = [];
   failedChecks = 0;
@@ -48,12 +46,10 @@
     this.busyMs = 0;
     const listenerDelayMs = nowMs - (this.queue[0]?.atMs ?? nowMs);
     this.guard.onSample({lagMs: 0, busyFraction, listenerDelayMs}, nowMs);
-    const {isOverloaded, busyFraction: smoothed} = this.guard;
-    this.health.onSample({isOverloaded, busyFraction: smoothed}, nowMs);
   }
 
   check(nowMs: number): void {
-    const {isHealthy} = this.health;
+    const {isHealthy} = this.guard;
     this.notice.onCheck(isHealthy, nowMs);
     this.failedChecks = isHealthy ? 0 : this.failedChecks + 1;
   }
