--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -22,7 +22,7 @@
 const DRAIN_MS = 2000;
 const DEADLINE_MS = 15_000;
 /** Pauses of a client that takes a stream up three times at most. */
-const RETRY_PAUSES_MS = [800, 1600, 2400];
+const RETRY_PAUSES_MS = [800, 1600, 3200];
 /** More than two streams of two versions break the rule. */
 const ALLOWED = 2;
 
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -20,6 +20,8 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const READY_TIMEOUT_MS = 20_000;
+/** A case that takes longer ends as one that could not run. */
+const MAX_CASE_MS = 115_000;
 const EXIT = {held: 0, broken: 1, failedToRun: 2};
 
 /** Whether the disruption is to happen; `TROUBLE=0` leaves it out. */
@@ -190,6 +192,8 @@
       env: {PATH, HOME, LANG, APPLEBEND_SETTINGS: instance.settings},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    process.setMaxListeners(0);
+    process.once('exit', () => child.kill('SIGKILL'));
     instance.child = child;
     instance.exit = undefined;
     child.stdout.on('data', data => appendFileSync(instance.output, data));
@@ -331,6 +335,10 @@
   const record = new CaseRecord(caseUrl);
   const closers = [];
   let code = EXIT.failedToRun;
+  const giveUp = () => process.exit(EXIT.failedToRun);
+  process.once('SIGTERM', giveUp);
+  process.once('SIGINT', giveUp);
+  setTimeout(giveUp, MAX_CASE_MS).unref();
   try {
     const isBroken = await body(record, closer => closers.push(closer));
     code = isBroken ? EXIT.broken : EXIT.held;
