--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,24 +1,21 @@
 /**
- * All instances are killed at the same moment and are back after 2.6 s. While
+ * All instances are killed at the same moment and are back after 2.5 s. While
  * they are down, the engines of a service are replaced by ones of a newer
  * version. The clients take their broken streams up again.
  */
 import {config, HOST, KEY, route} from '../lib/config.mjs';
 import {Engine, streamEvents} from '../lib/engine.mjs';
-import {
-  call,
-  Fleet,
-  hasTrouble,
-  nextAttemptId,
-  runCase,
-  sleep,
-} from '../lib/fleet.mjs';
+import {call, Fleet, nextAttemptId, runCase, sleep} from '../lib/fleet.mjs';
 import {Store} from '../lib/store.mjs';
 
+/** `TROUBLE=0` does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const EVENTS = 80;
 const EVENT_GAP_MS = 60;
 const STREAMS = 12;
-const DOWN_MS = 2600;
+/** Under the 2.6 s of the claim. */
+const DOWN_MS = 2500;
 const DRAIN_MS = 2000;
 const DEADLINE_MS = 15_000;
 /** Pauses of a client that takes a stream up three times at most. */
@@ -119,7 +116,7 @@
     leaving.drain();
     record.write('engine drains', {id: leaving.id});
   }
-  await sleep(DRAIN_MS + 300);
+  await sleep(DRAIN_MS + 200);
   for (const leaving of old) {
     leaving.close();
     record.write('engine ends', {id: leaving.id});
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,22 +1,27 @@
 /**
- * One machine of three is turned away by the store for 9 s. Meanwhile the
+ * One machine of three is turned away by the store for 8.9 s. Meanwhile the
  * operator writes configurations in quick succession; each has some 430 routes.
  * Later that machine, long in touch again, has to handle requests as the last
  * one says.
  */
 import {config, HOST, idleRoutes, KEY, route} from '../lib/config.mjs';
 import {answerAfter, Engine} from '../lib/engine.mjs';
-import {call, Fleet, hasTrouble, runCase, sleep} from '../lib/fleet.mjs';
+import {call, Fleet, runCase, sleep} from '../lib/fleet.mjs';
 import {Store} from '../lib/store.mjs';
 
-/** `big_config`, `config_storm` and `platform_down` of the site file. */
+/** `TROUBLE=0` does the same without the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+/** Within `big_config`, `config_storm` and `platform_down` of the site file. */
 const ADDED_ROUTES = 420;
 const STORM_VERSIONS = 12;
 const STORM_GAP_MS = 330;
-const TURNED_AWAY_MS = 9000;
+const TURNED_AWAY_MS = 8900;
 /** Bounds of the settings. */
 const STABLE_WINDOW_MS = 3000;
 const CONFIG_APPLY_MS = 2000;
+/** An unstable core stretches that bound. */
+const STRETCH_MAX_MS = 5000;
 const JUDGED_REQUESTS = 30;
 const WORK_MS = 10;
 
@@ -63,9 +68,11 @@
   await fleet.whenReady();
   await sleep(3000);
 
+  let ackMs = 0;
   const write = (number, isLast) => {
     const value = versionOf(number, isLast, true);
     store.put('keyed.op', 'config', value);
+    ackMs = performance.now();
     record.write('configuration acknowledged', {
       version: number,
       bytes: JSON.stringify(value).length,
@@ -89,9 +96,15 @@
     cut.door.isOpen = true;
     record.write('store serves again', {node: cut.name});
   }
-  await sleep(STABLE_WINDOW_MS + CONFIG_APPLY_MS);
+  const judgedFromMs = Math.max(
+    performance.now() + STABLE_WINDOW_MS,
+    ackMs + CONFIG_APPLY_MS + STRETCH_MAX_MS
+  );
+  await sleep(judgedFromMs - performance.now());
+  record.write('machines are in touch, the last version has to be in force');
 
-  let byOld = 0;
+  let byOldService = 0;
+  let onDroppedRoute = 0;
   const keyed = new Map();
   for (let i = 0; i < JUDGED_REQUESTS; i++) {
     for (const instance of fleet.instances) {
@@ -105,17 +118,18 @@
         host: HOST,
         key: KEY,
       });
-      const isOld = moved.text.startsWith('app-a') || dropped.status === 200;
-      if (isOld) byOld += 1;
+      if (moved.text.startsWith('app-a')) byOldService += 1;
+      if (dropped.status === 200) onDroppedRoute += 1;
       const counts = `${instance.name} ${other.status}`;
       keyed.set(counts, (keyed.get(counts) ?? 0) + 1);
     }
     await sleep(200);
   }
   record.write('requests handled as only an older version allows', {
-    byOld,
-    of: JUDGED_REQUESTS * fleet.instances.length,
+    byOldService,
+    onDroppedRoute,
+    ofEach: JUDGED_REQUESTS * fleet.instances.length,
   });
   record.write('answers on the keyed route', Object.fromEntries(keyed));
-  return byOld > 0;
+  return byOldService + onDroppedRoute > 0;
 });
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -24,9 +24,6 @@
 const MAX_CASE_MS = 115_000;
 const EXIT = {held: 0, broken: 1, failedToRun: 2};
 
-/** Whether the disruption is to happen; `TROUBLE=0` leaves it out. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 /** The words of the `run` line of the deploy file. */
 function runWords() {
   const deploy = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -294,7 +291,16 @@
         tookMs,
         text: text.slice(-60),
       });
-      resolve({attempt, status, isWhole, seal, text, headers: answer, sentMs});
+      resolve({
+        attempt,
+        status,
+        isWhole,
+        seal,
+        text,
+        headers: answer,
+        sentMs,
+        endedMs: performance.now(),
+      });
     };
     const req = http.request({
       host: instance.host,
