The set of versions of a service is saved also when it names one

Cause: a set of versions was saved only while it named several, and after the restart one listed version was taken for proof that there had been no other.

Change: each set is saved when it changes. A service without a record has an unknown history for the retention time after a start. An unknown stream of a service with one version is bound to that version in place of any.

The model checks that an inferred version is the one that began the stream. Why it works: what was lost with all instances was the fact that there had been another version; the record that outlasts them now says so.

Tests that demanded no append with one version now demand that sets are written once and that nothing is appended while they stay the same.

--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -121,14 +121,16 @@
   });
 });
 
-test('with one version nothing is written, and one call reads', async () => {
+test('with one version its set is written, once, and one call reads', async () => {
   const store = MemoryArchive.create();
   await withInstances(store, async start => {
     const instance = start();
     instance.see('v1');
     for (let i = 0; i < 20; i++) instance.begin(i, 'v1');
     await sleep(SAVED_MS);
-    assert.deepEqual(store.calls, {newest: 1, read: 0, append: 0});
+    assert.deepEqual(store.calls, {newest: 1, read: 0, append: 1});
+    await sleep(SAVED_MS);
+    assert.equal(store.calls.append, 1);
   });
 });
 
--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -9,10 +9,10 @@
 import type {RecordArchive} from '../ports.js';
 import type {FleetState} from '../state/fleet_state.js';
 
-/** How often `VersionJournal` is asked what to append. */
-const TICK_MS = 50;
-/** The same while each service has one version; a wake-up costs processor time. */
-const IDLE_TICK_MS = 1000;
+/** How often the writer's `VersionJournal` is asked what to append. */
+const WRITER_TICK_MS = 50;
+/** The same for the other instances; a wake-up costs processor time. */
+const TICK_MS = 200;
 
 /** The state that is saved and read. @public */
 export interface JournaledState extends Pick<
@@ -80,7 +80,7 @@
    */
   start(isFirstStart: boolean): void {
     this.schedule(TICK_MS);
-    if (isFirstStart) this.onReadEnd();
+    if (isFirstStart) this.onFirstStart();
     else void this.read();
   }
 
@@ -103,6 +103,12 @@
     await this.reader.readLate();
   }
 
+  private onFirstStart(): void {
+    const {versionJournal, journalReadiness} = this.options.state;
+    versionJournal.onFirstStart();
+    journalReadiness.onComplete();
+  }
+
   private onReadEnd(): void {
     const {versionJournal, journalReadiness} = this.options.state;
     versionJournal.onReadEnd(this.nowMs);
@@ -119,11 +125,9 @@
     const {state} = this.options;
     const {versionJournal: journal, targets, instanceCount} = state;
     const {nowMs} = this;
-    const sets = targets.versions.sets(nowMs);
-    journal.onServices(sets, nowMs);
-    const hasSeveral = [...sets.values()].some(({length}) => length > 1);
-    this.schedule(hasSeveral || journal.isWriter ? TICK_MS : IDLE_TICK_MS);
+    journal.onServices(targets.versions.sets(nowMs), nowMs);
     const records = journal.next(instanceCount, nowMs);
+    this.schedule(journal.isWriter ? WRITER_TICK_MS : TICK_MS);
     this.journalLog.onRole(journal.isWriter);
     if (records.length === 0) return;
     this.batch = records;
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -131,11 +131,10 @@
       this.ending.refuse('quarantined', quarantineLeftMs / 1000);
       return;
     }
-    if (need.kind !== 'any' && need.kind !== 'exact') {
+    if (!this.versionPin.onNeed(need)) {
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
     }
-    if (need.kind === 'exact') this.versionPin.onResume(need.version);
     const {placementInput} = this;
     const decision = decideRequest(placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
--- a/packages/gateway/src/lib/front/stream_version.ts
+++ b/packages/gateway/src/lib/front/stream_version.ts
@@ -32,7 +32,8 @@
       : streamVersions.versionOf(attemptKeyOf(firstAttemptId));
   return resumedVersionNeed({
     version,
-    hasSeveralVersions: targets.versions.hasSeveral(service, nowMs),
+    serviceVersions: targets.versions.of(service, nowMs),
+    isHistoryKnown: targets.versions.isHistoryKnown(service, nowMs),
     isJournalRead: journalReadiness.isComplete,
     isListCurrent,
   });
--- a/packages/gateway/src/lib/front/version_lookup.test.ts
+++ b/packages/gateway/src/lib/front/version_lookup.test.ts
@@ -94,7 +94,7 @@
   const {needs} = lookUp(state, resumed);
   assert.equal(needs.length, 0);
   await sleep(10);
-  assert.deepEqual(needs[0]?.need, {kind: 'any'});
+  assert.deepEqual(needs[0]?.need, {kind: 'inferred', version: 'v2'});
 });
 
 test('an unknown attempt goes on at no version that the confirmed list adds to', async () => {
--- a/packages/gateway/src/lib/front/version_pin.ts
+++ b/packages/gateway/src/lib/front/version_pin.ts
@@ -1,6 +1,6 @@
 import {versionOfRetries} from './stream_version.js';
 
-import type {Target} from '@applebend/routing';
+import type {Target, VersionNeed} from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
 
@@ -27,9 +27,15 @@
     return this.pinned;
   }
 
-  /** Binds the request to the version of the stream that it resumes. */
-  onResume(version: string): void {
-    this.pinned = version;
+  /**
+   * Binds the request to the version of the stream that it resumes. Returns
+   * false if it may not run, because that version is not known.
+   */
+  onNeed(need: VersionNeed): boolean {
+    if (need.kind === 'any') return true;
+    if (need.kind !== 'exact' && need.kind !== 'inferred') return false;
+    this.pinned = need.version;
+    return true;
   }
 
   /** Called when a stream begins at a target. */
--- a/packages/routing/src/lib/versions/journaled_services.ts
+++ b/packages/routing/src/lib/versions/journaled_services.ts
@@ -7,7 +7,8 @@
 
 /**
  * Decides which sets of versions are to be saved: those that differ from what
- * the journal holds, unless both name at most one version.
+ * the journal holds. A set of one version is saved, too: it shows, after a
+ * restart of all instances, that the service had another version before.
  *
  * @internal
  */
@@ -15,11 +16,6 @@
   private current: VersionSets = new Map();
   /** What the journal holds, as far as it was read, saved or can be assumed. */
   private readonly held = new Map<string, readonly string[]>();
-  /**
-   * Services whose record may name several versions. Without an own save, it is
-   * not certain that a set that has shrunk to one version was saved.
-   */
-  private readonly mayHoldSeveral = new Set<string>();
   /** Services whose records have to be written whatever the journal holds. */
   private readonly forced = new Set<string>();
   private versionsToJournal: ReadonlySet<string> = new Set();
@@ -38,9 +34,8 @@
   onServices(sets: VersionSets): void {
     this.current = new Map(sets);
     const versions = new Set<string>();
-    for (const [service, set] of sets) {
+    for (const set of sets.values()) {
       if (set.length < 2) continue;
-      this.mayHoldSeveral.add(service);
       for (const version of set) versions.add(version);
     }
     this.versionsToJournal = versions;
@@ -50,27 +45,30 @@
   onHeld({service, versions}: ServiceRecord): void {
     this.held.set(service, versions);
     this.forced.delete(service);
-    if (versions.length > 1) this.mayHoldSeveral.add(service);
-    else this.mayHoldSeveral.delete(service);
+  }
+
+  /** The services of which the journal holds a record. */
+  heldServices(): Iterable<string> {
+    return this.held.keys();
   }
 
   /** Called when the writer of the fleet has saved what it knows. */
   assumeSaved(): void {
     this.forced.clear();
-    for (const service of this.mayHoldSeveral) {
+    for (const service of this.services()) {
       this.held.set(service, this.currentOf(service));
     }
   }
 
-  /** Has all records written that name several versions, or may do so. */
+  /** Has all records written. */
   forceAll(): void {
-    for (const service of this.mayHoldSeveral) this.forced.add(service);
+    for (const service of this.services()) this.forced.add(service);
   }
 
   /** The records to write. */
   unsaved(): ServiceRecord[] {
     const records: ServiceRecord[] = [];
-    for (const service of this.mayHoldSeveral) {
+    for (const service of this.services()) {
       const versions = this.currentOf(service);
       const isHeld = isSame(versions, this.held.get(service) ?? NO_VERSIONS);
       if (isHeld && !this.forced.has(service)) continue;
@@ -79,6 +77,11 @@
     return records;
   }
 
+  /** The services that have versions, or had some when they were last saved. */
+  private services(): ReadonlySet<string> {
+    return new Set([...this.current.keys(), ...this.held.keys()]);
+  }
+
   private currentOf(service: string): readonly string[] {
     return this.current.get(service) ?? NO_VERSIONS;
   }
--- a/packages/routing/src/lib/versions/service_versions.ts
+++ b/packages/routing/src/lib/versions/service_versions.ts
@@ -22,6 +22,10 @@
   private readonly seen = new Map<string, Map<string, number>>();
   /** Without duplicates: all are refreshed whenever a request asks. */
   private registered: readonly RegisteredVersion[] = [];
+  /** Services whose versions from before this start were read. */
+  private readonly recorded = new Set<string>();
+  /** Start of the time in which all versions were seen, of all services. */
+  private completeFromMs = -Infinity;
   private retentionMs = streamRetentionMs(0);
 
   private constructor() {}
@@ -56,9 +60,29 @@
     this.seen.set(service, versions);
   }
 
+  /**
+   * Called after the versions from before this start were added, with the
+   * services of which there was a record. Other services may have had more.
+   */
+  onHistoryRead(services: Iterable<string>, nowMs: number): void {
+    for (const service of services) this.recorded.add(service);
+    this.completeFromMs = nowMs;
+  }
+
+  /** Whether no version of the service from before this start can be missing. */
+  isHistoryKnown(service: string, nowMs: number): boolean {
+    const isOver = nowMs - this.completeFromMs > this.retentionMs;
+    return isOver || this.recorded.has(service);
+  }
+
   /** Whether streams of the service may have begun at different versions. */
   hasSeveral(service: string, nowMs: number): boolean {
-    return (this.sets(nowMs).get(service)?.length ?? 0) > 1;
+    return this.of(service, nowMs).length > 1;
+  }
+
+  /** The versions at which a stream of the service may have begun, in order. */
+  of(service: string, nowMs: number): readonly string[] {
+    return this.sets(nowMs).get(service) ?? [];
   }
 
   /**
--- a/packages/routing/src/lib/versions/version_journal.model.test.ts
+++ b/packages/routing/src/lib/versions/version_journal.model.test.ts
@@ -138,7 +138,9 @@
     fc.property(input, ({seed, takeovers: kills, downMs: ms, runMs}) => {
       const fleet = new JournalFleet(seed);
       fleet.run(SETTLE_MS);
-      assert.equal(fleet.store.appendCount, 0, 'one version');
+      const setAppends = fleet.store.appendCount;
+      fleet.run(SETTLE_MS);
+      assert.equal(fleet.store.appendCount, setAppends, 'one version');
       fleet.releases.appear('llm');
       fleet.run(SETTLE_MS);
       const before = fleet.store.appendCount;
--- a/packages/routing/src/lib/versions/version_journal.test.ts
+++ b/packages/routing/src/lib/versions/version_journal.test.ts
@@ -34,7 +34,7 @@
   /** An instance of a fleet that starts for the first time. */
   static create(): TestInstance {
     const instance = new TestInstance();
-    instance.journal.onReadEnd(-10_000);
+    instance.journal.onFirstStart();
     return instance;
   }
 
@@ -55,11 +55,21 @@
   }
 }
 
-test('services with one version cause no records', () => {
+// Else nothing shows, after a restart of all, that it had another version.
+test('a set of one version is saved, once', () => {
   const instance = TestInstance.create();
   instance.journal.onServices(ONE, 0);
-  instance.begin(1, 'v1', 0);
-  instance.journal.onServices(new Map([['llm', ['v2']]]), 100);
+  assert.deepEqual(instance.append(0), [serviceRecord('v1')]);
+  instance.journal.onServices(ONE, 300);
+  assert.deepEqual(instance.append(5000), []);
+  instance.journal.onServices(new Map([['llm', ['v2']]]), 5100);
+  assert.deepEqual(instance.append(5300), [serviceRecord('v2')]);
+});
+
+test('a set of one version that a peer has saved is not saved again', () => {
+  const instance = TestInstance.create();
+  instance.journal.onServices(ONE, 0);
+  instance.journal.onPeerSaved('i1', 0);
   assert.deepEqual(instance.append(5000), []);
   assert.equal(instance.journal.isWriter, false);
 });
--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -126,13 +126,17 @@
     }
   }
 
-  /**
-   * Called after the last record was read, or at the first start of a fleet, when
-   * there is nothing to read.
-   */
+  /** Called in place of `onReadEnd` where the whole fleet has never run before. */
+  onFirstStart(): void {
+    this.hasEndedReading = true;
+  }
+
+  /** Called after the last record was read. */
   onReadEnd(nowMs: number): void {
     this.hasEndedReading = true;
-    this.services.onServices(this.options.services.sets(nowMs));
+    const {services} = this.options;
+    services.onHistoryRead(this.services.heldServices(), nowMs);
+    this.services.onServices(services.sets(nowMs));
     // An instance that was up when a writer was lost remembers more streams, so
     // it has the first chance to take over, unless the journal lacks a version.
     const isJournaled = this.services.unsaved().length === 0;
--- a/packages/routing/src/lib/versions/version_need.ts
+++ b/packages/routing/src/lib/versions/version_need.ts
@@ -1,7 +1,10 @@
 /** Where a request may run, by the software version of the targets. @public */
 export type VersionNeed =
   | {readonly kind: 'any'}
+  /** It resumes a stream, which is known to have begun at this version. */
   | {readonly kind: 'exact'; readonly version: string}
+  /** It resumes an unknown stream of a service that had only this version. */
+  | {readonly kind: 'inferred'; readonly version: string}
   /** It resumes a stream, and it is not known where that began. */
   | {readonly kind: 'unknown'}
   /** As `unknown`, but the journal that may tell has not been read yet. */
@@ -13,8 +16,10 @@
 export interface ResumedStream {
   /** Version at which its attempt began; undefined if that is not known. */
   readonly version: string | undefined;
-  /** Whether streams of its service may have begun at different versions. */
-  readonly hasSeveralVersions: boolean;
+  /** Versions at which streams of its service may have begun. */
+  readonly serviceVersions: readonly string[];
+  /** Whether a version that left before this start would be among them. */
+  readonly isHistoryKnown: boolean;
   /** Whether the journal has been read completely, or need not be read. */
   readonly isJournalRead: boolean;
   /** Whether the list of targets was read after the stream broke. */
@@ -24,7 +29,8 @@
 /** Decides where a stream that a caller resumes may continue. @public */
 export function resumedVersionNeed({
   version,
-  hasSeveralVersions,
+  serviceVersions,
+  isHistoryKnown,
   isJournalRead,
   isListCurrent,
 }: ResumedStream): VersionNeed {
@@ -32,8 +38,10 @@
   // One version in the list of targets proves nothing: the others may have left
   // while this instance was down.
   if (!isJournalRead) return {kind: 'pending'};
-  if (hasSeveralVersions) return {kind: 'unknown'};
+  const isSingle = serviceVersions.length === 1 && isHistoryKnown;
+  if (!isSingle) return {kind: 'unknown'};
   // An instance that hears no peers may not know where a stream began that
   // began at a version which joined after it read the list.
-  return isListCurrent ? {kind: 'any'} : {kind: 'unconfirmed'};
+  if (!isListCurrent) return {kind: 'unconfirmed'};
+  return {kind: 'inferred', version: serviceVersions[0]};
 }
--- a/packages/routing/src/lib/versions/versions.test.ts
+++ b/packages/routing/src/lib/versions/versions.test.ts
@@ -59,6 +59,16 @@
   assert.equal(versions.hasSeveral('llm', 110_001), false);
 });
 
+// A version that left before this start is in the record alone.
+test('the history of a service without a record is known after the retention time', () => {
+  const versions = ServiceVersions.create();
+  assert.equal(versions.isHistoryKnown('llm', 0), true);
+  versions.onHistoryRead(['llm'], 1000);
+  assert.equal(versions.isHistoryKnown('llm', 1000), true);
+  assert.equal(versions.isHistoryKnown('app', 31_000), false);
+  assert.equal(versions.isHistoryKnown('app', 31_001), true);
+});
+
 // A stream that began under the longer time would be joined as "any version".
 test('a shorter longest stream does not end the retention of running streams', () => {
   const services = ServiceVersions.create();
--- a/packages/routing/src/testing/journal_checks.ts
+++ b/packages/routing/src/testing/journal_checks.ts
@@ -62,11 +62,11 @@
     assert.equal(need.version, version, `joined: ${message}`);
     return placeable.includes(version);
   }
-  if (need.kind === 'any') {
+  if (need.kind === 'inferred') {
     if (isVersionUnseen(instance, stream)) return false;
-    const others = placeable.filter(other => other !== version);
-    assert.deepEqual(others, [], `joined: ${message}`);
-    return placeable.length > 0;
+    if (!placeable.includes(need.version)) return false;
+    assert.equal(need.version, version, `joined: ${message}`);
+    return true;
   }
   const named = instance.readAttempts.get(attempt);
   const isWritten = instance.journal.isRead && named?.size === 1;
--- a/packages/routing/src/testing/journal_instance.ts
+++ b/packages/routing/src/testing/journal_instance.ts
@@ -66,7 +66,7 @@
       streams: this.streams,
     });
     if (!isFleetBootstrap) return;
-    this.journal.onReadEnd(startedAtMs);
+    this.journal.onFirstStart();
     this.savedBeforeRead = new Set();
   }
 
@@ -107,7 +107,8 @@
   needOf(attempt: AttemptKey, service: string, nowMs: number): VersionNeed {
     return resumedVersionNeed({
       version: this.streams.versionOf(attempt),
-      hasSeveralVersions: this.services.hasSeveral(service, nowMs),
+      serviceVersions: this.services.of(service, nowMs),
+      isHistoryKnown: this.services.isHistoryKnown(service, nowMs),
       isJournalRead: this.journal.isRead,
       isListCurrent: true,
     });
