The versions of all resumable streams are saved, not only during a release

What callers saw: of the streams that they took up after all instances had been killed, none went on where a second version had joined meanwhile or joined after the return, though targets of their version were there; new ones began (LOST).

Cause: streams were saved from the moment at which their service had several versions. Those from before were lost with all instances, and with two versions in the list an unknown stream is in doubt.

A writer that was silent has 1 s for its next save, since streams may be rare now.

Why it works: what decides on a stream outlasts the loss of all instances from 0.3 s after its start, whatever joins later.

--- a/packages/gateway/src/lib/archive/journal_reader.ts
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -98,15 +98,13 @@
     );
     if (newest?.ok !== true) return false;
     this.nextOffset = undefined;
-    let hasSeveral = false;
     for (const archived of newest.value.records) {
       const record = this.decode(archived);
       if (record?.kind !== 'service') continue;
       this.counts.services += 1;
-      hasSeveral ||= record.versions.length > 1;
       this.options.onRecord(record);
     }
-    return !hasSeveral || this.readStreams(newest.value.end, isCurrent);
+    return this.readStreams(newest.value.end, isCurrent);
   }
 
   private async readStreams(
--- a/packages/routing/src/lib/versions/journaled_services.ts
+++ b/packages/routing/src/lib/versions/journaled_services.ts
@@ -18,7 +18,6 @@
   private readonly held = new Map<string, readonly string[]>();
   /** Services whose records have to be written whatever the journal holds. */
   private readonly forced = new Set<string>();
-  private versionsToJournal: ReadonlySet<string> = new Set();
 
   private constructor() {}
 
@@ -26,19 +25,8 @@
     return new JournaledServices();
   }
 
-  /** The versions whose streams are saved: of all services with several. */
-  get journaledVersions(): ReadonlySet<string> {
-    return this.versionsToJournal;
-  }
-
   onServices(sets: VersionSets): void {
     this.current = new Map(sets);
-    const versions = new Set<string>();
-    for (const set of sets.values()) {
-      if (set.length < 2) continue;
-      for (const version of set) versions.add(version);
-    }
-    this.versionsToJournal = versions;
   }
 
   /** Called with a record that the journal holds. */
--- a/packages/routing/src/lib/versions/stream_versions.ts
+++ b/packages/routing/src/lib/versions/stream_versions.ts
@@ -75,19 +75,9 @@
     );
   }
 
-  /**
-   * The remembered streams that began at one of the versions, without those that
-   * were only read from the journal.
-   */
-  remembered(versions: ReadonlySet<string>): Map<AttemptKey, string> {
-    const streams = new Map<AttemptKey, string>();
-    for (const generation of [this.previous, this.current]) {
-      for (const [attempt, version] of generation) {
-        if (versions.has(version)) streams.set(attempt, version);
-        else streams.delete(attempt);
-      }
-    }
-    return streams;
+  /** The remembered streams, without those only read from the journal. */
+  remembered(): Map<AttemptKey, string> {
+    return new Map([...this.previous, ...this.current]);
   }
 
   private rotate(nowMs: number): void {
--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -65,9 +65,7 @@
     sets: ReadonlyMap<string, readonly string[]>,
     nowMs: number
   ): void {
-    const before = this.services.journaledVersions;
     this.services.onServices(sets);
-    if (this.isWriter) this.addRemembered(before);
     if (this.services.unsaved().length > 0) this.onUnsaved(nowMs);
   }
 
@@ -76,7 +74,6 @@
    * remembered streams.
    */
   onStream(attempt: AttemptKey, version: string, nowMs: number): void {
-    if (!this.services.journaledVersions.has(version)) return;
     if (this.isWriter) this.unsavedStreams.add(attempt, version);
     else this.onUnsaved(nowMs);
   }
@@ -105,7 +102,7 @@
       return;
     }
     this.selection.postponeTakeover(nowMs);
-    if (this.services.journaledVersions.size > 0) this.onUnsaved(nowMs);
+    this.onUnsaved(nowMs);
   }
 
   /** Applies a record that was read at startup. */
@@ -141,8 +138,8 @@
     // it has the first chance to take over, unless the journal lacks a version.
     const isJournaled = this.services.unsaved().length === 0;
     if (isJournaled) this.selection.postponeTakeover(nowMs);
-    // Streams may have begun in the meantime.
-    if (this.services.journaledVersions.size > 0) this.onUnsaved(nowMs);
+    const hasStreams = this.options.streams.remembered().size > 0;
+    if (hasStreams || !isJournaled) this.onUnsaved(nowMs);
   }
 
   /**
@@ -195,15 +192,7 @@
   private startSaving(): void {
     this.services.forceAll();
     this.unsavedStreams.clear();
-    this.addRemembered(new Set());
-  }
-
-  /** Adds the remembered streams of services that have come to have several. */
-  private addRemembered(before: ReadonlySet<string>): void {
-    const added = new Set(this.services.journaledVersions);
-    for (const version of before) added.delete(version);
-    if (added.size === 0) return;
-    this.unsavedStreams.addAll(this.options.streams.remembered(added));
+    this.unsavedStreams.addAll(this.options.streams.remembered());
   }
 
   /** Results of appends under way no longer count for the sets of versions. */
--- a/packages/routing/src/lib/versions/writer_selection.test.ts
+++ b/packages/routing/src/lib/versions/writer_selection.test.ts
@@ -48,6 +48,14 @@
   assert.equal(takeoverMs(selection, 9), 1790);
 });
 
+// Where streams are rare, each of them would make another instance the writer.
+test('a writer that was silent has 1 s to save what is new', () => {
+  const selection = create();
+  selection.onPeerSaved('i1', 0);
+  selection.onUnsaved(5000);
+  assert.equal(takeoverMs(selection, 9), 6090);
+});
+
 test('of two writers the one with the greater id steps down', () => {
   const writer = createWriter('i5');
   writer.onPeerSaved('i6', 10);
--- a/packages/routing/src/lib/versions/writer_selection.ts
+++ b/packages/routing/src/lib/versions/writer_selection.ts
@@ -30,6 +30,7 @@
   /** Position of the takeover in the range of the random delay, 0 to 1. */
   private delayFraction = 0;
   private noTakeoverBeforeMs = -Infinity;
+  private hasHeardWriter = false;
   /** Start of the first append after the last successful one. */
   private appendingSinceMs: number | undefined;
 
@@ -48,6 +49,9 @@
     if (this.isSelected || this.unsavedSinceMs !== undefined) return;
     this.unsavedSinceMs = nowMs;
     this.delayFraction = this.options.random();
+    // A writer that had nothing to save was silent.
+    const wasSilent = nowMs >= this.noTakeoverBeforeMs;
+    if (this.hasHeardWriter && wasSilent) this.postponeTakeover(nowMs);
   }
 
   /** Gives the present writer, if there is one, the time for its next save. */
@@ -62,6 +66,7 @@
   onPeerSaved(peer: string, nowMs: number): void {
     if (this.isSelected && peer > this.options.instance) return;
     this.isSelected = false;
+    this.hasHeardWriter = true;
     this.unsavedSinceMs = undefined;
     this.postponeTakeover(nowMs);
   }
--- a/packages/routing/src/testing/journal_store.ts
+++ b/packages/routing/src/testing/journal_store.ts
@@ -44,16 +44,15 @@
     return this.content.services.get(service) ?? [];
   }
 
-  /** Streams are read only if some service has several versions. */
+  /** Returns the sets, and the streams of the retention time. */
   read(): JournalReading {
     const services = [...this.content.services].map(([service, versions]) => ({
       kind: 'service' as const,
       service,
       versions,
     }));
-    const hasSeveral = services.some(({versions}) => versions.length > 1);
     const streams = this.content.streams.slice(-MAX_STREAMS_RECORDS);
-    return {services, streams: hasSeveral ? streams : []};
+    return {services, streams};
   }
 
   save(): void {
