A read of the log goes on after the last record that it returned

Cause: a response to /log-read holds at most 1,024 KB of records and names the end of the partition. The followers of the configuration and of the peers went on at that end, skipped what the page lacked, and took the read for a confirmation.

Change: a page says where to go on and where the topic ends.

The stand-in store cuts its pages now.

--- a/packages/gateway/src/lib/archive/journal_reader.ts
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -85,9 +85,14 @@
     await sleep(LATE_READ_DELAY_MS);
     if (this.stopped || this.restores !== restores) return;
     const {archive} = this.options;
-    const page = await archive.read(RECORD_TOPIC.versions, nextOffset);
-    if (!page.ok || this.stopped || this.restores !== restores) return;
-    for (const archived of page.value.records) this.onStreams(archived);
+    let from = nextOffset;
+    let end = Infinity;
+    while (from < end) {
+      const page = await archive.read(RECORD_TOPIC.versions, from);
+      if (!page.ok || this.stopped || this.restores !== restores) return;
+      for (const archived of page.value.records) this.onStreams(archived);
+      ({next: from, end} = page.value);
+    }
   }
 
   /** Returns false if it has to be read anew. */
@@ -124,10 +129,10 @@
         from = page.err.first;
         continue;
       }
-      const {records} = page.value;
+      const {records, next} = page.value;
       if (records.length === 0) break;
       for (const archived of records) this.onStreams(archived);
-      from += records.length;
+      from = next;
     }
     this.nextOffset = from;
     return isCurrent();
--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -266,6 +266,21 @@
   });
 });
 
+test('a journal of more than one page is read to its end', async () => {
+  const store = MemoryArchive.create();
+  store.maxPageRecords = 2;
+  put(store, twoVersions);
+  for (let i = 0; i < 5; i++) put(store, streams('v1', [i]));
+  await withInstances(store, async start => {
+    const {streamVersions} = start();
+    await sleep(100);
+    for (let i = 5; i < 10; i++) put(store, streams('v2', [i]));
+    await sleep(1500);
+    assert.equal(streamVersions.versionOf(4), 'v1');
+    assert.equal(streamVersions.versionOf(9), 'v2');
+  });
+});
+
 // Peers sent their notices of these streams before the instance could hear them.
 test('streams that a peer saves while an instance starts are read as well', async () => {
   const store = MemoryArchive.create();
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -240,9 +240,11 @@
   readonly value: Buffer | undefined;
 }
 
-/** Records of a topic. @public */
+/** Records of a topic, as many as one read returns. @public */
 export interface ArchivedRecords {
   readonly records: readonly ArchivedRecord[];
+  /** Offset at which to continue reading. */
+  readonly next: number;
   /** Offset after the newest record of the topic. */
   readonly end: number;
 }
--- a/packages/gateway/src/testing/memory_archive.ts
+++ b/packages/gateway/src/testing/memory_archive.ts
@@ -19,6 +19,8 @@
 export class MemoryArchive implements RecordArchive {
   /** While set, every call fails. */
   isDown = false;
+  /** Most records that one read returns. */
+  maxPageRecords = Infinity;
   /** Calls by kind, the failed ones included. */
   readonly calls = {newest: 0, read: 0, append: 0};
   private readonly topics = new Map<string, Topic>();
@@ -67,7 +69,8 @@
     const {records} = this.topic(topic);
     const newest = new Map(records.map(record => [record.key, record]));
     const kept = [...newest.values()].filter(({value}) => value !== undefined);
-    return ok({records: kept, end: records.length});
+    const end = records.length;
+    return ok({records: kept, next: end, end});
   }
 
   async read(
@@ -78,7 +81,8 @@
     if (this.isDown) return unavailable();
     const {records, first} = this.topic(topic);
     if (from < first) return fail({kind: 'history_gone', first});
-    return ok({records: records.slice(from), end: records.length});
+    const page = records.slice(from, from + this.maxPageRecords);
+    return ok({records: page, next: from + page.length, end: records.length});
   }
 
   async append(
