What an instance keeps of the responses of one target fits into its memory

Report: a target that sends without an end made the machine that had called it run out of memory (LOST for the requests of others there).

--- a/packages/gateway/src/lib/front/buffered_relay.ts
+++ b/packages/gateway/src/lib/front/buffered_relay.ts
@@ -10,8 +10,11 @@
   onAborted(): void;
 }
 
-/** Larger responses are forwarded as they arrive. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
+/**
+ * Larger responses are forwarded as they arrive. As many as a target has
+ * connections fit into the memory of an instance.
+ */
+const MAX_BUFFERED_BYTES = 256 * 1024;
 
 /**
  * Relays a response once it is complete, with its length. If a response that
--- a/packages/gateway/src/lib/peers/config_transfer.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.ts
@@ -11,7 +11,7 @@
 /** Time in which a peer has to send its configuration. */
 const FETCH_TIMEOUT_MS = 700;
 /** A longer configuration is read from the store. */
-const MAX_RECORD_BYTES = 16 * 1024 * 1024;
+const MAX_RECORD_BYTES = 1024 * 1024;
 
 /**
  * Serves the record of the configuration that this instance holds, over HTTP on
--- a/packages/gateway/src/lib/upstream/event_splitter.ts
+++ b/packages/gateway/src/lib/upstream/event_splitter.ts
@@ -6,8 +6,11 @@
   readonly hasData: boolean;
 }
 
-/** A longer event is none that an engine sends. */
-const MAX_EVENT_BYTES = 1024 * 1024;
+/**
+ * A longer event is none that an engine sends. The incomplete ones of as many
+ * streams as an engine has connections fit into the memory of an instance.
+ */
+const MAX_EVENT_BYTES = 256 * 1024;
 const EVENT_END = '\n\n';
 const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
 const DATA_LINE = /(?:^|\n)data:/;
