--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -311,12 +311,9 @@
     if (this.ending.hasEnded) return;
     const {route} = this.context;
     const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
-    if (this.retries.isIdempotent || route.streaming) this.abortCall();
-    else
-      setTimeout(
-        this.contain(() => this.abortCall()),
-        leftMs
-      );
+    const abort = this.contain(() => this.abortCall());
+    if (this.retries.isIdempotent || route.streaming) abort();
+    else setTimeout(abort, leftMs);
     this.ending.end('caller_left', 0);
   }
 
--- a/platform/src/lib/store_contact.ts
+++ b/packages/gateway/src/lib/state/store_contact.ts
@@ -1,7 +1,13 @@
 import {sleep, systemClock} from '@applebend/utils';
 
 import type {Logger} from '@applebend/telemetry';
-import type {StoreError} from './store_client.js';
+
+/** Why a call to the store failed. @public */
+export interface StoreCallError {
+  /** `era_changed` if the store was restored from a copy since the call. */
+  readonly kind: string;
+  readonly message: string;
+}
 
 const INITIAL_RETRY_MS = 250;
 /** Longest pause between retries if each instance reads for itself. */
@@ -49,7 +55,7 @@
   }
 
   /** Records a failed call, and resolves when the next one may be sent. */
-  async onError(err: StoreError): Promise<void> {
+  async onError(err: StoreCallError): Promise<void> {
     // The store responded, in another era; there is nothing to wait for.
     if (err.kind === 'era_changed') return;
     if (this.lostAtMs === undefined) {
