--- a/packages/gateway/src/lib/archive/journal_reader.ts
+++ b/packages/gateway/src/lib/archive/journal_reader.ts
@@ -39,8 +39,8 @@
 export class JournalReader {
   private stopped = false;
   private restores = 0;
-  /** Offset after the streams that were read; undefined if none were needed. */
-  private nextOffset: number | undefined;
+  /** Offset after the streams that were read. */
+  private nextOffset = 0;
   private counts: ReadCounts = {services: 0, streamRecords: 0, malformed: 0};
 
   private constructor(private readonly options: JournalReaderOptions) {}
@@ -56,6 +56,7 @@
   /** Called when the archive was restored: offsets are no longer valid. */
   onRestored(): void {
     this.restores += 1;
+    this.nextOffset = 0;
   }
 
   /** Resolves to true once the journal is read, to false if stopped before. */
@@ -76,22 +77,32 @@
 
   /**
    * Reads the streams that peers appended while the journal was read. Their
-   * notices may have been sent before this instance could receive any. It is
-   * tried once; streams that are missed are refused at this instance.
+   * notices may have been sent before this instance could receive any.
    */
   async readLate(): Promise<void> {
-    const {nextOffset, restores} = this;
-    if (nextOffset === undefined) return;
     await sleep(LATE_READ_DELAY_MS);
-    if (this.stopped || this.restores !== restores) return;
-    const {archive} = this.options;
-    let from = nextOffset;
+    await this.readNew();
+  }
+
+  /**
+   * Reads the streams that were appended since the last read. It is tried once;
+   * streams that are missed are refused at this instance.
+   */
+  async readNew(): Promise<void> {
+    const {restores} = this;
     let end = Infinity;
-    while (from < end) {
-      const page = await archive.read(RECORD_TOPIC.versions, from);
-      if (!page.ok || this.stopped || this.restores !== restores) return;
+    while (!this.stopped && this.nextOffset < end) {
+      const from = this.nextOffset;
+      const page = await this.options.archive.read(RECORD_TOPIC.versions, from);
+      if (this.restores !== restores) return;
+      if (!page.ok) {
+        const isGone = page.err.kind === 'history_gone';
+        if (!isGone || page.err.first === from) return;
+        this.nextOffset = page.err.first;
+        continue;
+      }
       for (const archived of page.value.records) this.onStreams(archived);
-      ({next: from, end} = page.value);
+      ({next: this.nextOffset, end} = page.value);
     }
   }
 
@@ -102,7 +113,6 @@
       archive.newest(RECORD_TOPIC.versions)
     );
     if (newest?.ok !== true) return false;
-    this.nextOffset = undefined;
     for (const archived of newest.value.records) {
       const record = this.decode(archived);
       if (record?.kind !== 'service') continue;
--- a/packages/gateway/src/lib/archive/version_archive.test.ts
+++ b/packages/gateway/src/lib/archive/version_archive.test.ts
@@ -299,6 +299,44 @@
   });
 });
 
+// An instance that was frozen or cut off misses the notices of its peers.
+test('what peers saved later is read when it is asked for, at a bounded rate', async () => {
+  const store = MemoryArchive.create();
+  await withInstances(store, async start => {
+    const {streamVersions, journalReadiness} = start();
+    await sleep(1500);
+    store.dropBefore(TOPIC, 2);
+    for (let i = 0; i < 5; i++) put(store, streams('v1', [i]));
+    const before = store.calls.read;
+    await journalReadiness.catchUp();
+    assert.equal(streamVersions.versionOf(0), undefined);
+    assert.equal(streamVersions.versionOf(4), 'v1');
+    const untilMs = performance.now() + 1000;
+    while (performance.now() < untilMs) {
+      await Promise.all([
+        journalReadiness.catchUp(),
+        journalReadiness.catchUp(),
+      ]);
+    }
+    // One where history is gone, the first, and four a second.
+    const reads = store.calls.read - before;
+    assert.ok(reads <= 2 + 1 + 4, `${reads} reads`);
+  });
+});
+
+test('after a restore of the store later records are read from its start', async () => {
+  const store = MemoryArchive.create();
+  for (let i = 0; i < 10; i++) put(store, streams('v1', [i]));
+  await withInstances(store, async start => {
+    const {streamVersions, journalReadiness} = start();
+    await sleep(100);
+    store.restoreEmpty();
+    put(store, streams('v2', [20]));
+    await journalReadiness.catchUp();
+    assert.equal(streamVersions.versionOf(20), 'v2');
+  });
+});
+
 test('where the store dropped history, the rest is read', async () => {
   const store = MemoryArchive.create();
   put(store, twoVersions);
--- a/packages/gateway/src/lib/archive/version_archive.ts
+++ b/packages/gateway/src/lib/archive/version_archive.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@applebend/utils';
 import {RECORD_TOPIC} from '../ports.js';
 import {encodeJournalRecord} from './journal_codec.js';
 import {JournalLog} from './journal_log.js';
@@ -13,6 +14,12 @@
 const WRITER_TICK_MS = 50;
 /** The same for the other instances; a wake-up costs processor time. */
 const TICK_MS = 200;
+/**
+ * Least time between two reads of what is new, for each instance of the fleet, so
+ * that all together read at a bounded rate.
+ */
+const CATCH_UP_INTERVAL_PER_INSTANCE_MS = 10;
+const MIN_CATCH_UP_INTERVAL_MS = 250;
 
 /** The state that is saved and read. @public */
 export interface JournaledState extends Pick<
@@ -45,6 +52,9 @@
   private timer: NodeJS.Timeout | undefined;
   /** The records that the journal returned last. */
   private batch: readonly JournalRecord[] = [];
+  /** The read of what is new that is under way or due. */
+  private catchingUp: Promise<void> | undefined;
+  private caughtUpAtMs = -Infinity;
   /** Resolves when no append is under way, so that they keep their order. */
   private appended = Promise.resolve();
 
@@ -58,6 +68,7 @@
       config: () => state.config,
       onRecord: record => state.versionJournal.onRead(record, this.nowMs),
     });
+    state.journalReadiness.setReader(() => this.catchUp());
     archive.onRestored(() => {
       this.reader.onRestored();
       state.versionJournal.onNewEra(this.nowMs);
@@ -97,6 +108,24 @@
     this.reader.stop();
   }
 
+  /** Reads what was appended since the last read; calls meanwhile share it. */
+  private catchUp(): Promise<void> {
+    this.catchingUp ??= this.catchUpOnce().finally(
+      () => (this.catchingUp = undefined)
+    );
+    return this.catchingUp;
+  }
+
+  private async catchUpOnce(): Promise<void> {
+    const {instanceCount} = this.options.state;
+    const fleetMs = instanceCount * CATCH_UP_INTERVAL_PER_INSTANCE_MS;
+    const intervalMs = Math.max(MIN_CATCH_UP_INTERVAL_MS, fleetMs);
+    const waitMs = this.caughtUpAtMs + intervalMs - this.nowMs;
+    if (waitMs > 0) await sleep(waitMs);
+    this.caughtUpAtMs = this.nowMs;
+    await this.reader.readNew();
+  }
+
   private async read(): Promise<void> {
     if (!(await this.reader.readAll())) return;
     this.onReadEnd();
--- a/packages/gateway/src/lib/front/version_lookup.test.ts
+++ b/packages/gateway/src/lib/front/version_lookup.test.ts
@@ -110,6 +110,39 @@
   assert.equal(needs[0]?.need.kind, 'unknown');
 });
 
+// Its notice may have been lost, or sent while this instance was frozen.
+test('an unknown attempt goes on at the version that a second read of the journal names', async () => {
+  const state = createState();
+  state.journalReadiness.onComplete();
+  const joined = {service: 'llm', version: 'v3', ageMs: 0};
+  const nowMs = systemClock.monotonicMs();
+  state.targets.versions.add(joined, nowMs);
+  let reads = 0;
+  state.journalReadiness.setReader(async () => {
+    reads += 1;
+    state.streamVersions.addJournaled(attemptKeyOf('first'), 'v3', nowMs);
+  });
+  const {needs} = lookUp(state, resumed);
+  const other = lookUp(state, {...resumed, firstAttemptId: 'other'});
+  await sleep(10);
+  assert.deepEqual(needs[0]?.need, {kind: 'exact', version: 'v3'});
+  assert.deepEqual(other.needs[0]?.need, {kind: 'unknown'});
+  assert.equal(reads, 2);
+});
+
+test('a second read of the journal is waited for 500 ms at most', async () => {
+  const state = createState();
+  state.journalReadiness.onComplete();
+  const joined = {service: 'llm', version: 'v3', ageMs: 0};
+  state.targets.versions.add(joined, systemClock.monotonicMs());
+  state.journalReadiness.setReader(() => new Promise(() => undefined));
+  const {needs} = lookUp(state, resumed);
+  await sleep(MAX_WAIT_MS + TIMER_LAG_MS);
+  const [{need, afterMs}] = needs;
+  assert.equal(need.kind, 'unknown');
+  assert.ok(afterMs < MAX_WAIT_MS + TIMER_LAG_MS, `after ${afterMs} ms`);
+});
+
 test('an unknown attempt is refused where the list cannot be confirmed', async () => {
   const state = createState();
   state.journalReadiness.onComplete();
--- a/packages/gateway/src/lib/front/version_lookup.ts
+++ b/packages/gateway/src/lib/front/version_lookup.ts
@@ -23,8 +23,9 @@
 /**
  * Determines where a request may run, and calls back: at once, unless the
  * request resumes a stream that is not known here. It then waits while the
- * journal is still being read, and until the list of targets is confirmed.
- * Returns a function that ends the wait without a call.
+ * journal is still being read, until the list of targets is confirmed, and until
+ * what is new in the journal has been read. Returns a function that ends the wait
+ * without a call.
  *
  * @public
  */
@@ -38,11 +39,13 @@
   return () => lookup.end();
 }
 
-/** The lookup for one request, which may wait twice. */
+/** The lookup for one request, which may wait several times. */
 class VersionLookup {
   private timer: NodeJS.Timeout | undefined;
   private removeListener = (): void => undefined;
   private hasEnded = false;
+  private isListCurrent = false;
+  private hasCaughtUp = false;
 
   private constructor(
     private readonly context: RequestContext,
@@ -59,12 +62,12 @@
   }
 
   start(): void {
-    const need = this.currentNeed(false);
+    const need = this.currentNeed();
     if (need.kind !== 'pending') {
-      this.confirm(need);
+      this.goOn(need);
       return;
     }
-    const onJournal = () => this.confirm(this.currentNeed(false));
+    const onJournal = () => this.goOn(this.currentNeed());
     this.timer = setTimeout(onJournal, MAX_WAIT_MS);
     const {journalReadiness} = this.deps.state;
     this.removeListener = journalReadiness.whenComplete(onJournal);
@@ -76,24 +79,42 @@
     this.removeListener();
   }
 
-  private currentNeed(isListCurrent: boolean): VersionNeed {
-    const {context} = this;
+  private currentNeed(): VersionNeed {
+    const {context, isListCurrent} = this;
     const {state, clock} = this.deps;
     return versionNeedOf(context, state, clock.monotonicMs(), isListCurrent);
   }
 
-  /** Decides, after the list of targets is confirmed if the need depends on it. */
-  private confirm(need: VersionNeed): void {
+  /** Decides, or finds out first what the need depends on. */
+  private goOn(need: VersionNeed): void {
+    if (this.hasEnded) return;
     clearTimeout(this.timer);
     this.removeListener();
-    if (need.kind !== 'unconfirmed') {
+    if (need.kind === 'unconfirmed' && !this.isListCurrent) {
+      this.confirmTargets(need);
+    } else if (need.kind === 'unknown' && !this.hasCaughtUp) {
+      this.catchUp(need);
+    } else {
       this.decide(need);
-      return;
     }
+  }
+
+  private confirmTargets(need: VersionNeed): void {
     this.timer = setTimeout(() => this.decide(need), MAX_CONFIRMATION_WAIT_MS);
-    void this.deps.state
-      .confirmTargets()
-      .then(isCurrent => this.decide(this.currentNeed(isCurrent)));
+    void this.deps.state.confirmTargets().then(isCurrent => {
+      this.isListCurrent = isCurrent;
+      const confirmed = this.currentNeed();
+      if (isCurrent) this.goOn(confirmed);
+      else this.decide(confirmed);
+    });
+  }
+
+  /** The stream may have begun at a peer that this instance did not hear. */
+  private catchUp(need: VersionNeed): void {
+    this.hasCaughtUp = true;
+    this.timer = setTimeout(() => this.decide(need), MAX_WAIT_MS);
+    const {journalReadiness} = this.deps.state;
+    void journalReadiness.catchUp().then(() => this.goOn(this.currentNeed()));
   }
 
   private decide(need: VersionNeed): void {
--- a/packages/routing/src/lib/versions/stream_versions.ts
+++ b/packages/routing/src/lib/versions/stream_versions.ts
@@ -27,9 +27,8 @@
   private currentSinceMs = -Infinity;
   private retentionMs = streamRetentionMs(0);
   /**
-   * Streams that were read from the journal; undefined if it names several
-   * versions. They are all read at a start and expire together; the number of
-   * records that are read bounds the memory.
+   * Streams that were read from the journal and not heard of; undefined if it
+   * names several versions. They expire together.
    */
   private readonly journaled = new Map<AttemptKey, string | undefined>();
   private journaledAtMs = -Infinity;
@@ -60,6 +59,8 @@
    * written; the attempt then counts as unknown.
    */
   addJournaled(attempt: AttemptKey, version: string, nowMs: number): void {
+    if (this.current.has(attempt) || this.previous.has(attempt)) return;
+    if (this.journaled.size >= MAX_STREAMS) this.journaled.clear();
     const isAmbiguous =
       this.journaled.has(attempt) && this.journaled.get(attempt) !== version;
     this.journaled.set(attempt, isAmbiguous ? undefined : version);
--- a/packages/routing/src/lib/versions/versions.test.ts
+++ b/packages/routing/src/lib/versions/versions.test.ts
@@ -122,6 +122,13 @@
   assert.equal(versions.versionOf(1), 'v2');
 });
 
+test('very many streams of the journal do not grow the memory without bound', () => {
+  const versions = StreamVersions.create();
+  for (let i = 0; i < 250_000; i++) versions.addJournaled(i, 'v1', 0);
+  assert.equal(versions.versionOf(249_999), 'v1');
+  assert.equal(versions.versionOf(0), undefined);
+});
+
 test('what was read from the journal is forgotten after the retention time', () => {
   const versions = StreamVersions.create();
   versions.addJournaled(1, 'v1', 0);
