A stream goes on by a list that was read after its caller came back

Cause: the list that confirms the only version could be 450 ms old, and callers shared a confirmation that had begun before them. Within that time another version may have registered, begun a stream and lost it.

Change: the list has to come from a read that began after the call; the confirmation stands in a module of its own.

Why it works: a version that began the stream had registered before the caller came back, so a read that begins after that shows it.

--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -54,6 +54,10 @@
     return {storeEra: 0, configVersion: 7, targetList};
   }
   onPeerState(): void {}
+  targetsReadAgeMs(): number {
+    return 0;
+  }
+
   targetsAgeMs(): number {
     return 0;
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -208,6 +208,11 @@
   onPeerState(state: HeldState): void;
   /** Milliseconds since the start of a read, here or by a peer, of the same targets. */
   targetsAgeMs(): number;
+  /**
+   * Milliseconds since the start of the read, here or by the parent, that gave the
+   * present list.
+   */
+  targetsReadAgeMs(): number;
   /**
    * Whether the list of targets is recent enough to send requests by it, see
    * `maxTargetListAgeMs`, or the store is lost and no other one can be had.
@@ -216,8 +221,8 @@
   /** Reads the targets from the store; resolves when the read has ended. */
   refreshTargets(): Promise<void>;
   /**
-   * Determines the newest state by a read, here or at the parent, that begins
-   * after the call. Resolves to undefined if no read succeeds.
+   * Determines the newest state by a read, here or at the parent, which may have
+   * begun shortly before. Resolves to undefined if no read succeeds.
    */
   confirm(): Promise<ConfirmedState | undefined>;
 }
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -11,6 +11,7 @@
 import {errorMessage, systemClock} from '@applebend/utils';
 import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
+import {confirmTargetList} from './list_confirmation.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
 import {targetOfPool} from './target_pool.js';
@@ -58,8 +59,6 @@
   isStopping = false;
   private wasConfirmed = false;
   private oldTargetsLoggedAtMs = -Infinity;
-  /** The confirmation that is under way, which later callers share. */
-  private confirming: Promise<boolean> | undefined;
   /** Called with what a target says of itself, in any of its responses. */
   onTargetSignals: TargetSignalListener = () => undefined;
   /** Number of open connections of callers. */
@@ -170,23 +169,13 @@
     this.log.warn('target list too old', {ageMs, loopLagMs: lagMs});
   }
 
-  /**
-   * Resolves to whether the list of targets was confirmed as the newest, or
-   * replaced by it, since the call or shortly before.
-   */
-  confirmTargets(): Promise<boolean> {
-    this.confirming ??= this.confirmOnce();
-    return this.confirming;
-  }
-
-  private async confirmOnce(): Promise<boolean> {
+  /** Resolves to whether the list of targets was read since the call. */
+  async confirmTargets(): Promise<boolean> {
     try {
-      return (await this.source.confirm()) !== undefined;
+      return await confirmTargetList(this.source, systemClock);
     } catch (err) {
       this.log.error('confirmation fault', {cause: errorMessage(err)});
       return false;
-    } finally {
-      this.confirming = undefined;
     }
   }
 
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -123,6 +123,7 @@
   const inspector = {inspect: () => Promise.resolve(undefined)};
   const source = {
     targetsAgeMs: () => 0,
+    targetsReadAgeMs: () => 0,
     areTargetsCurrent: () => rigSource.isCurrent,
     refreshTargets: async () => rigSource.onRefresh(),
   } as StateSource;
