The waits of an exchange stand in a module of their own

No behaviour is meant to change: the tests of the exchange, the gateway and resumed streams pass unaltered (76).

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -5,15 +5,14 @@
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
-import {whenTargetsCurrent} from './current_targets.js';
 import {decideRequest, findPlacement} from './placement.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
+import {ExchangeWaits} from './exchange_waits.js';
 import {requestContent} from './request_content.js';
 import {reserveSend} from './send_check.js';
 import {RetryGate} from './retry_gate.js';
 import {ResponseRelay} from './response_relay.js';
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
-import {lookUpVersion} from './version_lookup.js';
 import {VersionPin} from './version_pin.js';
 
 import type {Placement, Target, VersionNeed} from '@applebend/routing';
@@ -37,9 +36,7 @@
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
   private readonly relay: ResponseRelay;
-  private deadlineTimer: NodeJS.Timeout | undefined;
-  private cancelLookup: (() => void) | undefined;
-  private cancelRefresh: (() => void) | undefined;
+  private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
 
   private constructor(
@@ -49,6 +46,7 @@
   ) {
     this.attempts = AttemptTracker.create(context.route.maxAttempts);
     this.versionPin = VersionPin.create(context, deps.state);
+    this.waits = ExchangeWaits.create(context, deps, this.contain);
     this.crashes = RequestCrashes.create(
       deps.state.crashGuard,
       requestContent(context, inbound),
@@ -100,19 +98,11 @@
     });
     res.on('close', onClose);
     const waitMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
-    const onDeadline = this.contain(() => this.onDeadline());
-    this.deadlineTimer = setTimeout(onDeadline, waitMs);
-    const {context, deps} = this;
-    const onNeed = this.contain((need: VersionNeed) =>
-      this.whenCurrent(() => this.admit(need))
+    const {waits} = this;
+    waits.startDeadline(waitMs, () => this.onDeadline());
+    waits.whenVersionKnown(need =>
+      waits.whenTargetsCurrent(() => this.admit(need))
     );
-    this.cancelLookup = lookUpVersion(context, deps, onNeed);
-  }
-
-  /** Goes on once the targets may be chosen by the list that is held. */
-  private whenCurrent(next: () => void): void {
-    const onCurrent = this.contain(next);
-    this.cancelRefresh = whenTargetsCurrent(this.deps.state, onCurrent);
   }
 
   private get placementInput(): PlacementInput {
@@ -211,7 +201,7 @@
       this.crashes.onUnresolved(this.nowMs);
       this.endRunning();
       this.attempts.onExecuted();
-      this.whenCurrent(() => this.retry());
+      this.waits.whenTargetsCurrent(() => this.retry());
       return;
     }
     this.relay.forward(response);
@@ -278,7 +268,7 @@
 
   private retryOrGiveUp(failure: AttemptFailure): void {
     if (!this.ending.hasEnded && this.retries.tryAcquireAfter(failure)) {
-      this.whenCurrent(() => this.retry());
+      this.waits.whenTargetsCurrent(() => this.retry());
       return;
     }
     this.ending.giveUp(failure);
@@ -336,9 +326,7 @@
   }
 
   private onEnded(): void {
-    clearTimeout(this.deadlineTimer);
-    this.cancelLookup?.();
-    this.cancelRefresh?.();
+    this.waits.end();
     this.endRunning();
   }
 
