--- a/packages/routing/src/lib/config/route_table.test.ts
+++ b/packages/routing/src/lib/config/route_table.test.ts
@@ -6,6 +6,11 @@
 
 import type {Route} from './fleet_config.js';
 
+/** An instance delays no event of a stream for longer, whatever arrives. */
+const MAX_HOLD_MS = 120;
+/** The largest head that an instance accepts. */
+const MAX_PATH_CHARS = 64 * 1024;
+
 function route(host: string, pathPrefix: string): Route {
   return {
     name: `${host}${pathPrefix}`,
@@ -52,3 +57,11 @@
     })
   );
 });
+
+test('a path of slashes does not hold the event loop', () => {
+  const table = RouteTable.create([route('a.example', '/x/y/')]);
+  const startMs = performance.now();
+  const found = table.find('a.example', '/'.repeat(MAX_PATH_CHARS));
+  assert.equal(found, undefined);
+  assert.ok(performance.now() - startMs < MAX_HOLD_MS);
+});
