Prefix cache: blocks of no or few tokens no longer fill the memory

What callers saw: one caller with a key whose prompts name many blocks of no tokens makes every instance grow, since placements are reported to all peers, until each passes its memory limit and ends. Cause: the model of a target's prefix cache was bounded by tokens alone, and callers name the tokens of a block. Evidence: the test failed before: after 100,000 blocks without tokens the first one was still kept. Change: at most 2,048 blocks are kept for a target; the sites' prompts need some 600 (memory of 600,000 tokens, 2,600 tokens and 2.5 blocks a prompt).

--- a/packages/routing/src/lib/placement/prefix_cache.test.ts
+++ b/packages/routing/src/lib/placement/prefix_cache.test.ts
@@ -46,3 +46,11 @@
     })
   );
 });
+
+test('blocks without tokens do not fill the memory', () => {
+  const cache = PrefixCache.create(1000);
+  const first = block('first', 0);
+  cache.touch([first]);
+  for (let i = 0; i < 100_000; i++) cache.touch([block(`b${i}`, 0)]);
+  assert.equal(cache.hasSharedBlocks([first, block('own', 1)]), false);
+});
--- a/packages/routing/src/lib/placement/prefix_cache.ts
+++ b/packages/routing/src/lib/placement/prefix_cache.ts
@@ -2,6 +2,12 @@
 
 import type {PrefixBlock} from './prompt.js';
 
+/**
+ * Blocks that are kept for one target. Callers name the sizes of blocks, and
+ * tokens alone do not limit the number of small ones.
+ */
+const MAX_BLOCKS = 2048;
+
 /**
  * Models which prefix blocks a target has cached: an LRU cache, updated with
  * the prompts that are sent to the target.
@@ -57,9 +63,14 @@
     this.evict();
   }
 
+  private get isOverLimit(): boolean {
+    if (this.blocks.size > MAX_BLOCKS) return true;
+    return this.usedTokens > this.capacityTokens;
+  }
+
   private evict(): void {
     for (const [id, tokens] of this.blocks) {
-      if (this.usedTokens <= this.capacityTokens) return;
+      if (!this.isOverLimit) return;
       this.blocks.delete(id);
       this.usedTokens -= tokens;
     }
