A body in chunks of one byte no longer fills the heap of the one who reads it

What callers saw: a faulty target answers a call of an instance (its report, its list of cached blocks) in chunks of one byte; 1 MB of it takes 370 MB of heap, the process ends, and the requests of all its callers with it. Cause: the limit of a body counted its bytes, and each chunk is a Buffer of its own, which takes some 370 bytes beside its content. Change: chunks are collected in a buffer that grows (GrowingBuffer).

--- a/packages/utils/src/lib/read_all.ts
+++ b/packages/utils/src/lib/read_all.ts
@@ -1,3 +1,4 @@
+import {GrowingBuffer} from './growing_buffer.js';
 import {TaggedError} from './tagged_error.js';
 
 import type {Readable} from 'node:stream';
@@ -12,16 +13,14 @@
   from: Readable,
   maxBytes: number
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const all = GrowingBuffer.create(maxBytes);
   for await (const data of from) {
     const chunk = data as Buffer;
-    bytes += chunk.length;
     // Leaving the loop destroys the stream.
-    if (bytes > maxBytes) throw tooLarge(maxBytes);
-    chunks.push(chunk);
+    if (all.length + chunk.length > maxBytes) throw tooLarge(maxBytes);
+    all.add(chunk);
   }
-  return Buffer.concat(chunks);
+  return all.bytes;
 }
 
 function tooLarge(maxBytes: number): TaggedError {
