Streams: an event in small parts no longer holds the event loop

What callers saw: a faulty target sends one event in parts of a few bytes, and all streams of the instance pause: 64 KB of one-byte parts hold the event loop for 0.6 s, an event of the largest size (256 KB) for 11 s in all. Cause: the splitter joined all bytes of the event with each part and searched them again from the end to the start.

--- a/packages/gateway/src/lib/upstream/event_splitter.test.ts
+++ b/packages/gateway/src/lib/upstream/event_splitter.test.ts
@@ -3,6 +3,11 @@
 import fc from 'fast-check';
 import {EventSplitter} from './event_splitter.js';
 
+/** An instance delays no event of a stream for longer, whatever arrives. */
+const MAX_HOLD_MS = 120;
+/** What one read of a socket brings at most. */
+const READ_BYTES = 64 * 1024;
+
 const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 
 test('returns each complete event once, wherever chunks end', () => {
@@ -36,3 +41,11 @@
     })
   );
 });
+
+test('an event in parts of one byte does not hold the event loop', () => {
+  const splitter = EventSplitter.create();
+  const part = Buffer.from('a');
+  const startMs = performance.now();
+  for (let i = 0; i < READ_BYTES; i++) splitter.push(part);
+  assert.ok(performance.now() - startMs < MAX_HOLD_MS);
+});
--- a/packages/gateway/src/lib/upstream/event_splitter.ts
+++ b/packages/gateway/src/lib/upstream/event_splitter.ts
@@ -1,3 +1,5 @@
+import {GrowingBuffer} from '@applebend/utils';
+
 /** Complete events and the id of the last one that has an id. @public */
 export interface CompleteEvents {
   readonly bytes: Buffer;
@@ -14,7 +16,6 @@
 const EVENT_END = '\n\n';
 const ID_LINE = /(?:^|\n)id: ?([^\n\r]*)/g;
 const DATA_LINE = /(?:^|\n)data:/;
-const EMPTY = Buffer.alloc(0);
 
 /**
  * Splits a stream of server-sent events at event boundaries: a blank line ends
@@ -23,7 +24,7 @@
  * @public
  */
 export class EventSplitter {
-  private partialEvent: Buffer = EMPTY;
+  private readonly partialEvent = GrowingBuffer.create(MAX_EVENT_BYTES);
 
   private constructor() {}
 
@@ -43,17 +44,16 @@
 
   /** Adds bytes; returns the events that they complete, or undefined. */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const all =
-      this.partialEvent.length === 0
-        ? chunk
-        : Buffer.concat([this.partialEvent, chunk]);
-    const end = all.lastIndexOf(EVENT_END);
-    if (end < 0) {
-      this.partialEvent = all;
-      return undefined;
-    }
-    const cut = end + EVENT_END.length;
-    this.partialEvent = all.subarray(cut);
+    const {partialEvent} = this;
+    // What is held ends no event, but may end with the first half of an end.
+    const searchFrom = Math.max(0, partialEvent.length - 1);
+    partialEvent.add(chunk);
+    const all = partialEvent.bytes;
+    const end = all.subarray(searchFrom).lastIndexOf(EVENT_END);
+    if (end < 0) return undefined;
+    const cut = searchFrom + end + EVENT_END.length;
+    partialEvent.clear();
+    if (cut < all.length) partialEvent.add(all.subarray(cut));
     const bytes = all.subarray(0, cut);
     const text = bytes.toString('latin1');
     return {bytes, lastId: lastIdOf(text), hasData: DATA_LINE.test(text)};
