Responses in chunks of one byte no longer fill the heap

What callers saw: a faulty target answers in chunks of one byte; the 256 KB that are kept of each response take 95 MB of heap, so two of them end the process. A response over the limit was forwarded chunk by chunk, each with a listener for the caller's socket. Change: the bytes are collected in a GrowingBuffer and forwarded as one.

--- a/packages/gateway/src/lib/front/buffered_relay.ts
+++ b/packages/gateway/src/lib/front/buffered_relay.ts
@@ -1,3 +1,5 @@
+import {GrowingBuffer} from '@applebend/utils';
+
 import type http from 'node:http';
 import type {Contain} from '@applebend/utils';
 import type {TargetResponse} from '../upstream/target_call.js';
@@ -23,8 +25,7 @@
  * @public
  */
 export class BufferedRelay {
-  private chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly body = GrowingBuffer.create(MAX_BUFFERED_BYTES);
   private ended = false;
   private isStreaming = false;
 
@@ -72,13 +73,12 @@
       this.forward(chunk);
       return;
     }
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
-    if (this.bytes <= MAX_BUFFERED_BYTES) return;
+    this.body.add(chunk);
+    if (this.body.length <= MAX_BUFFERED_BYTES) return;
     this.isStreaming = true;
     this.writeHead(undefined);
-    for (const buffered of this.chunks) this.forward(buffered);
-    this.chunks = [];
+    this.forward(this.body.bytes);
+    this.body.clear();
   }
 
   private forward(chunk: Buffer): void {
@@ -94,8 +94,8 @@
     if (this.isStreaming) {
       this.res.end();
     } else {
-      this.writeHead(this.bytes);
-      this.res.end(Buffer.concat(this.chunks));
+      this.writeHead(this.body.length);
+      this.res.end(this.body.bytes);
     }
     this.events.onDone();
   }
