Log lines that cannot be written no longer end the process

Seen: the reader of standard output goes away, and the instance ends with code 1 within seconds; its callers' connections are cut. Cause: nothing listened for 'error' of the stream, so EPIPE became an uncaught exception, which shutDownOnFault answers by ending the process. Now the logger listens, gives a line that fails to the other standard stream after one line 'log output failed', tries the first stream again every 5 s, and counts what neither takes in droppedLines, as for a slow reader.

--- a/packages/telemetry/src/lib/logger.ts
+++ b/packages/telemetry/src/lib/logger.ts
@@ -1,6 +1,8 @@
 import {createConsola, LogLevels} from 'consola/basic';
+import {ignoreErrorEvents, LogOutput} from './log_output.js';
 
 import type {ConsolaInstance, LogObject} from 'consola/basic';
+import type {OutputStream} from './log_output.js';
 
 /** The log levels, most severe first. @public */
 export const LOG_LEVEL = {
@@ -16,9 +18,6 @@
 /** Fields of a log line; lines of one request share `requestId`. @public */
 export type LogFields = Readonly<Record<string, unknown>>;
 
-/** Lines are dropped while more than this is buffered for a slow reader. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
-
 /**
  * Writes structured logs, as JSON lines or, on a terminal, as readable text.
  * Each line has the name of an event, the fields of the logger and its own.
@@ -32,15 +31,20 @@
     private readonly fields: LogFields
   ) {}
 
-  /** Creates a logger that writes to standard error by default. */
+  /**
+   * Creates a logger that writes to standard error by default. Lines that the
+   * stream does not take go to the fallback, by default the other standard stream.
+   */
   static create(
     level: LogLevel,
     fields: LogFields,
-    stream: NodeJS.WriteStream = process.stderr
+    stream: NodeJS.WriteStream = process.stderr,
+    fallback?: OutputStream
   ): Logger {
+    ignoreErrorEvents(stream);
     const options = {level: LogLevels[level], stdout: stream};
     if (stream.isTTY) return new Logger(createConsola(options), fields);
-    const reporters = [{log: jsonLineWriter(stream)}];
+    const reporters = [{log: jsonLineWriter(stream, fields, fallback)}];
     return new Logger(createConsola({...options, reporters}), fields);
   }
 
@@ -69,26 +73,36 @@
 /**
  * Returns a function that writes log lines as JSON. It drops lines instead of
  * waiting for a slow reader. The next line that is written has the number of
- * dropped ones in `droppedLines`.
+ * those that were dropped, or that no stream took, in `droppedLines`.
  */
 function jsonLineWriter(
-  stream: NodeJS.WriteStream
+  stream: NodeJS.WriteStream,
+  ownFields: LogFields,
+  fallback?: OutputStream
 ): (logObject: LogObject) => void {
-  let dropped = 0;
+  const failureLine = (err: Error) =>
+    encodeLine(new Date(), 'error', 'log output failed', {
+      ...ownFields,
+      code: (err as NodeJS.ErrnoException).code,
+      message: err.message,
+    });
+  const output = LogOutput.create(stream, failureLine, fallback);
   return logObject => {
-    if (stream.writableLength > MAX_BUFFERED_BYTES) {
-      dropped += 1;
-      return;
-    }
+    const {date, type} = logObject;
     const [event, fields] = logObject.args as [string, LogFields | undefined];
-    const line: Record<string, unknown> = {
-      time: logObject.date.toISOString(),
-      level: logObject.type,
-      event,
-      ...fields,
-    };
-    if (dropped > 0) line['droppedLines'] = dropped;
-    dropped = 0;
-    stream.write(`${JSON.stringify(line)}\n`);
+    const lost = output.takeLost();
+    const droppedLines = lost > 0 ? lost : undefined;
+    const line = encodeLine(date, type, event, {...fields, droppedLines});
+    output.write(line, lost);
   };
 }
+
+function encodeLine(
+  date: Date,
+  level: string,
+  event: string,
+  fields: LogFields
+): string {
+  const time = date.toISOString();
+  return `${JSON.stringify({time, level, event, ...fields})}\n`;
+}
