--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -37,6 +37,8 @@
   readonly codec: HeaderCodec;
   readonly inspector: TargetInspector;
   readonly log: Logger;
+  /** Aborted when the process is told to stop, also during the start. */
+  readonly stopSignal?: AbortSignal;
 }
 
 /** Time that the balancer may need to stop sending new connections. */
--- a/packages/telemetry/src/lib/process_faults.process.test.ts
+++ b/packages/telemetry/src/lib/process_faults.process.test.ts
@@ -18,7 +18,7 @@
       console.log('shut down');
       resolve();
     }, ${SHUTDOWN_MS}));
-    shutDownOnFault(Logger.create('info', {}, process.stdout), shutDown);
+    shutDownOnFault(Logger.create('info', {}, process.stdout), shutDown, 5000);
     ${fault}
     setInterval(() => undefined, 1000);
   `;
--- a/packages/telemetry/src/lib/process_faults.ts
+++ b/packages/telemetry/src/lib/process_faults.ts
@@ -1,3 +1,5 @@
+import {describeError} from './error_fields.js';
+
 import type {Logger} from './logger.js';
 
 const EXIT_FAULT = 1;
@@ -9,19 +11,36 @@
  * answers.
  *
  * @param shutDown - lets running work finish; repeated calls are not made
+ * @param limitMs - the process ends after this, also if `shutDown` hangs
  * @public
  */
 export function shutDownOnFault(
   log: Logger,
-  shutDown: () => Promise<void>
+  shutDown: () => Promise<void>,
+  limitMs: number
 ): void {
   let isStopping = false;
-  process.on('uncaughtException', (err, origin) => {
-    const {message, stack} = err;
-    log.error('process fault', {origin, message, stack});
+  process.on('uncaughtException', (err: unknown, origin) => {
+    log.error('process fault', {origin, ...describeError(err)});
     if (isStopping) return;
     isStopping = true;
     process.on('exit', () => (process.exitCode = EXIT_FAULT));
-    void shutDown().finally(() => process.exit(EXIT_FAULT));
+    setTimeout(() => {
+      log.error('shutdown unfinished', {limitMs});
+      process.exit(EXIT_FAULT);
+    }, limitMs);
+    void shutDownAndExit(log, shutDown);
   });
 }
+
+async function shutDownAndExit(
+  log: Logger,
+  shutDown: () => Promise<void>
+): Promise<void> {
+  try {
+    await shutDown();
+  } catch (err) {
+    log.error('shutdown failed', describeError(err));
+  }
+  process.exit(EXIT_FAULT);
+}
