The daemon of the product ends by the same rules as the platform's program

Seen: a second SIGTERM ends applebendd by the signal during its drain, SIGHUP ends it at any time, and a caller port that is taken gives no structured line. Cause: handlers for one SIGTERM or SIGINT only, none for SIGHUP, all installed after Daemon.create. Now it uses processSignals and runProcess of packages/telemetry. A planned stop has no limit, since the daemon's settings name no grace; after a fault it has 30 s. The logger is created before the daemon, so that a failed start is logged.

--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -57,12 +57,12 @@
   private meshReady = false;
   private readonly stoppedCallbacks: (() => void)[] = [];
 
-  private constructor(readonly settings: Settings) {
+  private constructor(
+    readonly settings: Settings,
+    logger: Logger
+  ) {
+    this.log = logger;
     const {instance, timing, platform, policy} = settings;
-    this.log = Logger.create(settings.log_level, {
-      instance,
-      failureDomain: settings.failure_domain,
-    });
     const localAddress = settings.listen.peer.host;
     const log = HttpLogClient.create({
       baseUrl: platform.log_url,
@@ -142,8 +142,11 @@
   }
 
   /** Starts a daemon; it becomes ready once `unreadiness` is empty. */
-  static async create(settings: Settings): Promise<Daemon> {
-    const daemon = new Daemon(settings);
+  static async create(
+    settings: Settings,
+    log = createDaemonLog(settings)
+  ): Promise<Daemon> {
+    const daemon = new Daemon(settings, log);
     await daemon.start();
     return daemon;
   }
@@ -302,3 +305,11 @@
     this.admin.stop();
   }
 }
+
+/** Creates the logger of an instance. @public */
+export function createDaemonLog(settings: Settings): Logger {
+  return Logger.create(settings.log_level, {
+    instance: settings.instance,
+    failureDomain: settings.failure_domain,
+  });
+}
--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -1,7 +1,9 @@
+// First, so that signals are handled before other modules are evaluated.
+import {processSignals} from '@applebend/telemetry/process_signals';
 import {parseArgs} from 'node:util';
-import {Daemon} from './lib/daemon.js';
+import {createDaemonLog, Daemon} from './lib/daemon.js';
 import {loadSettings} from './lib/settings/settings.js';
-import {shutDownOnFault} from '@applebend/telemetry';
+import {runProcess} from '@applebend/telemetry';
 import {errorMessage} from '@applebend/utils';
 
 const USAGE = `usage: applebendd --config FILE [--check-config]
@@ -14,6 +16,8 @@
 
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
+/** Open requests get this long after a fault, as their timeouts are not known. */
+const FAULT_LIMIT_MS = 30_000;
 
 const OPTIONS = {
   config: {type: 'string'},
@@ -44,15 +48,13 @@
     console.log(`${values.config}: settings are valid`);
     return 0;
   }
-  const daemon = await Daemon.create(settings.value);
-  shutDownOnFault(daemon.log, () => daemon.shutDown());
-  await new Promise<void>(resolve => {
-    const stop = () => void daemon.shutDown().then(resolve);
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
-    daemon.onStopped(resolve);
+  const log = createDaemonLog(settings.value);
+  return runProcess({
+    log,
+    signals: processSignals,
+    start: () => Daemon.create(settings.value, log),
+    faultLimitMs: FAULT_LIMIT_MS,
   });
-  return 0;
 }
 
 try {
