The daemon handles signals before its program is loaded

Seen: handlers stood 363 ms after the start of applebendd (median of 15), since all its modules are loaded before the first one is evaluated. The three process tests of the daemon pass; no new test, the platform's guards the same arrangement there.

--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -1,65 +1,13 @@
-// First, so that signals are handled before other modules are evaluated.
 import {processSignals} from '@applebend/telemetry/process_signals';
-import {parseArgs} from 'node:util';
-import {createDaemonLog, Daemon} from './lib/daemon.js';
-import {loadSettings} from './lib/settings/settings.js';
-import {runProcess} from '@applebend/telemetry';
-import {errorMessage} from '@applebend/utils';
-
-const USAGE = `usage: applebendd --config FILE [--check-config]
-
-  --config FILE    the settings of this process (TOML)
-  --check-config   check the settings and exit
-  --help           show this text
-
-Exit codes: 0 ended well, 1 could not start, 2 usage or settings invalid.`;
 
 const EXIT_FAILED = 1;
-const EXIT_USAGE = 2;
-/** Open requests get this long after a fault, as their timeouts are not known. */
-const FAULT_LIMIT_MS = 30_000;
-
-const OPTIONS = {
-  config: {type: 'string'},
-  'check-config': {type: 'boolean', default: false},
-  help: {type: 'boolean', default: false},
-} as const;
-
-/**
- * Runs `applebendd`, the daemon of each instance, until it is told to stop.
- * Returns the exit code.
- */
-async function main(): Promise<number> {
-  const {values} = parseArgs({options: OPTIONS});
-  if (values.help) {
-    console.log(USAGE);
-    return 0;
-  }
-  if (values.config === undefined) {
-    console.error(USAGE);
-    return EXIT_USAGE;
-  }
-  const settings = loadSettings(values.config);
-  if (!settings.ok) {
-    console.error(settings.err.message);
-    return EXIT_USAGE;
-  }
-  if (values['check-config']) {
-    console.log(`${values.config}: settings are valid`);
-    return 0;
-  }
-  const log = createDaemonLog(settings.value);
-  return runProcess({
-    log,
-    signals: processSignals,
-    start: () => Daemon.create(settings.value, log),
-    faultLimitMs: FAULT_LIMIT_MS,
-  });
-}
 
 try {
-  process.exit(await main());
+  // Imported once signals are handled: loading the program takes longer than a
+  // supervisor may wait before it sends one.
+  const {runProgram} = await import('./program.js');
+  process.exit(await runProgram(processSignals));
 } catch (err) {
-  console.error(errorMessage(err));
+  console.error(err instanceof Error ? err.message : err);
   process.exit(EXIT_FAILED);
 }
