A port that is in use at the start is waited for

Callers saw nobody at the callers' port: an instance whose port was taken for 1.5 s, or whose predecessor still drained on the same ports, ended at once with code 1 and no structured line. Each port was tried once. The UDP port of the peers was not even tried: its error was logged, and the next message bound the socket to a port of the system's choice, where no peer reaches it. After it listened, a server kept the start's one-time error listener, so its second error ended the process.

Until then readiness is 503. stopSignal ends the wait with start_stopped and closes all ports; no request can have been accepted by then.

--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import {setImmediate} from 'node:timers/promises';
+import {listenWhenFree} from '@applebend/utils';
 import {EXECUTION} from '../errors.js';
-import {listenOn} from '../listen.js';
 import {readBody} from './body_reader.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
@@ -9,7 +9,7 @@
 import {STATUS, sendResponse} from './responses.js';
 
 import type {Socket} from 'node:net';
-import type {ListenAddress} from '../ports.js';
+import type {PortOptions} from '@applebend/utils';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 import type {GatewayResponse} from './responses.js';
@@ -83,10 +83,13 @@
   /** Creates a server and resolves when its port is open. */
   static async create(
     deps: ExchangeDeps,
-    address: ListenAddress
+    port: PortOptions
   ): Promise<FrontServer> {
     const frontServer = new FrontServer(deps);
-    await listenOn(frontServer.server, address, LISTEN_BACKLOG);
+    await listenWhenFree(frontServer.server, {
+      ...port,
+      backlog: LISTEN_BACKLOG,
+    });
     return frontServer;
   }
 
--- a/packages/gateway/src/lib/front/readiness_server.ts
+++ b/packages/gateway/src/lib/front/readiness_server.ts
@@ -1,7 +1,7 @@
-import http from 'node:http';
-import {listenOn} from '../listen.js';
+import {startInternalServer} from '../internal_server.js';
 
-import type {ListenAddress} from '../ports.js';
+import type http from 'node:http';
+import type {PortOptions} from '@applebend/utils';
 
 const READY = 200;
 const NOT_READY = 503;
@@ -12,15 +12,12 @@
  *
  * @public
  */
-export async function startReadinessServer(
-  address: ListenAddress,
+export function startReadinessServer(
+  port: PortOptions,
   isReady: () => boolean
 ): Promise<http.Server> {
-  const server = http.createServer((req, res) => {
-    req.resume();
+  return startInternalServer(port, async (_req, res) => {
     res.writeHead(isReady() ? READY : NOT_READY, {'Content-Length': 0});
     res.end();
   });
-  await listenOn(server, address);
-  return server;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -18,11 +18,13 @@
 import type http from 'node:http';
 import type {FleetConfig, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
+import type {PortOptions} from '@applebend/utils';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
 import type {
   GatewaySettings,
   HeaderCodec,
+  ListenAddress,
   PeerInfo,
   RecordArchive,
   StateSource,
@@ -37,6 +39,8 @@
   readonly codec: HeaderCodec;
   readonly inspector: TargetInspector;
   readonly log: Logger;
+  /** Ends a start that waits for a port. */
+  readonly stopSignal?: AbortSignal;
 }
 
 /** Time that the balancer may need to stop sending new connections. */
@@ -145,11 +149,19 @@
 
   /**
    * Starts an instance. Resolves when its ports are open; it reports ready once
-   * it has read a configuration and the targets.
+   * it has read a configuration and the targets. A port that is in use is waited
+   * for. Rejects with a `PortError` if a port cannot be opened, or if
+   * `stopSignal` is aborted first (`start_stopped`): then no request has been
+   * accepted, and all ports are closed.
    */
   static async create(ports: GatewayPorts): Promise<Gateway> {
     const gateway = new Gateway(ports);
-    await gateway.start();
+    try {
+      await gateway.start();
+    } catch (err) {
+      gateway.halt();
+      throw err;
+    }
     return gateway;
   }
 
@@ -174,10 +186,83 @@
     this.stopParts();
   }
 
+  /** The callers' port comes last: until then no request can be cut. */
   private async start(): Promise<void> {
-    const {settings, stateSource, log} = this.ports;
+    const {settings, log} = this.ports;
     this.loop.start();
+    await this.openInternalPorts();
+    const port = this.portOptions('callers', settings.callers);
+    this.front = await FrontServer.create(this.exchangeDeps, port);
+    this.listenerProbe.start();
+    this.applyLimits();
+    log.info('started', {isFleetBootstrap: settings.isFleetBootstrap});
+  }
+
+  /** Waits for all of them together; one that fails ends the wait for others. */
+  private async openInternalPorts(): Promise<void> {
+    const {settings, stateSource} = this.ports;
+    const failure = new AbortController();
+    const port = (purpose: string, address: ListenAddress) =>
+      this.portOptions(purpose, address, failure.signal);
+    const opened = [
+      this.startPeers(port('peers', settings.peers)),
+      this.keep(
+        startConfigServer(port('configuration', settings.peers), () =>
+          stateSource.configRecord()
+        )
+      ),
+      this.keep(
+        startReadinessServer(port('readiness', settings.readiness), () =>
+          this.checkReadiness()
+        )
+      ),
+      this.keep(
+        startMetricsServer(port('metrics', settings.metrics), () =>
+          this.metricsText()
+        )
+      ),
+    ];
+    try {
+      await Promise.all(opened);
+    } catch (err) {
+      failure.abort();
+      await Promise.allSettled(opened);
+      throw err;
+    }
+  }
+
+  private portOptions(
+    purpose: string,
+    address: ListenAddress,
+    failureSignal?: AbortSignal
+  ): PortOptions {
+    const {log, stopSignal} = this.ports;
+    const signals = [stopSignal, failureSignal].flatMap(s => s ?? []);
+    return {
+      ...address,
+      purpose,
+      log,
+      stopSignal: AbortSignal.any(signals),
+    };
+  }
+
+  private async keep(server: Promise<http.Server>): Promise<void> {
+    this.servers.push(await server);
+  }
+
+  /**
+   * The store is read from when the peers' port is open. Earlier, a predecessor
+   * with the same id may still run, and without messages of peers this instance
+   * would take itself for the only one, which writes the journal.
+   */
+  private async startPeers(port: PortOptions): Promise<void> {
+    await this.peers.open(port);
     this.peers.start();
+    this.startState();
+  }
+
+  private startState(): void {
+    const {settings, stateSource} = this.ports;
     stateSource.start({
       onConfig: config => this.onConfig(config),
       onEvacuations: read =>
@@ -194,24 +279,15 @@
     });
     void this.loadQuarantines();
     this.versionArchive.start(settings.isFleetBootstrap);
-    this.front = await FrontServer.create(this.exchangeDeps, settings.callers);
-    this.listenerProbe.start();
-    this.applyLimits();
-    this.servers.push(
-      await startConfigServer(settings.peers, () => stateSource.configRecord()),
-      await startReadinessServer(settings.readiness, () =>
-        this.checkReadiness()
-      ),
-      await startMetricsServer(settings.metrics, () => this.metricsText())
-    );
-    log.info('started', {isFleetBootstrap: settings.isFleetBootstrap});
   }
 
   /** Whether the balancer, which asks, may send new connections here. */
   private checkReadiness(): boolean {
     const {isReady: isLoaded, overloadGuard, rotationNotice} = this.state;
     const {isResponsive} = this.listenerProbe;
-    const isReady = isLoaded && isResponsive && overloadGuard.isHealthy;
+    const isOpen = this.front !== undefined;
+    const isReady =
+      isOpen && isLoaded && isResponsive && overloadGuard.isHealthy;
     rotationNotice.onCheck(isReady, systemClock.monotonicMs());
     return isReady;
   }
--- a/packages/gateway/src/lib/metrics/metrics_server.ts
+++ b/packages/gateway/src/lib/metrics/metrics_server.ts
@@ -1,20 +1,16 @@
-import http from 'node:http';
-import {listenOn} from '../listen.js';
+import {startInternalServer} from '../internal_server.js';
 
-import type {ListenAddress} from '../ports.js';
+import type http from 'node:http';
+import type {PortOptions} from '@applebend/utils';
 
 /** Serves metrics over HTTP. Resolves when the port is open. @public */
-export async function startMetricsServer(
-  address: ListenAddress,
+export function startMetricsServer(
+  port: PortOptions,
   text: () => Promise<string>
 ): Promise<http.Server> {
-  const server = http.createServer((req, res) => {
-    req.resume();
-    void text().then(body => {
-      res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
-      res.end(body);
-    });
+  return startInternalServer(port, async (_req, res) => {
+    const body = await text();
+    res.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+    res.end(body);
   });
-  await listenOn(server, address);
-  return server;
 }
--- a/packages/gateway/src/lib/peers/config_transfer.test.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.test.ts
@@ -8,10 +8,11 @@
 
 const log = Logger.create(LOG_LEVEL.error, {});
 const LOCAL = {host: '127.0.0.1', port: 0};
+const PORT = {...LOCAL, purpose: 'configuration', log};
 
 test('a peer gets the record that is held, and nothing while none is', async () => {
   let record: Buffer | undefined;
-  const server = await startConfigServer(LOCAL, () => record);
+  const server = await startConfigServer(PORT, () => record);
   const {port} = server.address() as AddressInfo;
   const peer = {...LOCAL, port};
   try {
--- a/packages/gateway/src/lib/peers/config_transfer.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.ts
@@ -1,9 +1,10 @@
 import http from 'node:http';
 import {errorMessage, readAll} from '@applebend/utils';
-import {listenOn} from '../listen.js';
+import {startInternalServer} from '../internal_server.js';
 
 import type {Logger} from '@applebend/telemetry';
-import type {ListenAddress, PeerAddress} from '../ports.js';
+import type {PortOptions} from '@applebend/utils';
+import type {PeerAddress} from '../ports.js';
 
 const CONFIG_PATH = '/configuration';
 const STATUS_OK = 200;
@@ -20,19 +21,16 @@
  * @param record - returns the record, or undefined if none is held
  * @public
  */
-export async function startConfigServer(
-  address: ListenAddress,
+export function startConfigServer(
+  port: PortOptions,
   record: () => Buffer | undefined
 ): Promise<http.Server> {
-  const server = http.createServer((req, res) => {
-    req.resume();
+  return startInternalServer(port, async (req, res) => {
     const bytes = req.url === CONFIG_PATH ? record() : undefined;
     const status = bytes === undefined ? STATUS_NOT_FOUND : STATUS_OK;
     res.writeHead(status, {'Content-Length': bytes?.length ?? 0});
     res.end(bytes);
   });
-  await listenOn(server, address);
-  return server;
 }
 
 /**
--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -14,7 +14,7 @@
 
 import type {Prompt} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {Clock} from '@applebend/utils';
+import type {Clock, PortOptions} from '@applebend/utils';
 import type {
   PeerAddress,
   PeerInfo,
@@ -114,10 +114,15 @@
     return this.parentAddress() !== undefined;
   }
 
+  /** Resolves when the port for datagrams is open; nothing is sent before. */
+  open(port: PortOptions): Promise<void> {
+    return this.socket.open(port);
+  }
+
+  /** Begins to send; called once the port is open. */
   start(): void {
-    const {peers, seeds} = this.options.state.settings;
+    const {seeds} = this.options.state.settings;
     for (const seed of seeds) this.directory.addAddress(seed);
-    this.socket.open(peers);
     this.heartbeat = setInterval(
       () => this.onHeartbeat(),
       HEARTBEAT_INTERVAL_MS
--- a/packages/gateway/src/lib/peers/peer_socket.ts
+++ b/packages/gateway/src/lib/peers/peer_socket.ts
@@ -1,8 +1,15 @@
 import dgram from 'node:dgram';
-import {containFaults, errorMessage} from '@applebend/utils';
+import {
+  containFaults,
+  errorMessage,
+  logServerErrors,
+  openPort,
+  settle,
+} from '@applebend/utils';
 import {unpackMessage} from './wire_rows.js';
 
 import type {Logger} from '@applebend/telemetry';
+import type {PortOptions} from '@applebend/utils';
 import type {PeerAddress} from '../ports.js';
 
 /** Handles an unpacked message; returns false if it is malformed. @public */
@@ -14,6 +21,7 @@
 /** The UDP socket over which instances exchange messages. @public */
 export class PeerSocket {
   private readonly socket = dgram.createSocket('udp4');
+  private isOpen = false;
   private isClosed = false;
   private readonly handlers = new Map<unknown, PeerHandler>();
 
@@ -27,23 +35,25 @@
         this.onDatagram(bytes, {host: address, port})
       )
     );
-    this.socket.on('error', err =>
-      log.warn('peer socket error', {cause: errorMessage(err)})
-    );
   }
 
   static create(log: Logger): PeerSocket {
     return new PeerSocket(log);
   }
 
-  open({host, port}: PeerAddress): void {
-    this.socket.bind(port, host);
+  /** Resolves when the port is open, see `openPort`. */
+  async open(port: PortOptions): Promise<void> {
+    const bind = () => this.socket.bind(port.port, port.host);
+    await openPort(() => settle(this.socket, bind), port);
+    logServerErrors(this.socket, port.purpose, this.log);
+    this.isOpen = true;
   }
 
   /** Repeated calls have no effect. */
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.isOpen = false;
     this.socket.close();
   }
 
@@ -53,11 +63,12 @@
   }
 
   /**
-   * Sends a datagram. Does nothing once the socket is closed, because a
-   * response may still be in preparation then.
+   * Sends a datagram. Does nothing before the port is open, because a send
+   * would bind the socket to another one, where no peer reaches it; nor once it
+   * is closed, because a response may still be in preparation then.
    */
   send(bytes: Buffer, {host, port}: PeerAddress): void {
-    if (this.isClosed) return;
+    if (!this.isOpen) return;
     try {
       this.socket.send(bytes, port, host, this.onSent);
     } catch (err) {
