The daemon waits for its ports too

A daemon whose port was in use at the start ended at once; for the peers' port with an uncaught exception, because the WebSocket server repeats the errors of its HTTP server and had no listener, so any later error of that server ended the process as well.

--- a/apps/daemon/src/lib/admin/status.ts
+++ b/apps/daemon/src/lib/admin/status.ts
@@ -58,7 +58,7 @@
     ready: unreadiness.length === 0,
     unreadiness,
     revision: daemon.config.state.revision,
-    openRequests: daemon.entry.openRequests,
+    openRequests: daemon.entry?.openRequests ?? 0,
     members,
     cells: [...daemon.cells].map(([service, cell]) => ({
       service,
--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -42,8 +42,10 @@
   readonly losses: LossTask;
   readonly cells: CellRegistry;
   mesh!: PeerMesh;
-  entry!: EntryServer;
-  private admin!: AdminServer;
+  /** Undefined until the callers' port is open. */
+  entry: EntryServer | undefined;
+  private admin: AdminServer | undefined;
+  private readonly startEnd = new AbortController();
   private tracing!: Tracing;
   /** Time spent on links, cells and membership. */
   readonly busyMeter = BusyMeter.create();
@@ -141,10 +143,29 @@
     });
   }
 
-  /** Starts a daemon; it becomes ready once `unreadiness` is empty. */
-  static async create(settings: Settings): Promise<Daemon> {
+  /**
+   * Starts a daemon; it becomes ready once `unreadiness` is empty. A port that is
+   * in use is waited for. Rejects with a `PortError` if a port cannot be opened,
+   * or if the signal is aborted first; no request has been accepted then.
+   *
+   * @param stopSignal - ends a start that waits for a port
+   */
+  static async create(
+    settings: Settings,
+    stopSignal?: AbortSignal
+  ): Promise<Daemon> {
     const daemon = new Daemon(settings);
-    await daemon.start();
+    const abort = () => daemon.startEnd.abort();
+    if (stopSignal?.aborted === true) abort();
+    stopSignal?.addEventListener('abort', abort);
+    try {
+      await daemon.start();
+    } catch (err) {
+      await daemon.closeParts();
+      throw err;
+    } finally {
+      stopSignal?.removeEventListener('abort', abort);
+    }
     return daemon;
   }
 
@@ -154,7 +175,9 @@
 
   /** Returns why this instance should get no new callers; empty if it may. */
   unreadiness(): string[] {
-    return this.readiness.unreadiness();
+    const reasons = this.readiness.unreadiness();
+    if (this.entry === undefined) reasons.push('callers not accepted yet');
+    return reasons;
   }
 
   /** Drains open requests, then stops; resolves when the daemon has stopped. */
@@ -171,6 +194,7 @@
   private async start(): Promise<void> {
     const {settings, metrics, log} = this;
     const {instance, listen} = settings;
+    const {signal: stopSignal} = this.startEnd;
     const otlpUrl = settings.tracing.otlp_url;
     this.tracing = await Tracing.create({otlpUrl, instance});
     this.mesh = await PeerMesh.create({
@@ -178,6 +202,7 @@
       secret: settings.link_secret,
       host: listen.peer.host,
       port: listen.peer.port,
+      stopSignal,
       log,
       metrics,
       busyMeter: this.busyMeter,
@@ -196,9 +221,10 @@
     this.config.start();
     this.claims.start();
     this.losses.start();
-    this.entry = await this.startEntry();
     this.admin = await AdminServer.create({
       ...listen.admin,
+      stopSignal,
+      log,
       metrics,
       unreadiness: () => this.unreadiness(),
       status: () => daemonStatus(this),
@@ -206,6 +232,8 @@
       drain: () => void this.shutDown(),
     });
     this.timers.push(setInterval(() => this.tick(), CELL_TICK_INTERVAL_MS));
+    // The last port: until it is open, no request can be cut by a stop.
+    this.entry = await this.startEntry();
     log.info('started', {incarnation: this.incarnation});
   }
 
@@ -216,6 +244,7 @@
       settings,
       incarnation: this.incarnation,
       log: this.log,
+      stopSignal: this.startEnd.signal,
       metrics,
       tracing: this.tracing,
       ready: () => this.readiness.canServe,
@@ -277,21 +306,27 @@
   private async drainAndStop(): Promise<void> {
     this.log.info('draining');
     this.readiness.startDraining();
-    this.entry.startDraining();
+    this.startEnd.abort();
+    this.entry?.startDraining();
     this.membership.sendHeartbeat();
     this.refreshCells();
     await sleep(this.settings.timing.lame_duck_ms);
-    await this.entry.closeWhenIdle();
+    await this.entry?.closeWhenIdle();
     await this.claims.flush(CLAIM_FLUSH_TIMEOUT_MS);
     await sleep(HANDOVER_DELAY_MS);
     this.mesh.broadcast({type: 'goodbye'});
-    this.stopTasks();
-    await this.mesh.stop();
-    await this.tracing.shutdown();
+    await this.closeParts();
     this.log.info('stopped');
     for (const callback of this.stoppedCallbacks) callback();
   }
 
+  /** Also after a start that failed, when some parts were not created. */
+  private async closeParts(): Promise<void> {
+    this.stopTasks();
+    await (this.mesh as PeerMesh | undefined)?.stop();
+    await (this.tracing as Tracing | undefined)?.shutdown();
+  }
+
   private stopTasks(): void {
     for (const timer of this.timers) clearInterval(timer);
     this.meshReady = false;
@@ -299,6 +334,6 @@
     this.config.stop();
     this.claims.stop();
     this.losses.stop();
-    this.admin.stop();
+    this.admin?.stop();
   }
 }
--- a/apps/daemon/src/lib/entry/entry_server.ts
+++ b/apps/daemon/src/lib/entry/entry_server.ts
@@ -1,10 +1,9 @@
 import http from 'node:http';
-import {once} from 'node:events';
 import {admit} from './admission.js';
 import {Caller} from './caller.js';
 import {notRun, refusal} from './refusals.js';
 import {RequestRunner} from './request_runner.js';
-import {errorMessage} from '@applebend/utils';
+import {errorMessage, listenWhenFree} from '@applebend/utils';
 
 import type {Socket} from 'node:net';
 import type {Refusal} from '@applebend/core';
@@ -22,6 +21,8 @@
   readonly tracing: Tracing;
   readonly admission: AdmissionOptions;
   readonly runner: RequestRunnerDeps;
+  /** Ends the wait for the port. */
+  readonly stopSignal?: AbortSignal;
   /** Whether requests can be served; if not, they are refused. */
   readonly ready: () => boolean;
 }
@@ -56,9 +57,13 @@
 
   static async create(options: EntryServerOptions): Promise<EntryServer> {
     const entry = new EntryServer(options);
-    const {host, port} = options.settings.listen.caller;
-    entry.server.listen(port, host);
-    await once(entry.server, 'listening');
+    const {settings, log, stopSignal} = options;
+    await listenWhenFree(entry.server, {
+      ...settings.listen.caller,
+      purpose: 'callers',
+      log,
+      stopSignal,
+    });
     return entry;
   }
 
--- a/apps/daemon/src/lib/peers/peer_mesh.ts
+++ b/apps/daemon/src/lib/peers/peer_mesh.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
 import {Link} from '@applebend/protocol';
+import {listenWhenFree} from '@applebend/utils';
 
 import type {LinkCloseReason, PeerMessage} from '@applebend/protocol';
 import type {PeerIdentity} from '@applebend/protocol';
@@ -32,6 +33,8 @@
   readonly secret: string;
   readonly host: string;
   readonly port: number;
+  /** Ends the wait for the port. */
+  readonly stopSignal?: AbortSignal;
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly events: PeerMeshEvents;
@@ -76,14 +79,13 @@
       perMessageDeflate: false,
     });
     sockets.on('connection', socket => this.startLink(socket));
+    // It repeats the errors of the server, which `listenWhenFree` handles.
+    sockets.on('error', () => undefined);
   }
 
   static async create(options: PeerMeshOptions): Promise<PeerMesh> {
     const mesh = new PeerMesh(options);
-    await new Promise<void>((resolve, reject) => {
-      mesh.server.once('error', reject);
-      mesh.server.listen(options.port, options.host, resolve);
-    });
+    await listenWhenFree(mesh.server, {...options, purpose: 'peers'});
     return mesh;
   }
 
