A connection to a target keeps its listener for errors

Between the moment a connection was open and the request that listens for its errors, an abort or a reset met no listener, which ends the process. Found by reading; no test reproduces it. The listener of the connecting phase now stays.

--- a/apps/daemon/src/lib/entry/target_connection.ts
+++ b/apps/daemon/src/lib/entry/target_connection.ts
@@ -43,10 +43,10 @@
       resolve(fail({kind: 'connect_failed', message}));
     };
     const onError = (err: Error) => settle(errorMessage(err));
-    socket.once('error', onError);
+    // Stays: an abort may come before the request listens for errors itself.
+    socket.on('error', onError);
     socket.once('connect', () => {
       clearTimeout(timer);
-      socket.off('error', onError);
       resolve(ok(socket));
     });
   });
