Tests of a fleet's exchange open the port before they start

The exchange sends nothing until its port is open; five tests of peer_fleet failed since because the test started it without. Their checks are unchanged.

--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -94,7 +94,7 @@
     readonly exchange: PeerExchange
   ) {}
 
-  static create(index: number, port: number): Instance {
+  static async create(index: number, port: number): Promise<Instance> {
     const info = {
       instance: `entry-${String(index).padStart(2, '0')}`,
       failureDomain: `hall-${'abc'[index % 3]}`,
@@ -128,6 +128,7 @@
       source,
     });
     source.askParent = () => exchange.requestConfirmation(0);
+    await exchange.open({host, port, purpose: 'peers', log});
     exchange.start();
     return new Instance(info, state, source, exchange);
   }
@@ -161,7 +162,9 @@
   run: (fleet: Instance[]) => Promise<void>
 ): Promise<void> {
   const ports = await freePorts(count);
-  const fleet = ports.map((port, index) => Instance.create(index, port));
+  const fleet = await Promise.all(
+    ports.map((port, index) => Instance.create(index, port))
+  );
   try {
     for (const {exchange} of fleet) {
       exchange.addListedPeers(fleet.map(({info}) => info));
