--- a/apps/daemon/src/program.ts
+++ b/apps/daemon/src/program.ts
@@ -50,7 +50,7 @@
   return runProcess({
     log,
     signals,
-    start: () => Daemon.create(settings.value, log),
+    start: stopSignal => Daemon.create(settings.value, stopSignal, log),
     faultLimitMs: FAULT_LIMIT_MS,
   });
 }
