The metrics show the resident memory of the process and its limit

The platform ends a process whose resident memory passes limits.memoryMb of its settings. That field was not decoded, and no metric showed how far a process was from it.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -282,6 +282,8 @@
       coldTargets: this.updateCold(),
       evacuatedDomains: state.targets.evacuations.count,
       listenerDelayMs: this.listenerProbe.delayMs,
+      residentBytes: process.memoryUsage.rss(),
+      residentLimitBytes: this.ports.settings.memoryLimitBytes,
       ...this.loadFigures(),
     });
   }
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -28,6 +28,10 @@
   readonly acceptedConnections: number;
   /** Open connections of callers. */
   readonly callerConnections: number;
+  /** Resident memory of the process. */
+  readonly residentBytes: number;
+  /** The resident memory above which the platform ends the process. */
+  readonly residentLimitBytes: number;
   /** How long a caller's new connection waits until it is served. */
   readonly listenerDelayMs: number;
   /** Smoothed lag of the event loop. */
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -314,6 +314,8 @@
    * blocks yet, so none is queried for them.
    */
   readonly isFleetBootstrap: boolean;
+  /** Resident memory above which the platform ends the process. */
+  readonly memoryLimitBytes: number;
   /** Above this number of open connections, responses close theirs. */
   readonly maxCallerConnections: number;
   /** Time from the stop signal to the forced end of the process. */
