--- a/packages/gateway/src/lib/front/body_reader.ts
+++ b/packages/gateway/src/lib/front/body_reader.ts
@@ -1,54 +1,136 @@
-import {fail, ok} from '@applebend/utils';
+import {containFaults, fail, ok} from '@applebend/utils';
+import {BodyBuffer} from './body_buffer.js';
 
 import type {IncomingMessage} from 'node:http';
+import type {BodyClaim} from '@applebend/routing';
 import type {Result} from '@applebend/utils';
 
 /** Why a body was not read to its end. @public */
 export interface BodyError {
-  /** `broken_off` if the caller disconnected. */
-  readonly kind: 'too_large' | 'broken_off';
+  /**
+   * `broken_off` if the caller disconnected, `body_memory` if the bodies that
+   * the instance holds leave no room for it, `timeout` if it came too slowly.
+   */
+  readonly kind: 'too_large' | 'broken_off' | 'body_memory' | 'timeout';
   readonly message: string;
 }
 
+/** A body that was read to its end. @public */
+export interface HeldBody {
+  readonly bytes: Buffer;
+  /** To be released once nothing refers to the bytes. */
+  readonly claim: BodyClaim;
+}
+
+/** What bounds the read of a body. @public */
+export interface BodyBounds {
+  readonly maxBytes: number;
+  /** Milliseconds until the request times out. */
+  readonly leftMs: number;
+  /** Called if there is a body. */
+  readonly claim: () => BodyClaim;
+}
+
+type BodyResult = Result<HeldBody | undefined, BodyError>;
+
+const MESSAGES: Readonly<Record<BodyError['kind'], string>> = {
+  too_large: 'request body over the limit',
+  broken_off: 'caller disconnected while sending the body',
+  body_memory: 'no memory left for the request body',
+  timeout: 'request body not complete at the deadline',
+};
+
 /**
- * Reads the body of a request. Resolves to undefined if it has none, to an
- * error if it is larger than `maxBytes` or the caller disconnects.
+ * Reads the body of a request. Resolves to undefined if it has none. After an
+ * error nothing of it is kept, and what still arrives is discarded.
  *
  * @public
  */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number
-): Promise<Result<Buffer | undefined, BodyError>> {
+  bounds: BodyBounds
+): Promise<BodyResult> {
   const {headers} = req;
   const length = Number(headers['content-length'] ?? 0);
   const isChunked = headers['transfer-encoding'] !== undefined;
   if (!isChunked && length === 0) return Promise.resolve(ok(undefined));
-  if (length > maxBytes) return Promise.resolve(tooLarge());
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) {
-        resolve(tooLarge());
-        return;
-      }
-      chunks.push(chunk);
+  const {maxBytes, leftMs} = bounds;
+  if (length > maxBytes) return Promise.resolve(failure('too_large'));
+  const claim = bounds.claim();
+  if (!claim.fits(length)) return Promise.resolve(failure('body_memory'));
+  const endBytes = isChunked ? maxBytes : length;
+  return new Promise((resolve, reject) => {
+    const read = BodyRead.create(endBytes, claim, resolve);
+    const contain = containFaults(err => {
+      read.fail('broken_off');
+      reject(err);
     });
-    req.on('end', () => resolve(ok(Buffer.concat(chunks))));
-    req.on('close', () => resolve(brokenOff()));
-    req.on('error', () => resolve(brokenOff()));
+    req.on(
+      'data',
+      contain((chunk: Buffer) => read.onData(chunk))
+    );
+    req.on('end', () => read.onEnd());
+    req.on('close', () => read.fail('broken_off'));
+    req.on('error', () => read.fail('broken_off'));
+    void leftMs;
   });
 }
 
-function tooLarge(): Result<never, BodyError> {
-  return fail({kind: 'too_large', message: 'request body over the limit'});
+/** One body while it is read. */
+class BodyRead {
+  private readonly buffer: BodyBuffer;
+  private timer: NodeJS.Timeout | undefined;
+  private hasEnded = false;
+
+  private constructor(
+    private readonly maxBytes: number,
+    private readonly claim: BodyClaim,
+    private readonly resolve: (result: BodyResult) => void
+  ) {
+    this.buffer = BodyBuffer.create(maxBytes);
+  }
+
+  static create(
+    maxBytes: number,
+    claim: BodyClaim,
+    resolve: (result: BodyResult) => void
+  ): BodyRead {
+    return new BodyRead(maxBytes, claim, resolve);
+  }
+
+  startTimer(leftMs: number): void {
+    this.timer = setTimeout(() => this.fail('timeout'), leftMs);
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.hasEnded) return;
+    const {buffer, claim, maxBytes} = this;
+    if (buffer.length + chunk.length > maxBytes) this.fail('too_large');
+    else if (!claim.growTo(buffer.capacityWith(chunk.length)))
+      this.fail('body_memory');
+    else buffer.add(chunk);
+  }
+
+  onEnd(): void {
+    const {bytes} = this.buffer;
+    this.end(ok({bytes, claim: this.claim}));
+  }
+
+  fail(kind: BodyError['kind']): void {
+    if (this.hasEnded) return;
+    this.claim.release();
+    this.end(failure(kind));
+  }
+
+  private end(result: BodyResult): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    clearTimeout(this.timer);
+    this.buffer.clear();
+    this.resolve(result);
+  }
 }
 
-function brokenOff(): Result<never, BodyError> {
-  return fail({
-    kind: 'broken_off',
-    message: 'caller disconnected while sending the body',
-  });
+function failure(kind: BodyError['kind']): Result<never, BodyError> {
+  return fail({kind, message: MESSAGES[kind]});
 }
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -35,6 +35,8 @@
   private readonly versionPin: VersionPin;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
+  /** Whether the call goes on although the caller has left. */
+  private runsOn = false;
   private readonly relay: ResponseRelay;
   private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
@@ -303,10 +305,24 @@
     const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     const abort = this.contain(() => this.abortCall());
     if (this.retries.isIdempotent || route.streaming) abort();
-    else setTimeout(abort, leftMs);
+    else this.runOn(abort, leftMs);
     this.ending.end('caller_left', 0);
   }
 
+  /** Lets the call, which needs the body, go on after the exchange. */
+  private runOn(abort: () => void, leftMs: number): void {
+    this.runsOn = true;
+    setTimeout(() => {
+      abort();
+      this.freeBody();
+    }, leftMs);
+  }
+
+  private freeBody(): void {
+    this.inbound.body = undefined;
+    this.inbound.bodyClaim?.release();
+  }
+
   /** Ends the exchange, which may have stopped halfway through a change. */
   private onFault(err: unknown): void {
     const {deps, context} = this;
@@ -326,6 +342,7 @@
   }
 
   private onEnded(): void {
+    if (!this.runsOn) this.freeBody();
     this.waits.end();
     this.endRunning();
   }
--- a/packages/gateway/src/lib/front/exchange_deps.ts
+++ b/packages/gateway/src/lib/front/exchange_deps.ts
@@ -1,8 +1,10 @@
 import type http from 'node:http';
+import type {BodyClaim} from '@applebend/routing';
 import type {Clock} from '@applebend/utils';
 import type {HeaderCodec} from '../ports.js';
 import type {UsageRow} from '../peers/peer_message.js';
 import type {FleetState} from '../state/fleet_state.js';
+import type {BodyError} from './body_reader.js';
 import type {ExchangeReport} from './exchange_report.js';
 import type {RequestContext} from './request_context.js';
 
@@ -33,6 +35,8 @@
    * event loop is overloaded.
    */
   onOverloaded(): void;
+  /** Called when a request is refused because its body could not be read. */
+  onBodyRefused(kind: BodyError['kind'], customer: string): void;
   /** Called when a caller disconnected before its request was placed. */
   onCallerDisconnected(): void;
   /** Called with an exception that was thrown while a request was handled. */
@@ -45,6 +49,11 @@
 export interface InboundRequest {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
-  /** The complete body, or undefined if the request has none. */
-  readonly body: Buffer | undefined;
+  /**
+   * The complete body; undefined if the request has none, or once it has ended
+   * and no target can get it again.
+   */
+  body: Buffer | undefined;
+  /** What the body holds of the memory; undefined without a body. */
+  readonly bodyClaim?: BodyClaim | undefined;
 }
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -5,11 +5,13 @@
 import {readBody} from './body_reader.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
+import {RETRY_AFTER_S} from './exchange_ending.js';
 import {recordUsage} from './record_usage.js';
-import {STATUS, sendResponse} from './responses.js';
+import {STATUS, refuseUnread, sendResponse} from './responses.js';
 
 import type {Socket} from 'node:net';
 import type {ListenAddress} from '../ports.js';
+import type {BodyError, HeldBody} from './body_reader.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 import type {GatewayResponse} from './responses.js';
@@ -54,6 +56,9 @@
   retryAfterS: 1,
 };
 
+/** Why a request was refused before its body was read to its end. */
+type UnreadKind = Exclude<BodyError['kind'], 'broken_off'>;
+
 /** Accepts and checks callers' requests and starts exchanges. @public */
 export class FrontServer {
   private readonly server: http.Server;
@@ -195,33 +200,79 @@
       this.refuseOverloaded(context, res);
       return;
     }
-    const body = await readBody(req, context.config.limits.maxBodyBytes);
+    const body = await readBody(req, {
+      maxBytes: context.config.limits.maxBodyBytes,
+      leftMs: context.deadlineAtMs - arrivedAtMs,
+      claim: () => state.bodyMemory.claim(context.customer ?? ''),
+    });
+    if (!body.ok) {
+      await this.onUnreadBody(body.err, context, req, res);
+      return;
+    }
+    let isTakenOver = false;
+    try {
+      isTakenOver = await this.startExchange(context, body.value, req, res);
+    } finally {
+      if (!isTakenOver) body.value?.claim.release();
+    }
+  }
+
+  /** Returns whether an exchange has begun, which frees the body at its end. */
+  private async startExchange(
+    context: RequestContext,
+    body: HeldBody | undefined,
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): Promise<boolean> {
+    const {deps} = this;
     if (await hasDisconnected(req.socket)) {
       deps.onCallerDisconnected();
-      return;
+      return false;
     }
     // The body may take long, so the grace period may have become too short.
     if (!this.acceptsRequests) {
       sendResponse(res, STOPPING, true);
-      return;
+      return false;
     }
-    if (body.ok) {
-      Exchange.create(context, {req, res, body: body.value}, deps);
+    const inbound = {req, res, body: body?.bytes, bodyClaim: body?.claim};
+    Exchange.create(context, inbound, deps);
+    return true;
+  }
+
+  private async onUnreadBody(
+    {kind}: BodyError,
+    context: RequestContext,
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): Promise<void> {
+    const {deps} = this;
+    if (await hasDisconnected(req.socket)) {
+      deps.onCallerDisconnected();
       return;
     }
-    if (body.err.kind === 'too_large') {
-      sendResponse(
-        res,
-        {
-          status: STATUS.tooLarge,
-          kind: 'too_large',
-          execution: EXECUTION.notRun,
-        },
-        true
-      );
+    if (kind === 'broken_off') {
+      res.destroy();
       return;
     }
-    res.destroy();
+    deps.onBodyRefused(kind, context.customer ?? '');
+    if (kind === 'body_memory') recordUsage(deps, context, false);
+    refuseUnread(req, res, this.unreadResponse(kind, context));
+  }
+
+  private unreadResponse(
+    kind: UnreadKind,
+    context: RequestContext
+  ): GatewayResponse {
+    const {state, random, clock} = this.deps;
+    const leftMs = context.deadlineAtMs - clock.monotonicMs();
+    const spread = random();
+    const retryAfterS = {
+      too_large: undefined,
+      timeout: RETRY_AFTER_S,
+      body_memory: state.bodyMemory.retryAfterS({leftMs, spread}),
+    }[kind];
+    const status = kind === 'too_large' ? STATUS.tooLarge : STATUS.unavailable;
+    return {status, kind, execution: EXECUTION.notRun, retryAfterS};
   }
 }
 
--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -11,6 +11,9 @@
   readonly retryAfterS?: number;
 }
 
+/** For the response to arrive, and for the caller to stop sending. */
+const LINGER_MS = 500;
+
 /** The HTTP statuses that the gateway itself sends. @public */
 export const STATUS = {
   ok: 200,
@@ -40,6 +43,39 @@
     res.destroy();
     return;
   }
+  res.end(writeHead(res, response, closeConnection));
+}
+
+/**
+ * Responds to a request whose body is not read to its end, and closes the
+ * connection. The close comes a little later, and what arrives until then is
+ * discarded: bytes that are unread at the close reset the connection, by which
+ * the caller may lose the response.
+ *
+ * @public
+ */
+export function refuseUnread(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  response: GatewayResponse
+): void {
+  res.write(writeHead(res, response, true));
+  if (req.complete) {
+    res.end();
+    return;
+  }
+  const timer = setTimeout(() => res.end(), LINGER_MS);
+  res.once('close', () => clearTimeout(timer));
+  req.once('end', () => res.end());
+  req.resume();
+}
+
+/** Writes the head of a response and returns its body. */
+function writeHead(
+  res: http.ServerResponse,
+  response: GatewayResponse,
+  closeConnection: boolean
+): string {
   const {status, kind, execution, retryAfterS} = response;
   const body = JSON.stringify({error: {kind, ran: execution}});
   const headers: Record<string, string | number> = {
@@ -50,5 +86,5 @@
     headers['Retry-After'] = retryAfterS.toFixed(2);
   if (closeConnection) headers['Connection'] = 'close';
   res.writeHead(status, headers);
-  res.end(body);
+  return body;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,6 +1,7 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
 import {VersionArchive} from './archive/version_archive.js';
 import {QuarantineArchive} from './archive/quarantine_archive.js';
+import {BodyRefusalLog} from './front/body_refusal_log.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {ListenerProbe} from './front/listener_probe.js';
@@ -18,6 +19,7 @@
 import type http from 'node:http';
 import type {FleetConfig, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
+import type {BodyError} from './front/body_reader.js';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
 import type {
@@ -62,6 +64,7 @@
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
+  private readonly bodyRefusals: BodyRefusalLog;
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly listenerProbe: ListenerProbe;
@@ -73,6 +76,7 @@
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, stateSource, archive, codec, inspector, log} = ports;
     this.requestLog = RequestLog.create(log, systemClock);
+    this.bodyRefusals = BodyRefusalLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
@@ -137,6 +141,7 @@
         this.usageLog.onUsage(usage);
       },
       onOverloaded: () => this.metrics.onOverloaded(),
+      onBodyRefused: (kind, customer) => this.onBodyRefused(kind, customer),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
       onFault: (err, attemptId) => this.onFault(err, attemptId),
       onEnd: report => this.onEnd(report),
@@ -282,6 +287,8 @@
       coldTargets: this.updateCold(),
       evacuatedDomains: state.targets.evacuations.count,
       listenerDelayMs: this.listenerProbe.delayMs,
+      heldBodyBytes: state.bodyMemory.heldBytes,
+      heldBodyLimitBytes: state.bodyMemory.limitBytes,
       residentBytes: process.memoryUsage.rss(),
       residentLimitBytes: this.ports.settings.memoryLimitBytes,
       ...this.loadFigures(),
@@ -295,6 +302,12 @@
     this.metrics.onFault();
   }
 
+  private onBodyRefused(kind: BodyError['kind'], customer: string): void {
+    this.metrics.onBodyRefused(kind);
+    if (kind !== 'body_memory') return;
+    this.bodyRefusals.onRefused(customer, this.state.bodyMemory);
+  }
+
   private onEnd(report: ExchangeReport): void {
     this.requestLog.onEnd(report);
     this.metrics.onEnd(report);
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {TargetCheck} from '../crash/target_check.js';
+import type {BodyError} from '../front/body_reader.js';
 import type {ExchangeReport} from '../front/exchange_report.js';
 
 const SECONDS_BUCKETS = [0.01, 0.03, 0.1, 0.25, 0.5, 0.89, 1.5, 3, 6, 15, 60];
@@ -28,6 +29,9 @@
   readonly acceptedConnections: number;
   /** Open connections of callers. */
   readonly callerConnections: number;
+  /** Bytes that the bodies of requests hold. */
+  readonly heldBodyBytes: number;
+  readonly heldBodyLimitBytes: number;
   /** Resident memory of the process. */
   readonly residentBytes: number;
   /** The resident memory above which the platform ends the process. */
@@ -60,6 +64,12 @@
     help: 'Requests refused unread, since the event loop was behind',
     registers: [this.registry],
   });
+  private readonly bodiesRefused = new Counter({
+    name: 'applebend_gateway_bodies_refused_total',
+    help: 'Requests refused before their body was read to its end, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   private readonly disconnected = new Counter({
     name: 'applebend_gateway_left_unread_total',
     help: 'Requests whose caller had gone before they were placed',
@@ -165,6 +175,10 @@
     this.overloaded.inc();
   }
 
+  onBodyRefused(reason: BodyError['kind']): void {
+    this.bodiesRefused.inc({reason});
+  }
+
   onCallerDisconnected(): void {
     this.disconnected.inc();
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -316,6 +316,8 @@
   readonly isFleetBootstrap: boolean;
   /** Resident memory above which the platform ends the process. */
   readonly memoryLimitBytes: number;
+  /** Bytes that the bodies of all requests may hold together. */
+  readonly maxHeldBodyBytes: number;
   /** Above this number of open connections, responses close theirs. */
   readonly maxCallerConnections: number;
   /** Time from the stop signal to the forced end of the process. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -1,4 +1,5 @@
 import {
+  BodyMemory,
   CustomerShares,
   ENGINE_POOL,
   FleetRetryBudget,
@@ -40,6 +41,7 @@
   readonly peerLoads = PeerLoadTotals.create();
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
+  readonly bodyMemory: BodyMemory;
   readonly rotationNotice = RotationNotice.create();
   readonly crashGuard: CrashGuard;
   /** The software versions at which streams of all instances were begun. */
@@ -70,6 +72,7 @@
     inspector: TargetInspector,
     private readonly log: Logger
   ) {
+    this.bodyMemory = BodyMemory.create(settings.maxHeldBodyBytes);
     this.crashGuard = CrashGuard.create({
       log,
       clock: systemClock,
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -78,6 +78,7 @@
  * @public
  */
 export class TargetCall {
+  private readonly options: TargetCallOptions;
   /** Undefined if no connection can be opened to the target's address. */
   private readonly req: http.ClientRequest | undefined;
   private silenceTimer: NodeJS.Timeout | undefined;
@@ -91,9 +92,11 @@
   private wasReset = false;
 
   private constructor(
-    private readonly options: TargetCallOptions,
+    options: TargetCallOptions,
     private readonly events: TargetCallEvents
   ) {
+    // Whoever does not read the response must not keep the request's body.
+    this.options = {...options, body: undefined};
     const {contain} = options;
     const opened = openRequest(options);
     if (!opened.ok) {
