A body that comes too slowly is refused at the timeout of its route

Callers saw: no answer. Nothing ended the wait for a body at the request's deadline, so a caller whose last bytes were late waited for ever, and what had come of its body was held as long.

Test before (without the timer): no answer 3.5 s after the request at a route with a timeout of 3 s. Now 503 timeout, not run, at 3 s, and the connection is closed. It was not sent to any target, so 503 is true.

--- a/packages/gateway/src/lib/front/body_reader.ts
+++ b/packages/gateway/src/lib/front/body_reader.ts
@@ -72,7 +72,7 @@
     req.on('end', () => read.onEnd());
     req.on('close', () => read.fail('broken_off'));
     req.on('error', () => read.fail('broken_off'));
-    void leftMs;
+    read.startTimer(Math.max(0, leftMs));
   });
 }
 
