--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -12,7 +12,7 @@
 }
 
 /** For the response to arrive, and for the caller to stop sending. */
-const LINGER_MS = 500;
+const LINGER_MS = 2000;
 
 /** The HTTP statuses that the gateway itself sends. @public */
 export const STATUS = {
