The body of a request is dropped at its end without keeping the request alive

The content of a request read its body through the request itself, and what outlasts the request then kept all of it.

--- a/packages/gateway/src/lib/crash/request_crashes.ts
+++ b/packages/gateway/src/lib/crash/request_crashes.ts
@@ -128,6 +128,11 @@
     if (this.guard.knowsAnyRequest) this.guard.onServed(this.fingerprint);
   }
 
+  /** Called when the request has ended and no attempt at it is open. */
+  freeBody(): void {
+    this.content.body = undefined;
+  }
+
   private endRun(isBroken: boolean, endedAtMs: number): Promise<void> {
     const {run, fingerprint} = this;
     this.run = undefined;
--- a/packages/gateway/src/lib/crash/request_fingerprint.ts
+++ b/packages/gateway/src/lib/crash/request_fingerprint.ts
@@ -9,7 +9,7 @@
   readonly url: string;
   /** Undefined on public routes. */
   readonly customer: string | undefined;
-  readonly body: Buffer | undefined;
+  body: Buffer | undefined;
 }
 
 /** The same for all attempts at one request, whoever receives them. @public */
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -320,6 +320,7 @@
 
   private freeBody(): void {
     this.inbound.body = undefined;
+    this.crashes.freeBody();
     this.inbound.bodyClaim?.release();
   }
 
