--- a/packages/gateway/src/lib/front/exchange_fault.test.ts
+++ b/packages/gateway/src/lib/front/exchange_fault.test.ts
@@ -2,8 +2,10 @@
 import assert from 'node:assert/strict';
 import http from 'node:http';
 import {test} from 'node:test';
+import {BodyMemory} from '@applebend/routing';
 import {ExchangeRig} from '../../testing/exchange_rig.js';
 
+import type {ExchangeChange} from '../../testing/exchange_rig.js';
 import type {TargetResponseHead} from '../ports.js';
 
 const HEAD: TargetResponseHead = {
@@ -101,3 +103,25 @@
     rig.close();
   }
 });
+
+test('a fault at any point of an exchange leaves no bytes of its body counted', async () => {
+  const changes: ExchangeChange[] = [
+    {codec: {encodeTargetRequest: fault}},
+    {codec: {decodeTargetResponse: fault}},
+    {codec: {decodeTargetResponse: () => HEAD}, onEnd: fault},
+    {onPlaced: fault},
+  ];
+  for (const change of changes) {
+    const rig = await ExchangeRig.create(await startTarget());
+    const memory = BodyMemory.create(1000);
+    const bodyClaim = memory.claim('one');
+    assert.ok(bodyClaim.growTo(400));
+    try {
+      await rig.exchange({...change, bodyClaim});
+      assert.deepEqual(rig.faults, ['a fault']);
+      assert.equal(memory.heldBytes, 0);
+    } finally {
+      rig.close();
+    }
+  }
+});
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -7,7 +7,7 @@
 import {sampleTarget} from './sample_target.js';
 
 import type {AddressInfo} from 'node:net';
-import type {FleetConfig} from '@applebend/routing';
+import type {BodyClaim, FleetConfig} from '@applebend/routing';
 import type {ExchangeDeps} from '../lib/front/exchange_deps.js';
 import type {RequestContext} from '../lib/front/request_context.js';
 import type {GatewaySettings, HeaderCodec, StateSource} from '../lib/ports.js';
@@ -18,6 +18,8 @@
   /** Called after the request was placed and before it is sent. */
   readonly onPlaced?: () => void;
   readonly onEnd?: () => void;
+  /** Counts a body that the request has. */
+  readonly bodyClaim?: BodyClaim;
 }
 
 const SERVICE = 'app';
@@ -93,7 +95,11 @@
     } as unknown as ExchangeDeps;
     const context = contextOf(state);
     const front = http.createServer((req, res) =>
-      Exchange.create(context, {req, res, body: undefined}, deps)
+      Exchange.create(
+        context,
+        {req, res, body: undefined, bodyClaim: change.bodyClaim},
+        deps
+      )
     );
     await new Promise<void>(resolve => front.listen(0, '127.0.0.1', resolve));
     const {port} = front.address() as AddressInfo;
