--- a/apps/daemon/src/signals.process.test.ts
+++ b/apps/daemon/src/signals.process.test.ts
@@ -17,6 +17,8 @@
 const MAIN = fileURLToPath(new URL('./main.js', import.meta.url));
 const LAME_DUCK_MS = 1000;
 const START_TIMEOUT_MS = 10_000;
+/** An address for documentation, which no interface has. */
+const UNAVAILABLE_HOST = '192.0.2.1';
 
 /** Opens a server at a free port of the loopback interface. */
 async function listen(t: TestContext): Promise<net.Server> {
@@ -40,7 +42,7 @@
 }
 
 /** Starts a daemon whose log and instance list cannot be reached. */
-async function startDaemon(t: TestContext, callerPort?: number) {
+async function startDaemon(t: TestContext, callerHost = '127.0.0.1') {
   const host = '127.0.0.1';
   const ports = [await freePort(t), await freePort(t), await freePort(t)];
   const [caller, peer, admin] = ports;
@@ -51,7 +53,7 @@
     failure_domain: 'hall-a',
     link_secret: 'a secret for the links of a test',
     listen: {
-      caller: {host, port: callerPort ?? caller},
+      caller: {host: callerHost, port: caller},
       peer: {host, port: peer},
       admin: {host, port: admin},
     },
@@ -118,10 +120,9 @@
   assert.deepEqual([code, signal], [0, null]);
 });
 
-test('a caller port that is taken gives a structured line and code 1', async t => {
-  const taken = portOf(await listen(t));
-  const {end} = await startDaemon(t, taken);
+test('a caller address that cannot be opened gives a structured line and code 1', async t => {
+  const {end} = await startDaemon(t, UNAVAILABLE_HOST);
   const {code, output} = await end();
   assert.equal(code, 1);
-  assert.match(output, /"event":"start failed".*EADDRINUSE/);
+  assert.match(output, /"event":"start failed".*EADDRNOTAVAIL/);
 });
--- a/packages/utils/src/lib/growing_buffer.ts
+++ b/packages/utils/src/lib/growing_buffer.ts
@@ -27,7 +27,8 @@
 
   /** The bytes that were added; valid until the next change. */
   get bytes(): Buffer {
-    return this.buffer.subarray(0, this.used);
+    const {buffer, used} = this;
+    return used === buffer.length ? buffer : buffer.subarray(0, used);
   }
 
   /** The capacity, in bytes, after a chunk of so many bytes is added. */
