--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,6 +1,7 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
 import {VersionArchive} from './archive/version_archive.js';
 import {QuarantineArchive} from './archive/quarantine_archive.js';
+import {BodyRefusalLog} from './front/body_refusal_log.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {ListenerProbe} from './front/listener_probe.js';
@@ -19,6 +20,7 @@
 import type {FleetConfig, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {PortOptions} from '@applebend/utils';
+import type {BodyError} from './front/body_reader.js';
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
 import type {
@@ -66,6 +68,7 @@
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
+  private readonly bodyRefusals: BodyRefusalLog;
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly listenerProbe: ListenerProbe;
@@ -77,6 +80,7 @@
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, stateSource, archive, codec, inspector, log} = ports;
     this.requestLog = RequestLog.create(log, systemClock);
+    this.bodyRefusals = BodyRefusalLog.create(log, systemClock);
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
@@ -141,6 +145,7 @@
         this.usageLog.onUsage(usage);
       },
       onOverloaded: () => this.metrics.onOverloaded(),
+      onBodyRefused: (kind, customer) => this.onBodyRefused(kind, customer),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
       onFault: (err, attemptId) => this.onFault(err, attemptId),
       onEnd: report => this.onEnd(report),
@@ -358,6 +363,10 @@
       coldTargets: this.updateCold(),
       evacuatedDomains: state.targets.evacuations.count,
       listenerDelayMs: this.listenerProbe.delayMs,
+      heldBodyBytes: state.bodyMemory.heldBytes,
+      heldBodyLimitBytes: state.bodyMemory.limitBytes,
+      residentBytes: process.memoryUsage.rss(),
+      residentLimitBytes: this.ports.settings.memoryLimitBytes,
       ...this.loadFigures(),
     });
   }
@@ -369,6 +378,12 @@
     this.metrics.onFault();
   }
 
+  private onBodyRefused(kind: BodyError['kind'], customer: string): void {
+    this.metrics.onBodyRefused(kind);
+    if (kind !== 'body_memory') return;
+    this.bodyRefusals.onRefused(customer, this.state.bodyMemory);
+  }
+
   private onEnd(report: ExchangeReport): void {
     this.requestLog.onEnd(report);
     this.metrics.onEnd(report);
--- a/packages/utils/src/lib/growing_buffer.test.ts
+++ b/packages/utils/src/lib/growing_buffer.test.ts
@@ -28,7 +28,15 @@
   const buffer = GrowingBuffer.create(maxBytes);
   for (let bytes = 1; bytes <= maxBytes; bytes++) {
     const capacity = buffer.capacityWith(1);
+    assert.ok(capacity >= bytes);
     assert.ok(capacity <= Math.max(4096, Math.min(2 * bytes, maxBytes)));
     buffer.add(Buffer.from([0]));
   }
 });
+
+test('a single chunk is not copied', () => {
+  const buffer = GrowingBuffer.create(10);
+  const chunk = Buffer.from('0123456789');
+  buffer.add(chunk);
+  assert.equal(buffer.bytes, chunk);
+});
