Metrics: requests that wait on their connection, and closes for it

Callers saw a process that ended by SIGABRT under pipelined requests (200 connections with 500 each, answers not read). No figure told how many requests wait behind another one on their connection.

The gauge figure `waitingRequests`, the counter `applebend_gateway_pipelining_closed_total` and a log line, at most one a second with the count, are there before the change of logic. Nothing closes a connection for this yet, so the counter stays at 0.

--- a/packages/gateway/src/lib/front/exchange_deps.ts
+++ b/packages/gateway/src/lib/front/exchange_deps.ts
@@ -35,6 +35,8 @@
   onOverloaded(): void;
   /** Called when a caller disconnected before its request was placed. */
   onCallerDisconnected(): void;
+  /** Called when a connection is closed since too many requests wait on it. */
+  onPipeliningClosed(): void;
   /** Called with an exception that was thrown while a request was handled. */
   onFault(err: unknown, attemptId: string): void;
   /** Called once for each exchange. */
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -60,6 +60,8 @@
   private stoppingSinceMs = Infinity;
   private active = 0;
   private accepted = 0;
+  /** Requests of each connection whose response is not complete. */
+  private readonly unanswered = new Map<Socket, number>();
 
   private constructor(private readonly deps: ExchangeDeps) {
     this.server = http.createServer(
@@ -95,6 +97,11 @@
     return this.active;
   }
 
+  /** Number of requests that wait for another one on their connection. */
+  get waitingCount(): number {
+    return this.active - this.unanswered.size;
+  }
+
   /** Number of connections that were accepted since the start. */
   get acceptedCount(): number {
     return this.accepted;
@@ -150,12 +157,20 @@
     sendResponse(res, response, state.closesConnections);
   }
 
+  private count(socket: Socket, change: number): void {
+    this.active += change;
+    const count = (this.unanswered.get(socket) ?? 0) + change;
+    if (count === 0) this.unanswered.delete(socket);
+    else this.unanswered.set(socket, count);
+  }
+
   private async serve(
     req: http.IncomingMessage,
     res: http.ServerResponse
   ): Promise<void> {
-    this.active += 1;
-    res.on('close', () => (this.active -= 1));
+    const {socket} = req;
+    this.count(socket, 1);
+    res.on('close', () => this.count(socket, -1));
     res.on('error', () => res.destroy());
     try {
       await this.onRequest(req, res);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -4,6 +4,7 @@
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {ListenerProbe} from './front/listener_probe.js';
+import {RateLimitedLog} from './front/rate_limited_log.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
 import {LoopMonitor} from './loop_monitor.js';
@@ -62,6 +63,7 @@
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
+  private readonly pipeliningLog: RateLimitedLog;
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly listenerProbe: ListenerProbe;
@@ -73,6 +75,11 @@
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, stateSource, archive, codec, inspector, log} = ports;
     this.requestLog = RequestLog.create(log, systemClock);
+    this.pipeliningLog = RateLimitedLog.create(
+      log,
+      systemClock,
+      'connections closed: too many pipelined requests'
+    );
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
@@ -138,6 +145,7 @@
       },
       onOverloaded: () => this.metrics.onOverloaded(),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
+      onPipeliningClosed: () => this.onPipeliningClosed(),
       onFault: (err, attemptId) => this.onFault(err, attemptId),
       onEnd: report => this.onEnd(report),
     };
@@ -265,6 +273,7 @@
       acceptedConnections: this.front?.acceptedCount ?? 0,
       callerConnections,
       active: this.front?.activeCount ?? 0,
+      waitingRequests: this.front?.waitingCount ?? 0,
       loopLagMs: overloadGuard.lagMs,
       loopBusyPart: overloadGuard.busyFraction,
     };
@@ -293,6 +302,11 @@
     this.metrics.onFault();
   }
 
+  private onPipeliningClosed(): void {
+    this.pipeliningLog.onEvent();
+    this.metrics.onPipeliningClosed();
+  }
+
   private onEnd(report: ExchangeReport): void {
     this.requestLog.onEnd(report);
     this.metrics.onEnd(report);
@@ -321,6 +335,7 @@
     this.peers.stop();
     this.stopParts();
     this.usageLog.flush();
+    this.pipeliningLog.flush();
     log.info('stopped', {cut: this.front?.activeCount});
   }
 
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -24,6 +24,8 @@
   readonly evacuatedDomains: number;
   /** Requests whose response is not complete. */
   readonly active: number;
+  /** Those of them that wait for the answer to another on their connection. */
+  readonly waitingRequests: number;
   /** Connections of callers that were accepted since the start. */
   readonly acceptedConnections: number;
   /** Open connections of callers. */
@@ -61,6 +63,11 @@
     help: 'Requests whose caller had gone before they were placed',
     registers: [this.registry],
   });
+  private readonly pipeliningClosed = new Counter({
+    name: 'applebend_gateway_pipelining_closed_total',
+    help: 'Connections closed because too many requests waited on them',
+    registers: [this.registry],
+  });
   private readonly targetNotices = new Counter({
     name: 'applebend_gateway_target_notices_total',
     help: 'What targets said of themselves: that they leave, or want a pause',
@@ -165,6 +172,10 @@
     this.disconnected.inc();
   }
 
+  onPipeliningClosed(): void {
+    this.pipeliningClosed.inc();
+  }
+
   /** All metrics in the Prometheus text format. */
   async text(values: GaugeValues): Promise<string> {
     for (const [figure, value] of Object.entries(values)) {
