Requests of one connection run one after the other, within a bound of memory

Callers saw: the process ends by SIGABRT, heap exhausted, under 200 connections with 500 pipelined requests each and answers not read; other callers get no answer meanwhile.

Cause: each pipelined request started an exchange of its own, at any number, and its answer was kept until those before it were read.

Requests that are not safe no longer run side by side. `Connection: close` is left to the last request that waits, so a planned stop answers all that were read. Requests that wait when their connection closes no longer count as active: their responses never emit `close`.

--- a/packages/gateway/src/lib/front/buffered_relay.ts
+++ b/packages/gateway/src/lib/front/buffered_relay.ts
@@ -1,3 +1,5 @@
+import {isFollowed} from './caller_connection.js';
+
 import type http from 'node:http';
 import type {Contain} from '@applebend/utils';
 import type {TargetResponse} from '../upstream/target_call.js';
@@ -111,7 +113,9 @@
     const {head, status} = this.response;
     const headers = [...head.headers];
     if (length !== undefined) headers.push('Content-Length', String(length));
-    if (this.closeConnection) headers.push('Connection', 'close');
+    if (this.closeConnection && !isFollowed(this.res)) {
+      headers.push('Connection', 'close');
+    }
     this.res.writeHead(status, headers);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -0,0 +1,181 @@
+import {RequestQueue} from './request_queue.js';
+import {REQUEST_BYTES, VERDICT} from './waiting_requests.js';
+
+import type http from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '@applebend/utils';
+import type {WaitingRequests} from './waiting_requests.js';
+
+/** A request whose head was read. @public */
+export interface ParsedRequest {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  /** Monotonic milliseconds. */
+  readonly arrivedAtMs: number;
+}
+
+/** What a connection needs of its server. @public */
+export interface CallerConnectionDeps {
+  readonly clock: Clock;
+  /** Those of all connections. */
+  readonly waiting: WaitingRequests;
+  /** Runs a request; its response closes when it is answered. */
+  serve(request: ParsedRequest, connection: CallerConnection): void;
+  /** Called when the response to a request that was run has closed. */
+  onAnswered(): void;
+  /** Called when the connection is closed since too many requests wait. */
+  onOverflow(): void;
+}
+
+/**
+ * Time between the end of an answer and the close of a connection with unread
+ * bytes. The close resets the connection, which could cost the caller the
+ * answer.
+ */
+const LINGER_MS = 2000;
+
+const connections = new WeakMap<Socket, CallerConnection>();
+
+/** Runs the requests of one connection one after the other. @public */
+export class CallerConnection {
+  private readonly queue = RequestQueue.create<ParsedRequest>();
+  /** Memory of the requests that wait, or were dropped before the close. */
+  private heldBytes = 0;
+  private isRunning = false;
+  private isPassedOn = false;
+  /** Whether it closes without another request being run. */
+  private isEnding = false;
+  private isPaused = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly deps: CallerConnectionDeps
+  ) {}
+
+  static create(socket: Socket, deps: CallerConnectionDeps): CallerConnection {
+    const connection = new CallerConnection(socket, deps);
+    connections.set(socket, connection);
+    socket.on('close', () => connection.onClose());
+    // Node's parser resumes the connection when a request is used up.
+    socket.on('resume', () => {
+      if (connection.isPaused) socket.pause();
+    });
+    return connection;
+  }
+
+  /** The connection of a socket that was accepted. */
+  static of(socket: Socket): CallerConnection | undefined {
+    return connections.get(socket);
+  }
+
+  get hasWaiting(): boolean {
+    return this.queue.waitingCount > 0;
+  }
+
+  /**
+   * Whether the caller may have closed the connection without this being
+   * noticed. To be asked after the events of the connection were handled.
+   */
+  get mayHaveBeenClosed(): boolean {
+    return this.queue.isUnreadTooLong(this.deps.clock.monotonicMs());
+  }
+
+  onRequest(request: ParsedRequest): void {
+    if (this.socket.destroyed) return;
+    const {arrivedAtMs} = request;
+    if (!this.isEnding && this.queue.onRequest(request, arrivedAtMs)) {
+      this.run(request);
+      return;
+    }
+    const bytes = memoryOf(request);
+    this.heldBytes += bytes;
+    const {waiting} = this.deps;
+    const verdict = waiting.add(bytes, this.heldBytes, this.isPassedOn);
+    if (this.isEnding) waiting.remove(1);
+    if (verdict === VERDICT.keep) this.updateReading();
+    else this.endEarly(verdict === VERDICT.endAfterAnswer);
+  }
+
+  /** The request that runs may reach a target from now on. */
+  onPassOn(): void {
+    this.isPassedOn = true;
+  }
+
+  private run(request: ParsedRequest): void {
+    this.isRunning = true;
+    request.res.on('close', () => this.onAnswered());
+    this.deps.serve(request, this);
+  }
+
+  /** The response to the request that runs has closed. */
+  private onAnswered(): void {
+    if (!this.isRunning) return;
+    this.isRunning = false;
+    this.isPassedOn = false;
+    this.deps.onAnswered();
+    const {socket} = this;
+    // What waits is dropped when the connection has closed.
+    if (socket.destroyed || !socket.writable) return;
+    if (this.isEnding) {
+      socket.end();
+      setTimeout(() => socket.destroy(), LINGER_MS).unref();
+      return;
+    }
+    const next = this.queue.onAnswered();
+    if (next === undefined) return;
+    this.deps.waiting.remove(1);
+    this.release(memoryOf(next));
+    this.updateReading();
+    this.run(next);
+  }
+
+  private updateReading(): void {
+    if (this.isEnding) return;
+    const isPaused = !this.queue.canRead;
+    if (isPaused === this.isPaused) return;
+    this.isPaused = isPaused;
+    if (isPaused) this.socket.pause();
+    else this.socket.resume();
+  }
+
+  private endEarly(afterAnswer: boolean): void {
+    if (!this.isEnding) this.deps.onOverflow();
+    this.isEnding = true;
+    this.isPaused = true;
+    this.dropWaiting();
+    if (afterAnswer) this.socket.pause();
+    else this.socket.destroy();
+  }
+
+  private onClose(): void {
+    // A response that was never the first of its connection does not close.
+    this.onAnswered();
+    this.dropWaiting();
+    this.release(this.heldBytes);
+  }
+
+  private dropWaiting(): void {
+    this.deps.waiting.remove(this.queue.drop());
+  }
+
+  private release(bytes: number): void {
+    this.heldBytes -= bytes;
+    this.deps.waiting.release(bytes);
+  }
+}
+
+/**
+ * Whether other requests of the same connection wait behind that of a response.
+ * It must not close the connection then, as they were read and need an answer.
+ *
+ * @public
+ */
+export function isFollowed({req}: http.ServerResponse): boolean {
+  return connections.get(req.socket)?.hasWaiting ?? false;
+}
+
+function memoryOf({req}: ParsedRequest): number {
+  let bytes = REQUEST_BYTES + (req.url?.length ?? 0);
+  for (const text of req.rawHeaders) bytes += text.length;
+  return bytes;
+}
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -3,13 +3,16 @@
 import {EXECUTION} from '../errors.js';
 import {listenOn} from '../listen.js';
 import {readBody} from './body_reader.js';
+import {CallerConnection} from './caller_connection.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
 import {recordUsage} from './record_usage.js';
 import {STATUS, sendResponse} from './responses.js';
+import {WaitingRequests} from './waiting_requests.js';
 
 import type {Socket} from 'node:net';
 import type {ListenAddress} from '../ports.js';
+import type {CallerConnectionDeps, ParsedRequest} from './caller_connection.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 import type {GatewayResponse} from './responses.js';
@@ -47,6 +50,13 @@
   retryAfterS: 0.1,
 };
 
+const TOO_MANY_WAITING: GatewayResponse = {
+  status: STATUS.unavailable,
+  kind: 'too_many_waiting',
+  execution: EXECUTION.notRun,
+  retryAfterS: 1,
+};
+
 const INTERNAL_FAULT: GatewayResponse = {
   status: STATUS.unavailable,
   kind: 'internal_fault',
@@ -60,8 +70,7 @@
   private stoppingSinceMs = Infinity;
   private active = 0;
   private accepted = 0;
-  /** Requests of each connection whose response is not complete. */
-  private readonly unanswered = new Map<Socket, number>();
+  private readonly waiting = WaitingRequests.create();
 
   private constructor(private readonly deps: ExchangeDeps) {
     this.server = http.createServer(
@@ -73,11 +82,19 @@
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
       },
-      (req, res) => void this.serve(req, res)
+      (req, res) => this.onParsed(req, res)
     );
+    const connectionDeps: CallerConnectionDeps = {
+      clock: deps.clock,
+      waiting: this.waiting,
+      serve: (request, connection) => void this.serve(request, connection),
+      onAnswered: () => (this.active -= 1),
+      onOverflow: () => deps.onPipeliningClosed(),
+    };
     this.server.on('connection', socket => {
       this.accepted += 1;
       deps.state.callerConnections += 1;
+      CallerConnection.create(socket, connectionDeps);
       socket.on('close', () => (deps.state.callerConnections -= 1));
     });
   }
@@ -94,12 +111,12 @@
 
   /** Number of requests whose response is not complete. */
   get activeCount(): number {
-    return this.active;
+    return this.active + this.waiting.count;
   }
 
   /** Number of requests that wait for another one on their connection. */
   get waitingCount(): number {
-    return this.active - this.unanswered.size;
+    return this.waiting.count;
   }
 
   /** Number of connections that were accepted since the start. */
@@ -136,6 +153,15 @@
     this.server.closeAllConnections();
   }
 
+  private refuseUnread(
+    context: RequestContext,
+    res: http.ServerResponse,
+    response: GatewayResponse
+  ): void {
+    recordUsage(this.deps, context, false);
+    sendResponse(res, response, this.deps.state.closesConnections);
+  }
+
   private refuseOverloaded(
     context: RequestContext,
     res: http.ServerResponse
@@ -157,23 +183,21 @@
     sendResponse(res, response, state.closesConnections);
   }
 
-  private count(socket: Socket, change: number): void {
-    this.active += change;
-    const count = (this.unanswered.get(socket) ?? 0) + change;
-    if (count === 0) this.unanswered.delete(socket);
-    else this.unanswered.set(socket, count);
+  private onParsed(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const arrivedAtMs = this.deps.clock.monotonicMs();
+    const connection = CallerConnection.of(req.socket);
+    connection?.onRequest({req, res, arrivedAtMs});
   }
 
   private async serve(
-    req: http.IncomingMessage,
-    res: http.ServerResponse
+    request: ParsedRequest,
+    connection: CallerConnection
   ): Promise<void> {
-    const {socket} = req;
-    this.count(socket, 1);
-    res.on('close', () => this.count(socket, -1));
+    const {res} = request;
+    this.active += 1;
     res.on('error', () => res.destroy());
     try {
-      await this.onRequest(req, res);
+      await this.onRequest(request, connection);
     } catch (err) {
       // An exchange ends by itself, so nothing was sent to a target.
       this.deps.onFault(err, '');
@@ -182,12 +206,11 @@
   }
 
   private async onRequest(
-    req: http.IncomingMessage,
-    res: http.ServerResponse
+    {req, res, arrivedAtMs}: ParsedRequest,
+    connection: CallerConnection
   ): Promise<void> {
     const {deps} = this;
     const {state, clock, codec} = deps;
-    const arrivedAtMs = clock.monotonicMs();
     if (!this.acceptsRequests) {
       sendResponse(res, STOPPING, true);
       return;
@@ -206,7 +229,8 @@
       return;
     }
     const context = checked.value;
-    if (state.overloadGuard.shouldRefuse(context.customer ?? '', arrivedAtMs)) {
+    const nowMs = clock.monotonicMs();
+    if (state.overloadGuard.shouldRefuse(context.customer ?? '', nowMs)) {
       this.refuseOverloaded(context, res);
       return;
     }
@@ -215,12 +239,17 @@
       deps.onCallerDisconnected();
       return;
     }
+    if (connection.mayHaveBeenClosed) {
+      this.refuseUnread(context, res, TOO_MANY_WAITING);
+      return;
+    }
     // The body may take long, so the grace period may have become too short.
     if (!this.acceptsRequests) {
       sendResponse(res, STOPPING, true);
       return;
     }
     if (body.ok) {
+      connection.onPassOn();
       Exchange.create(context, {req, res, body: body.value}, deps);
       return;
     }
--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -1,3 +1,5 @@
+import {isFollowed} from './caller_connection.js';
+
 import type http from 'node:http';
 import type {Execution} from '../errors.js';
 
@@ -28,7 +30,8 @@
  * Sends a response as JSON. If another response has begun, closes the
  * connection instead, so that the caller sees that it is incomplete.
  *
- * @param closeConnection - whether to ask the caller to close its connection
+ * @param closeConnection - whether to ask the caller to close its connection,
+ *     unless other requests wait on it
  * @public
  */
 export function sendResponse(
@@ -48,7 +51,7 @@
   };
   if (retryAfterS !== undefined)
     headers['Retry-After'] = retryAfterS.toFixed(2);
-  if (closeConnection) headers['Connection'] = 'close';
+  if (closeConnection && !isFollowed(res)) headers['Connection'] = 'close';
   res.writeHead(status, headers);
   res.end(body);
 }
--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -1,5 +1,7 @@
 import {EventSplitter} from '../upstream/event_splitter.js';
 
+import {isFollowed} from './caller_connection.js';
+
 import type http from 'node:http';
 import type {Contain} from '@applebend/utils';
 import type {TargetResponse} from '../upstream/target_call.js';
@@ -64,7 +66,9 @@
     this.splitter = EventSplitter.create();
     if (!this.res.headersSent) {
       const headers = [...head.headers];
-      if (closeConnection) headers.push('Connection', 'close');
+      if (closeConnection && !isFollowed(this.res)) {
+        headers.push('Connection', 'close');
+      }
       this.res.writeHead(status, headers);
       this.res.flushHeaders();
     }
