--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -121,6 +121,13 @@
       setTimeout(() => socket.destroy(), LINGER_MS).unref();
       return;
     }
+    if (this.hasWaiting) setImmediate(() => this.runNext());
+    else this.queue.onAnswered();
+  }
+
+  /** In a later turn of the event loop, so that other connections are served. */
+  private runNext(): void {
+    // What waited is dropped when the connection has closed, or will.
     const next = this.queue.onAnswered();
     if (next === undefined) return;
     this.deps.waiting.remove(1);
