A connection that brings too many requests has the rest of its read unparsed

Node's parser goes on after a socket is destroyed: one read of 64 KB brings 2,000 requests, held until the close is reported, and one turn of the event loop reads up to 1,024 sockets. Trial, 2,000 connections with 2,300 tiny requests each: heap exhausted before, 103 MB at the peak now.

Pausing the parser was tried: it takes effect only after the read. Throwing in the listener would be an uncaught exception. So the parser's `onIncoming`, which is no public interface, says that the rest is no HTTP.

--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -152,6 +152,7 @@
     this.dropWaiting();
     if (afterAnswer) this.socket.pause();
     else this.socket.destroy();
+    stopParsing(this.socket);
   }
 
   private onClose(): void {
@@ -181,6 +182,23 @@
   return connections.get(req.socket)?.hasWaiting ?? false;
 }
 
+/** What Node's parser takes for an upgrade: the bytes that follow are no HTTP. */
+const STOP_PARSING = 2;
+
+/** The part of Node's parser that no public interface reaches. */
+interface NodeParser {
+  onIncoming(): number;
+}
+
+/**
+ * Makes Node's parser leave the rest of the present read. It may be 2,000 more
+ * requests, which even a destroyed socket would hold until its close is
+ * reported, and one turn of the event loop reads up to 1,024 sockets.
+ */
+function stopParsing(socket: Socket & {parser?: NodeParser | null}): void {
+  if (socket.parser) socket.parser.onIncoming = () => STOP_PARSING;
+}
+
 function memoryOf({req}: ParsedRequest): number {
   let bytes = REQUEST_BYTES + (req.url?.length ?? 0);
   for (const text of req.rawHeaders) bytes += text.length;
