Requests without a host are checked in turn, not answered by Node at once

Callers saw: the process ends, heap exhausted, under 1,000 connections that send 64 KB of `GET / HTTP/1.1` without a host. Node answers such requests (and unknown expectations) by itself, without an event, so nothing counted them: one read brought 3,600 responses.

They now come to the same queue as all others and get the same statuses, 400 and 417.

--- /dev/null
+++ b/packages/gateway/src/lib/front/check_head.test.ts
@@ -0,0 +1,17 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {checkHead} from './check_head.js';
+
+import type http from 'node:http';
+
+test('heads that HTTP/1.1 does not allow are refused, all others are not', () => {
+  const statusOf = (headers: http.IncomingHttpHeaders, httpVersion = '1.1') =>
+    checkHead({headers, httpVersion})?.status;
+  assert.equal(statusOf({}), 400);
+  assert.equal(statusOf({}, '1.0'), undefined);
+  assert.equal(statusOf({host: 'a'}), undefined);
+  // A probe of the listener has an empty one.
+  assert.equal(statusOf({host: ''}), undefined);
+  assert.equal(statusOf({host: 'a', expect: '100-continue'}), undefined);
+  assert.equal(statusOf({host: 'a', expect: 'coffee'}), 417);
+});
--- /dev/null
+++ b/packages/gateway/src/lib/front/check_head.ts
@@ -0,0 +1,35 @@
+import {EXECUTION} from '../errors.js';
+import {STATUS} from './responses.js';
+
+import type http from 'node:http';
+import type {GatewayResponse} from './responses.js';
+
+const NO_HOST: GatewayResponse = {
+  status: STATUS.badRequest,
+  kind: 'no_host',
+  execution: EXECUTION.notRun,
+};
+
+const UNKNOWN_EXPECTATION: GatewayResponse = {
+  status: STATUS.expectationFailed,
+  kind: 'unknown_expectation',
+  execution: EXECUTION.notRun,
+};
+
+const CONTINUE = /(?:^|\W)100-continue(?:$|\W)/i;
+
+/**
+ * Returns the response to a head that HTTP/1.1 does not allow. Node would
+ * respond by itself, but to any number of pipelined requests at once.
+ *
+ * @public
+ */
+export function checkHead(
+  req: Pick<http.IncomingMessage, 'headers' | 'httpVersion'>
+): GatewayResponse | undefined {
+  if (req.httpVersion !== '1.1') return undefined;
+  const {host, expect} = req.headers;
+  if (host === undefined) return NO_HOST;
+  const isUnknown = expect !== undefined && !CONTINUE.test(expect);
+  return isUnknown ? UNKNOWN_EXPECTATION : undefined;
+}
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -4,6 +4,7 @@
 import {listenOn} from '../listen.js';
 import {readBody} from './body_reader.js';
 import {CallerConnection} from './caller_connection.js';
+import {checkHead} from './check_head.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
 import {recordUsage} from './record_usage.js';
@@ -81,9 +82,12 @@
         requestTimeout: 0,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
+        // Checked with each request, since Node responds to all at once.
+        requireHostHeader: false,
       },
       (req, res) => this.onParsed(req, res)
     );
+    this.server.on('checkExpectation', (req, res) => this.onParsed(req, res));
     const connectionDeps: CallerConnectionDeps = {
       clock: deps.clock,
       waiting: this.waiting,
@@ -215,6 +219,11 @@
       sendResponse(res, STOPPING, true);
       return;
     }
+    const fault = checkHead(req);
+    if (fault !== undefined) {
+      sendResponse(res, fault, true);
+      return;
+    }
     const checked = checkRequest(
       {
         host: req.headers.host ?? '',
--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -16,9 +16,11 @@
 /** The HTTP statuses that the gateway itself sends. @public */
 export const STATUS = {
   ok: 200,
+  badRequest: 400,
   unauthorized: 401,
   notFound: 404,
   tooLarge: 413,
+  expectationFailed: 417,
   tooManyRequests: 429,
   internalError: 500,
   badGateway: 502,
