An overloaded instance closes connections on which many requests wait

While the event loop is overloaded, a connection is closed once more than 64 requests wait on it, after the answer to one that was passed on.

--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -19,6 +19,8 @@
   readonly clock: Clock;
   /** Those of all connections. */
   readonly waiting: WaitingRequests;
+  /** Whether the event loop is behind. */
+  isOverloaded(): boolean;
   /** Runs a request; its response closes when it is answered. */
   serve(request: ParsedRequest, connection: CallerConnection): void;
   /** Called when the response to a request that was run has closed. */
@@ -92,8 +94,9 @@
     const {waiting} = this.deps;
     const verdict = waiting.add(bytes, this.heldBytes, this.isPassedOn);
     if (this.isEnding) waiting.remove(1);
-    if (verdict === VERDICT.keep) this.updateReading();
-    else this.endEarly(verdict === VERDICT.endAfterAnswer);
+    if (verdict === VERDICT.close) this.endEarly(false);
+    else if (verdict === VERDICT.endAfterAnswer) this.endEarly(true);
+    else this.updateReading();
   }
 
   /** The request that runs may reach a target from now on. */
@@ -140,6 +143,11 @@
     if (this.isEnding) return;
     const isPaused = !this.queue.canRead;
     if (isPaused === this.isPaused) return;
+    // To parse the rest of a read would keep other callers waiting.
+    if (isPaused && this.deps.isOverloaded()) {
+      this.endEarly(this.isPassedOn);
+      return;
+    }
     this.isPaused = isPaused;
     if (isPaused) this.socket.pause();
     else this.socket.resume();
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -91,6 +91,7 @@
     const connectionDeps: CallerConnectionDeps = {
       clock: deps.clock,
       waiting: this.waiting,
+      isOverloaded: () => deps.state.overloadGuard.isOverloaded,
       serve: (request, connection) => void this.serve(request, connection),
       onAnswered: () => (this.active -= 1),
       onOverflow: () => deps.onPipeliningClosed(),
