Heads are limited to what the configuration allows

Memory: the parser took 64 KB of head from each of up to 4,100 connections, whatever `maxHeaderBytes` of the configuration says (16,384 on the sites; it was not decoded).

The limit of a configuration applies to connections accepted from then on, as Node reads it for each. 64 KB remain the most, and hold before the first configuration and where it names none, so no head that is allowed gets 431, which is final.

--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -12,12 +12,14 @@
 import {WaitingRequests} from './waiting_requests.js';
 
 import type {Socket} from 'node:net';
+import type {FleetLimits} from '@applebend/routing';
 import type {ListenAddress} from '../ports.js';
 import type {CallerConnectionDeps, ParsedRequest} from './caller_connection.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 import type {GatewayResponse} from './responses.js';
 
+/** Before a configuration is read, and the most that one may allow. */
 const MAX_HEADER_BYTES = 64 * 1024;
 /** How often Node closes connections that exceed the header timeout. */
 const CHECK_INTERVAL_MS = 1000;
@@ -65,9 +67,15 @@
   retryAfterS: 1,
 };
 
+/**
+ * Node reads the size for each connection that it accepts; its types leave the
+ * property out.
+ */
+type HeadLimitedServer = http.Server & {maxHeaderSize?: number};
+
 /** Accepts and checks callers' requests and starts exchanges. @public */
 export class FrontServer {
-  private readonly server: http.Server;
+  private readonly server: HeadLimitedServer;
   private stoppingSinceMs = Infinity;
   private active = 0;
   private accepted = 0;
@@ -135,10 +143,18 @@
     return stoppingMs <= ACCEPT_AFTER_STOP_MS;
   }
 
-  /** Applies the connection timeouts of a new configuration. */
-  onLimits(idleTimeoutMs: number, headerTimeoutMs: number): void {
+  /**
+   * Applies the limits of a new configuration, that of heads to connections
+   * accepted from now on.
+   */
+  onLimits({
+    idleTimeoutMs,
+    headerTimeoutMs,
+    maxHeaderBytes,
+  }: FleetLimits): void {
     this.server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
     this.server.headersTimeout = headerTimeoutMs;
+    this.server.maxHeaderSize = Math.min(MAX_HEADER_BYTES, maxHeaderBytes);
   }
 
   /** Starts the period after which new requests are refused. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -258,8 +258,7 @@
   /** The configuration and the open port may come in any order. */
   private applyLimits(): void {
     const limits = this.state.config?.limits;
-    if (limits === undefined) return;
-    this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
+    if (limits !== undefined) this.front?.onLimits(limits);
   }
 
   private updateCold(): number {
--- a/packages/routing/src/lib/config/fleet_config.ts
+++ b/packages/routing/src/lib/config/fleet_config.ts
@@ -75,6 +75,8 @@
 /** Limits on callers' requests and on the token rate of the fleet. @public */
 export interface FleetLimits {
   readonly maxBodyBytes: number;
+  /** Longest head of a request; longer ones are answered with status 431. */
+  readonly maxHeaderBytes: number;
   /** Time in which a caller has to send the header of a request. */
   readonly headerTimeoutMs: number;
   /** Time for which an idle connection of a caller is kept open. */
