Bytes that are no request do not answer a request that was passed on

Callers saw 400, or 408, which promises that a request has not run, in place of the answer to a request that was at a target: Node writes it when bytes behind that request are no request, or when a head is late. The rest of such a head may also be among the bytes that the instance does not read itself, while many requests wait on the connection.

Now the request that was passed on gets its answer, then the connection closes. A head whose rest is not read goes on once it is read; the idle timeout bounds it. All else is answered as by Node's default.

--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -36,6 +36,10 @@
  */
 const LINGER_MS = 2000;
 
+/** The caller closed the connection within a head. */
+const CUT_OFF = 'HPE_INVALID_EOF_STATE';
+const LATE_HEAD = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 const connections = new WeakMap<Socket, CallerConnection>();
 
 /** Runs the requests of one connection one after the other. @public */
@@ -43,7 +47,7 @@
   private readonly queue = RequestQueue.create<ParsedRequest>();
   /** Memory of the requests that wait, or were dropped before the close. */
   private heldBytes = 0;
-  private isRunning = false;
+  private running: http.ServerResponse | undefined;
   private isPassedOn = false;
   /** Whether it closes without another request being run. */
   private isEnding = false;
@@ -74,6 +78,11 @@
     return this.queue.waitingCount > 0;
   }
 
+  /** Whether a part of the present answer was written. */
+  get hasBegunAnswer(): boolean {
+    return this.running?.headersSent ?? false;
+  }
+
   /**
    * Whether the caller may have closed the connection without this being
    * noticed. To be asked after the events of the connection were handled.
@@ -104,16 +113,33 @@
     this.isPassedOn = true;
   }
 
+  /**
+   * Handles bytes that are no request, or a head that is late. Returns false if
+   * Node's usual answer may be written: it would be taken for that to a request
+   * that was passed on, and 408 promises that it has not run.
+   */
+  onClientError({code}: NodeJS.ErrnoException): boolean {
+    const {socket} = this;
+    if (!this.isPassedOn || socket.destroyed || code === CUT_OFF) return false;
+    // The rest of a head may be among the bytes that are not read.
+    if (this.isPaused && code === LATE_HEAD) return true;
+    this.isEnding = true;
+    this.isPaused = true;
+    this.dropWaiting();
+    socket.pause();
+    return true;
+  }
+
   private run(request: ParsedRequest): void {
-    this.isRunning = true;
+    this.running = request.res;
     request.res.on('close', () => this.onAnswered());
     this.deps.serve(request, this);
   }
 
   /** The response to the request that runs has closed. */
   private onAnswered(): void {
-    if (!this.isRunning) return;
-    this.isRunning = false;
+    if (this.running === undefined) return;
+    this.running = undefined;
     this.isPassedOn = false;
     this.deps.onAnswered();
     const {socket} = this;
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -12,6 +12,7 @@
 import {WaitingRequests} from './waiting_requests.js';
 
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {FleetLimits} from '@applebend/routing';
 import type {ListenAddress} from '../ports.js';
 import type {CallerConnectionDeps, ParsedRequest} from './caller_connection.js';
@@ -67,6 +68,13 @@
   retryAfterS: 1,
 };
 
+/** Status lines for what Node's parser refuses; 400 for all else. */
+const CLIENT_ERROR_STATUS: Partial<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
 /**
  * Node reads the size for each connection that it accepts; its types leave the
  * property out.
@@ -104,6 +112,10 @@
       onAnswered: () => (this.active -= 1),
       onOverflow: () => deps.onPipeliningClosed(),
     };
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      const connection = CallerConnection.of(socket as Socket);
+      if (connection?.onClientError(err) !== true) refuseMalformed(err, socket);
+    });
     this.server.on('connection', socket => {
       this.accepted += 1;
       deps.state.callerConnections += 1;
@@ -295,6 +307,16 @@
   }
 }
 
+/** Answers bytes that are no request as Node does by default, and closes. */
+function refuseMalformed(err: NodeJS.ErrnoException, socket: Duplex): void {
+  const status = CLIENT_ERROR_STATUS[err.code ?? ''] ?? '400 Bad Request';
+  const connection = CallerConnection.of(socket as Socket);
+  if (socket.writable && connection?.hasBegunAnswer !== true) {
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy(err);
+}
+
 /**
  * Whether the caller has disconnected. If a connection waited long to be
  * accepted, the request is read together with the caller's close, which the
