--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -3,19 +3,26 @@
 import {listenWhenFree} from '@applebend/utils';
 import {EXECUTION} from '../errors.js';
 import {readBody} from './body_reader.js';
+import {CallerConnection} from './caller_connection.js';
+import {checkHead} from './check_head.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
 import {RETRY_AFTER_S} from './exchange_ending.js';
 import {recordUsage} from './record_usage.js';
 import {STATUS, refuseUnread, sendResponse} from './responses.js';
+import {WaitingRequests} from './waiting_requests.js';
 
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {FleetLimits} from '@applebend/routing';
 import type {PortOptions} from '@applebend/utils';
 import type {BodyError, HeldBody} from './body_reader.js';
+import type {CallerConnectionDeps, ParsedRequest} from './caller_connection.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 import type {GatewayResponse} from './responses.js';
 
+/** Before a configuration is read, and the most that one may allow. */
 const MAX_HEADER_BYTES = 64 * 1024;
 /** How often Node closes connections that exceed the header timeout. */
 const CHECK_INTERVAL_MS = 1000;
@@ -49,6 +56,13 @@
   retryAfterS: 0.1,
 };
 
+const TOO_MANY_WAITING: GatewayResponse = {
+  status: STATUS.unavailable,
+  kind: 'too_many_waiting',
+  execution: EXECUTION.notRun,
+  retryAfterS: 1,
+};
+
 const INTERNAL_FAULT: GatewayResponse = {
   status: STATUS.unavailable,
   kind: 'internal_fault',
@@ -59,12 +73,26 @@
 /** Why a request was refused before its body was read to its end. */
 type UnreadKind = Exclude<BodyError['kind'], 'broken_off'>;
 
+/** Status lines for what Node's parser refuses; 400 for all else. */
+const CLIENT_ERROR_STATUS: Partial<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/**
+ * Node reads the size for each connection that it accepts; its types leave the
+ * property out.
+ */
+type HeadLimitedServer = http.Server & {maxHeaderSize?: number};
+
 /** Accepts and checks callers' requests and starts exchanges. @public */
 export class FrontServer {
-  private readonly server: http.Server;
+  private readonly server: HeadLimitedServer;
   private stoppingSinceMs = Infinity;
   private active = 0;
   private accepted = 0;
+  private readonly waiting = WaitingRequests.create();
 
   private constructor(private readonly deps: ExchangeDeps) {
     this.server = http.createServer(
@@ -75,12 +103,28 @@
         requestTimeout: 0,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
         noDelay: true,
+        // Checked with each request, since Node responds to all at once.
+        requireHostHeader: false,
       },
-      (req, res) => void this.serve(req, res)
+      (req, res) => this.onParsed(req, res)
     );
+    this.server.on('checkExpectation', (req, res) => this.onParsed(req, res));
+    const connectionDeps: CallerConnectionDeps = {
+      clock: deps.clock,
+      waiting: this.waiting,
+      isOverloaded: () => deps.state.overloadGuard.isOverloaded,
+      serve: (request, connection) => void this.serve(request, connection),
+      onAnswered: () => (this.active -= 1),
+      onOverflow: () => deps.onPipeliningClosed(),
+    };
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      const connection = CallerConnection.of(socket as Socket);
+      if (connection?.onClientError(err) !== true) refuseMalformed(err, socket);
+    });
     this.server.on('connection', socket => {
       this.accepted += 1;
       deps.state.callerConnections += 1;
+      CallerConnection.create(socket, connectionDeps);
       socket.on('close', () => (deps.state.callerConnections -= 1));
     });
   }
@@ -100,7 +144,12 @@
 
   /** Number of requests whose response is not complete. */
   get activeCount(): number {
-    return this.active;
+    return this.active + this.waiting.count;
+  }
+
+  /** Number of requests that wait for another one on their connection. */
+  get waitingCount(): number {
+    return this.waiting.count;
   }
 
   /** Number of connections that were accepted since the start. */
@@ -114,10 +163,18 @@
     return stoppingMs <= ACCEPT_AFTER_STOP_MS;
   }
 
-  /** Applies the connection timeouts of a new configuration. */
-  onLimits(idleTimeoutMs: number, headerTimeoutMs: number): void {
+  /**
+   * Applies the limits of a new configuration, that of heads to connections
+   * accepted from now on.
+   */
+  onLimits({
+    idleTimeoutMs,
+    headerTimeoutMs,
+    maxHeaderBytes,
+  }: FleetLimits): void {
     this.server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
     this.server.headersTimeout = headerTimeoutMs;
+    this.server.maxHeaderSize = Math.min(MAX_HEADER_BYTES, maxHeaderBytes);
   }
 
   /** Starts the period after which new requests are refused. */
@@ -137,6 +194,16 @@
     this.server.closeAllConnections();
   }
 
+  /** For a request whose caller may have left while it waited. */
+  private refuseWaited(
+    context: RequestContext,
+    res: http.ServerResponse
+  ): void {
+    const {deps} = this;
+    recordUsage(deps, context, false);
+    sendResponse(res, TOO_MANY_WAITING, deps.state.closesConnections);
+  }
+
   private refuseOverloaded(
     context: RequestContext,
     res: http.ServerResponse
@@ -158,15 +225,21 @@
     sendResponse(res, response, state.closesConnections);
   }
 
+  private onParsed(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const arrivedAtMs = this.deps.clock.monotonicMs();
+    const connection = CallerConnection.of(req.socket);
+    connection?.onRequest({req, res, arrivedAtMs});
+  }
+
   private async serve(
-    req: http.IncomingMessage,
-    res: http.ServerResponse
+    request: ParsedRequest,
+    connection: CallerConnection
   ): Promise<void> {
+    const {res} = request;
     this.active += 1;
-    res.on('close', () => (this.active -= 1));
     res.on('error', () => res.destroy());
     try {
-      await this.onRequest(req, res);
+      await this.onRequest(request, connection);
     } catch (err) {
       // An exchange ends by itself, so nothing was sent to a target.
       this.deps.onFault(err, '');
@@ -175,16 +248,21 @@
   }
 
   private async onRequest(
-    req: http.IncomingMessage,
-    res: http.ServerResponse
+    request: ParsedRequest,
+    connection: CallerConnection
   ): Promise<void> {
     const {deps} = this;
+    const {req, res, arrivedAtMs} = request;
     const {state, clock, codec} = deps;
-    const arrivedAtMs = clock.monotonicMs();
     if (!this.acceptsRequests) {
       sendResponse(res, STOPPING, true);
       return;
     }
+    const fault = checkHead(req);
+    if (fault !== undefined) {
+      sendResponse(res, fault, true);
+      return;
+    }
     const checked = checkRequest(
       {
         host: req.headers.host ?? '',
@@ -199,13 +277,14 @@
       return;
     }
     const context = checked.value;
-    if (state.overloadGuard.shouldRefuse(context.customer ?? '', arrivedAtMs)) {
+    const nowMs = clock.monotonicMs();
+    if (state.overloadGuard.shouldRefuse(context.customer ?? '', nowMs)) {
       this.refuseOverloaded(context, res);
       return;
     }
     const body = await readBody(req, {
       maxBytes: context.config.limits.maxBodyBytes,
-      leftMs: context.deadlineAtMs - arrivedAtMs,
+      leftMs: context.deadlineAtMs - nowMs,
       claim: () => state.bodyMemory.claim(context.customer ?? ''),
     });
     if (!body.ok) {
@@ -214,7 +293,13 @@
     }
     let isTakenOver = false;
     try {
-      isTakenOver = await this.startExchange(context, body.value, req, res);
+      const {value} = body;
+      isTakenOver = await this.startExchange(
+        context,
+        value,
+        request,
+        connection
+      );
     } finally {
       if (!isTakenOver) body.value?.claim.release();
     }
@@ -224,20 +309,25 @@
   private async startExchange(
     context: RequestContext,
     body: HeldBody | undefined,
-    req: http.IncomingMessage,
-    res: http.ServerResponse
+    {req, res}: ParsedRequest,
+    connection: CallerConnection
   ): Promise<boolean> {
     const {deps} = this;
     if (await hasDisconnected(req.socket)) {
       deps.onCallerDisconnected();
       return false;
     }
+    if (connection.mayHaveBeenClosed) {
+      this.refuseWaited(context, res);
+      return false;
+    }
     // The body may take long, so the grace period may have become too short.
     if (!this.acceptsRequests) {
       sendResponse(res, STOPPING, true);
       return false;
     }
     const inbound = {req, res, body: body?.bytes, bodyClaim: body?.claim};
+    connection.onPassOn();
     Exchange.create(context, inbound, deps);
     return true;
   }
@@ -279,6 +369,16 @@
   }
 }
 
+/** Answers bytes that are no request as Node does by default, and closes. */
+function refuseMalformed(err: NodeJS.ErrnoException, socket: Duplex): void {
+  const status = CLIENT_ERROR_STATUS[err.code ?? ''] ?? '400 Bad Request';
+  const connection = CallerConnection.of(socket as Socket);
+  if (socket.writable && connection?.hasBegunAnswer !== true) {
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy(err);
+}
+
 /**
  * Whether the caller has disconnected. If a connection waited long to be
  * accepted, the request is read together with the caller's close, which the
--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -1,3 +1,5 @@
+import {isFollowed} from './caller_connection.js';
+
 import type http from 'node:http';
 import type {Execution} from '../errors.js';
 
@@ -17,9 +19,11 @@
 /** The HTTP statuses that the gateway itself sends. @public */
 export const STATUS = {
   ok: 200,
+  badRequest: 400,
   unauthorized: 401,
   notFound: 404,
   tooLarge: 413,
+  expectationFailed: 417,
   tooManyRequests: 429,
   internalError: 500,
   badGateway: 502,
@@ -31,7 +35,8 @@
  * Sends a response as JSON. If another response has begun, closes the
  * connection instead, so that the caller sees that it is incomplete.
  *
- * @param closeConnection - whether to ask the caller to close its connection
+ * @param closeConnection - whether to ask the caller to close its connection,
+ *     unless other requests wait on it
  * @public
  */
 export function sendResponse(
@@ -84,7 +89,7 @@
   };
   if (retryAfterS !== undefined)
     headers['Retry-After'] = retryAfterS.toFixed(2);
-  if (closeConnection) headers['Connection'] = 'close';
+  if (closeConnection && !isFollowed(res)) headers['Connection'] = 'close';
   res.writeHead(status, headers);
   return body;
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -5,6 +5,7 @@
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {ListenerProbe} from './front/listener_probe.js';
+import {RateLimitedLog} from './front/rate_limited_log.js';
 import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
 import {LoopMonitor} from './loop_monitor.js';
@@ -69,6 +70,7 @@
   private readonly exchangeDeps: ExchangeDeps;
   private readonly requestLog: RequestLog;
   private readonly bodyRefusals: BodyRefusalLog;
+  private readonly pipeliningLog: RateLimitedLog;
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly listenerProbe: ListenerProbe;
@@ -81,6 +83,11 @@
     const {settings, stateSource, archive, codec, inspector, log} = ports;
     this.requestLog = RequestLog.create(log, systemClock);
     this.bodyRefusals = BodyRefusalLog.create(log, systemClock);
+    this.pipeliningLog = RateLimitedLog.create(
+      log,
+      systemClock,
+      'connections closed: too many pipelined requests'
+    );
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
@@ -147,6 +154,7 @@
       onOverloaded: () => this.metrics.onOverloaded(),
       onBodyRefused: (kind, customer) => this.onBodyRefused(kind, customer),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
+      onPipeliningClosed: () => this.onPipeliningClosed(),
       onFault: (err, attemptId) => this.onFault(err, attemptId),
       onEnd: report => this.onEnd(report),
     };
@@ -331,8 +339,7 @@
   /** The configuration and the open port may come in any order. */
   private applyLimits(): void {
     const limits = this.state.config?.limits;
-    if (limits === undefined) return;
-    this.front?.onLimits(limits.idleTimeoutMs, limits.headerTimeoutMs);
+    if (limits !== undefined) this.front?.onLimits(limits);
   }
 
   private updateCold(): number {
@@ -346,6 +353,7 @@
       acceptedConnections: this.front?.acceptedCount ?? 0,
       callerConnections,
       active: this.front?.activeCount ?? 0,
+      waitingRequests: this.front?.waitingCount ?? 0,
       loopLagMs: overloadGuard.lagMs,
       loopBusyPart: overloadGuard.busyFraction,
     };
@@ -384,6 +392,11 @@
     this.bodyRefusals.onRefused(customer, this.state.bodyMemory);
   }
 
+  private onPipeliningClosed(): void {
+    this.pipeliningLog.onEvent();
+    this.metrics.onPipeliningClosed();
+  }
+
   private onEnd(report: ExchangeReport): void {
     this.requestLog.onEnd(report);
     this.metrics.onEnd(report);
@@ -412,6 +425,7 @@
     this.peers.stop();
     this.stopParts();
     this.usageLog.flush();
+    this.pipeliningLog.flush();
     log.info('stopped', {cut: this.front?.activeCount});
   }
 
