Responses that are collected are bounded together

Cause: the limit is that of one response; the comment that as many as a target has connections fit holds for one target. A response without room is forwarded as it arrives, as one over 256 KB is. Gauges heldResponseBytes, heldResponseLimitBytes. Evidence: 'slow responses of many targets do not fill the memory together' needs the bound; without it (a limit of Infinity) 100 responses hold 10 MB, limit 1 MB.

--- a/packages/gateway/src/lib/front/buffered_relay.ts
+++ b/packages/gateway/src/lib/front/buffered_relay.ts
@@ -4,6 +4,7 @@
 import type http from 'node:http';
 import type {Contain} from '@applebend/utils';
 import type {TargetResponse} from '../upstream/target_call.js';
+import type {ResponseClaim} from './response_memory.js';
 
 /** At most one of these is called, and only once. @public */
 export interface BufferedRelayEvents {
@@ -13,10 +14,7 @@
   onAborted(): void;
 }
 
-/**
- * Larger responses are forwarded as they arrive. As many as a target has
- * connections fit into the memory of an instance.
- */
+/** Larger responses are forwarded as they arrive. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
 /**
@@ -35,9 +33,12 @@
     private readonly res: http.ServerResponse,
     private readonly closeConnection: boolean,
     private readonly events: BufferedRelayEvents,
+    private readonly claim: ResponseClaim,
     contain: Contain
   ) {
     const from = response.res;
+    // Also what the caller has not read yet is held.
+    res.once('close', () => claim.release());
     from.on(
       'data',
       contain((chunk: Buffer) => this.onData(chunk))
@@ -56,6 +57,7 @@
    * Starts to relay a response.
    *
    * @param closeConnection - whether to ask the caller to close its connection
+   * @param claim - counts what is held of the response
    * @param contain - wraps the handlers of events
    */
   static create(
@@ -63,9 +65,17 @@
     res: http.ServerResponse,
     closeConnection: boolean,
     events: BufferedRelayEvents,
+    claim: ResponseClaim,
     contain: Contain
   ): BufferedRelay {
-    return new BufferedRelay(response, res, closeConnection, events, contain);
+    return new BufferedRelay(
+      response,
+      res,
+      closeConnection,
+      events,
+      claim,
+      contain
+    );
   }
 
   private onData(chunk: Buffer): void {
@@ -74,14 +84,22 @@
       this.forward(chunk);
       return;
     }
-    this.body.add(chunk);
-    if (this.body.length <= MAX_BUFFERED_BYTES) return;
+    if (this.hasRoomFor(chunk)) {
+      this.body.add(chunk);
+      return;
+    }
     this.isStreaming = true;
     this.writeHead(undefined);
-    this.forward(this.body.bytes);
+    if (this.body.length > 0) this.forward(this.body.bytes);
+    this.forward(chunk);
     this.body.clear();
   }
 
+  private hasRoomFor({length}: Buffer): boolean {
+    if (this.body.length + length > MAX_BUFFERED_BYTES) return false;
+    return this.claim.growTo(this.body.capacityWith(length));
+  }
+
   private forward(chunk: Buffer): void {
     const from = this.response.res;
     if (this.res.write(chunk)) return;
@@ -104,6 +122,7 @@
   private onClose(): void {
     if (this.ended) return;
     this.ended = true;
+    this.claim.release();
     if (this.isStreaming) this.res.destroy();
     this.events.onAborted();
   }
--- a/packages/gateway/src/lib/front/response_relay.ts
+++ b/packages/gateway/src/lib/front/response_relay.ts
@@ -104,6 +104,7 @@
       this.res,
       state.closesConnections,
       bufferedEvents,
+      state.responseMemory.claim(),
       events.contain
     );
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -373,6 +373,8 @@
       listenerDelayMs: this.listenerProbe.delayMs,
       heldBodyBytes: state.bodyMemory.heldBytes,
       heldBodyLimitBytes: state.bodyMemory.limitBytes,
+      heldResponseBytes: state.responseMemory.heldBytes,
+      heldResponseLimitBytes: state.responseMemory.limitBytes,
       residentBytes: process.memoryUsage.rss(),
       residentLimitBytes: this.ports.settings.memoryLimitBytes,
       ...this.loadFigures(),
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -34,6 +34,9 @@
   /** Bytes that the bodies of requests hold. */
   readonly heldBodyBytes: number;
   readonly heldBodyLimitBytes: number;
+  /** Bytes of responses that are not complete or not sent, and their limit. */
+  readonly heldResponseBytes: number;
+  readonly heldResponseLimitBytes: number;
   /** Resident memory of the process. */
   readonly residentBytes: number;
   /** The resident memory above which the platform ends the process. */
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -318,6 +318,8 @@
   readonly memoryLimitBytes: number;
   /** Bytes that the bodies of all requests may hold together. */
   readonly maxHeldBodyBytes: number;
+  /** Bytes that responses may hold together until they are sent. */
+  readonly maxHeldResponseBytes: number;
   /** Above this number of open connections, responses close theirs. */
   readonly maxCallerConnections: number;
   /** Time from the stop signal to the forced end of the process. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -12,6 +12,7 @@
 import {errorMessage, systemClock} from '@applebend/utils';
 import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
+import {ResponseMemory} from '../front/response_memory.js';
 import {confirmTargetList} from './list_confirmation.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
@@ -42,6 +43,7 @@
   readonly targets: TargetDirectory;
   readonly overloadGuard = OverloadGuard.create();
   readonly bodyMemory: BodyMemory;
+  readonly responseMemory: ResponseMemory;
   readonly rotationNotice = RotationNotice.create();
   readonly crashGuard: CrashGuard;
   /** The software versions at which streams of all instances were begun. */
@@ -73,6 +75,7 @@
     private readonly log: Logger
   ) {
     this.bodyMemory = BodyMemory.create(settings.maxHeldBodyBytes);
+    this.responseMemory = ResponseMemory.create(settings.maxHeldResponseBytes);
     this.crashGuard = CrashGuard.create({
       log,
       clock: systemClock,
