The code of a port's error is in the line of a failed start

The line 'start failed' lacked the code since the ports and the start were merged: the error of a port wrapped that of the system without its code. The test 'a start that fails gives a structured line with the cause and code 1' failed before.

--- a/packages/utils/src/lib/open_port.ts
+++ b/packages/utils/src/lib/open_port.ts
@@ -26,6 +26,8 @@
 export interface PortError {
   readonly kind: 'port_not_opened' | 'start_stopped';
   readonly message: string;
+  /** Code of the system error; undefined if the start was stopped. */
+  readonly code?: string;
 }
 
 /** Time between two tries to open a port that is in use. */
@@ -127,9 +129,11 @@
     await bind();
     return true;
   } catch (err) {
-    if ((err as NodeJS.ErrnoException).code === 'EADDRINUSE') return false;
+    const {code} = err as NodeJS.ErrnoException;
+    if (code === 'EADDRINUSE') return false;
     const message = `cannot open ${host}:${port} (${purpose}): ${errorMessage(err)}`;
-    throw TaggedError.create<PortError>({kind: 'port_not_opened', message});
+    const kind = 'port_not_opened';
+    throw TaggedError.create<PortError>({kind, message, code});
   }
 }
 
--- a/packages/utils/src/lib/tagged_error.ts
+++ b/packages/utils/src/lib/tagged_error.ts
@@ -2,6 +2,8 @@
 export interface ErrorTag {
   readonly kind: string;
   readonly message: string;
+  /** Code of the system error behind it, such as `EADDRINUSE`. */
+  readonly code?: string;
 }
 
 /**
@@ -16,6 +18,10 @@
     this.name = 'TaggedError';
   }
 
+  get code(): string | undefined {
+    return this.tag.code;
+  }
+
   static create<E extends ErrorTag>(tag: E): TaggedError<E> {
     return new TaggedError(tag);
   }
