Refuse request heads with more than 128 lines

Heads of many short lines ended the process (SIGABRT, reported by a review): 13.6 KB with 1,700 lines `key:NN`, either 80 pipelined on each of 200 connections, or one on each of 1,900 connections whose body was awaited. Each header line takes some 200 bytes of the heap, far more than its text, and only the length of heads was limited.

A head with more than 128 lines now gets 431 as soon as it is parsed, before a request waits or its body is read, and its connection ends as after bytes that are no request: at once, or after the answer to a request that was passed on. Node would hold the refused request until the connection closes, so its headers are freed and the rest of the read is not parsed. `maxHeadersCount` makes Node's parser drop lines beyond the limit early. It counts one line more than is allowed, so a head that is too long cannot look like one that is not.

--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -228,8 +228,12 @@
  * Makes Node's parser leave the rest of the present read. It may be 2,000 more
  * requests, which even a destroyed socket would hold until its close is
  * reported, and one turn of the event loop reads up to 1,024 sockets.
+ *
+ * @internal
  */
-function stopParsing(socket: Socket & {parser?: NodeParser | null}): void {
+export function stopParsing(
+  socket: Socket & {parser?: NodeParser | null}
+): void {
   if (socket.parser) socket.parser.onIncoming = () => STOP_PARSING;
 }
 
--- a/packages/gateway/src/lib/front/check_head.test.ts
+++ b/packages/gateway/src/lib/front/check_head.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {checkHead} from './check_head.js';
+import {MAX_HEADER_LINES, checkHead, hasTooManyLines} from './check_head.js';
 
 import type http from 'node:http';
 
@@ -15,3 +15,11 @@
   assert.equal(statusOf({host: 'a', expect: '100-continue'}), undefined);
   assert.equal(statusOf({host: 'a', expect: 'coffee'}), 417);
 });
+
+test('a head may have as many lines as the limit allows, but no more', () => {
+  const lines = (count: number) => ({
+    rawHeaders: Array<string>(2 * count).fill('a'),
+  });
+  assert.equal(hasTooManyLines(lines(MAX_HEADER_LINES)), false);
+  assert.equal(hasTooManyLines(lines(MAX_HEADER_LINES + 1)), true);
+});
--- a/packages/gateway/src/lib/front/check_head.ts
+++ b/packages/gateway/src/lib/front/check_head.ts
@@ -16,6 +16,13 @@
   execution: EXECUTION.notRun,
 };
 
+/**
+ * Header lines that a request may have. Callers send some 10. Each line takes
+ * some 200 bytes of the heap, so that a head of many short lines would take far
+ * more than its length.
+ */
+export const MAX_HEADER_LINES = 128;
+
 const CONTINUE = /(?:^|\W)100-continue(?:$|\W)/i;
 
 /**
@@ -33,3 +40,15 @@
   const isUnknown = expect !== undefined && !CONTINUE.test(expect);
   return isUnknown ? UNKNOWN_EXPECTATION : undefined;
 }
+
+/**
+ * Whether a head has more lines than a request may have, whose names and values
+ * alternate in `rawHeaders`.
+ *
+ * @public
+ */
+export function hasTooManyLines({
+  rawHeaders,
+}: Pick<http.IncomingMessage, 'rawHeaders'>): boolean {
+  return rawHeaders.length > 2 * MAX_HEADER_LINES;
+}
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -3,8 +3,8 @@
 import {listenWhenFree} from '@applebend/utils';
 import {EXECUTION} from '../errors.js';
 import {readBody} from './body_reader.js';
-import {CallerConnection} from './caller_connection.js';
-import {checkHead} from './check_head.js';
+import {CallerConnection, stopParsing} from './caller_connection.js';
+import {MAX_HEADER_LINES, checkHead, hasTooManyLines} from './check_head.js';
 import {checkRequest} from './check_request.js';
 import {Exchange} from './exchange.js';
 import {RETRY_AFTER_S} from './exchange_ending.js';
@@ -24,6 +24,12 @@
 
 /** Before a configuration is read, and the most that one may allow. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/**
+ * Node drops header lines beyond a limit without an error, and adds lines to a
+ * head in groups of 32. With one line more than a request may have, a head that
+ * is too long is never cut to one that is allowed.
+ */
+const MAX_PARSED_LINES = MAX_HEADER_LINES + 1;
 /** How often Node closes connections that exceed the header timeout. */
 const CHECK_INTERVAL_MS = 1000;
 /**
@@ -117,10 +123,8 @@
       onAnswered: () => (this.active -= 1),
       onOverflow: () => deps.onPipeliningClosed(),
     };
-    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      const connection = CallerConnection.of(socket as Socket);
-      if (connection?.onClientError(err) !== true) refuseMalformed(err, socket);
-    });
+    this.server.maxHeadersCount = MAX_PARSED_LINES;
+    this.server.on('clientError', onClientError);
     this.server.on('connection', socket => {
       this.accepted += 1;
       deps.state.callerConnections += 1;
@@ -226,6 +230,10 @@
   }
 
   private onParsed(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (hasTooManyLines(req)) {
+      refuseLines(req);
+      return;
+    }
     const arrivedAtMs = this.deps.clock.monotonicMs();
     const connection = CallerConnection.of(req.socket);
     connection?.onRequest({req, res, arrivedAtMs});
@@ -369,6 +377,25 @@
   }
 }
 
+function onClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
+  const connection = CallerConnection.of(socket as Socket);
+  if (connection?.onClientError(err) !== true) refuseMalformed(err, socket);
+}
+
+/**
+ * Refuses a head that Node's parser allows, as those that it does not. Node
+ * holds the request until its connection closes, so its headers are freed.
+ */
+function refuseLines(req: http.IncomingMessage): void {
+  const {socket} = req;
+  req.rawHeaders = [];
+  req.headers = {};
+  stopParsing(socket);
+  if (socket.destroyed) return;
+  const err = new Error('too many header lines');
+  onClientError(Object.assign(err, {code: 'HPE_HEADER_OVERFLOW'}), socket);
+}
+
 /** Answers bytes that are no request as Node does by default, and closes. */
 function refuseMalformed(err: NodeJS.ErrnoException, socket: Duplex): void {
   const status = CLIENT_ERROR_STATUS[err.code ?? ''] ?? '400 Bad Request';
