Count the memory of header entries of waiting requests

The memory of a waiting request was counted as 4,096 bytes and its text. A head of many short lines takes some 100 bytes more for each name and value, so far more than the limit of 32 MB was held before connections were closed. Each raw header entry now counts 100 bytes and its text. A request with 10 headers counts some 6.4 KB, so 12 of them fit into what a connection may always hold.

caller_connection.test.ts failed without this ("The expression evaluated to a falsy value": less than 25,600 bytes counted for 128 lines).

--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -1,5 +1,5 @@
 import {RequestQueue} from './request_queue.js';
-import {REQUEST_BYTES, VERDICT} from './waiting_requests.js';
+import {RAW_HEADER_BYTES, REQUEST_BYTES, VERDICT} from './waiting_requests.js';
 
 import type http from 'node:http';
 import type {Socket} from 'node:net';
@@ -239,6 +239,6 @@
 
 function memoryOf({req}: ParsedRequest): number {
   let bytes = REQUEST_BYTES + (req.url?.length ?? 0);
-  for (const text of req.rawHeaders) bytes += text.length;
+  for (const text of req.rawHeaders) bytes += RAW_HEADER_BYTES + text.length;
   return bytes;
 }
--- a/packages/gateway/src/lib/front/waiting_requests.ts
+++ b/packages/gateway/src/lib/front/waiting_requests.ts
@@ -10,6 +10,8 @@
 
 /** Memory of a parsed request and its response, without what the caller sent. */
 export const REQUEST_BYTES = 4096;
+/** Memory of a name or value of a header, without its text. */
+export const RAW_HEADER_BYTES = 100;
 /**
  * Memory that waiting requests of all connections may take. The heap has
  * 160 MB, of which an instance without load uses some 20 MB.
@@ -20,7 +22,7 @@
  * that hold little.
  */
 const MAX_BYTES_AT_ALL = 2 * MAX_BYTES;
-/** What a connection may hold up to then: 16 short requests. */
+/** What a connection may hold up to then: 12 short requests. */
 const SMALL_BYTES = 80 * 1024;
 
 /**
