Test that a connection is not read on while many of its requests wait

No test failed without the `pause()` in `CallerConnection.updateReading`. With it taken out, the new test fails: "4000 requests were parsed", of at most 131: the 64 that may wait and what one read of 64 KB brings.

--- a/packages/gateway/src/lib/front/caller_connection.test.ts
+++ b/packages/gateway/src/lib/front/caller_connection.test.ts
@@ -12,7 +12,15 @@
 import type {AddressInfo} from 'node:net';
 import type {CallerConnectionDeps} from './caller_connection.js';
 
+const REQUEST = `GET / HTTP/1.1\r\nHost: a\r\nA: ${'a'.repeat(970)}\r\n\r\n`;
+/** They take far less than the memory that closes a connection. */
+const REQUESTS = 4000;
+const MAX_WAITING = 64;
 const SEND_MS = 1000;
+/** What Node reads from a connection at once. */
+const READ_BYTES = 64 * 1024;
+/** The read that brings the last request that may wait can bring more. */
+const MAX_PARSED = MAX_WAITING + Math.ceil(READ_BYTES / REQUEST.length) + 1;
 
 function dependencies(waiting: WaitingRequests): CallerConnectionDeps {
   return {
@@ -30,7 +38,9 @@
 async function send(text: string) {
   const waiting = WaitingRequests.create();
   const deps = dependencies(waiting);
+  let parsed = 0;
   const server = http.createServer((req, res) => {
+    parsed += 1;
     const request = {req, res, arrivedAtMs: systemClock.monotonicMs()};
     CallerConnection.of(req.socket)?.onRequest(request);
   });
@@ -43,7 +53,7 @@
     socket.write(text);
     await sleep(SEND_MS);
     const {count, heldBytes} = waiting;
-    return {count, heldBytes};
+    return {parsed, count, heldBytes, isClosed: socket.destroyed};
   } finally {
     socket.destroy();
     server.closeAllConnections();
@@ -51,6 +61,14 @@
   }
 }
 
+test('a caller that sends on while its first request runs is not read on', async () => {
+  const {parsed, count, isClosed} = await send(REQUEST.repeat(REQUESTS));
+  assert.ok(parsed > MAX_WAITING, `${parsed} requests were parsed`);
+  assert.ok(parsed <= MAX_PARSED, `${parsed} requests were parsed`);
+  assert.equal(count, parsed - 1);
+  assert.equal(isClosed, false);
+});
+
 test('the memory of a waiting head with many short lines is not counted by its text', async () => {
   const lines = 'a:1\r\n'.repeat(MAX_HEADER_LINES - 1);
   const {count, heldBytes} = await send(
