--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -1,5 +1,5 @@
 import {RequestQueue} from './request_queue.js';
-import {REQUEST_BYTES, VERDICT} from './waiting_requests.js';
+import {RAW_HEADER_BYTES, REQUEST_BYTES, VERDICT} from './waiting_requests.js';
 
 import type http from 'node:http';
 import type {Socket} from 'node:net';
@@ -228,13 +228,17 @@
  * Makes Node's parser leave the rest of the present read. It may be 2,000 more
  * requests, which even a destroyed socket would hold until its close is
  * reported, and one turn of the event loop reads up to 1,024 sockets.
+ *
+ * @internal
  */
-function stopParsing(socket: Socket & {parser?: NodeParser | null}): void {
+export function stopParsing(
+  socket: Socket & {parser?: NodeParser | null}
+): void {
   if (socket.parser) socket.parser.onIncoming = () => STOP_PARSING;
 }
 
 function memoryOf({req}: ParsedRequest): number {
   let bytes = REQUEST_BYTES + (req.url?.length ?? 0);
-  for (const text of req.rawHeaders) bytes += text.length;
+  for (const text of req.rawHeaders) bytes += RAW_HEADER_BYTES + text.length;
   return bytes;
 }
