Do not let a far deadline pass at once

A route with a timeout above 2^31 ms answered `timeout` to every request: Node runs a timer whose delay does not fit into 31 bits after 1 ms. The timers of the deadline, of the read of a body and of a call that outlasts its caller are now limited to the longest delay that Node takes, 24.8 days.

--- a/packages/gateway/src/lib/front/body_reader.ts
+++ b/packages/gateway/src/lib/front/body_reader.ts
@@ -1,4 +1,5 @@
 import {containFaults, fail, GrowingBuffer, ok} from '@applebend/utils';
+import {startDeadlineTimer} from './deadline_timer.js';
 
 import type {IncomingMessage} from 'node:http';
 import type {BodyClaim} from '@applebend/routing';
@@ -98,7 +99,7 @@
   }
 
   startTimer(leftMs: number): void {
-    this.timer = setTimeout(() => this.fail('timeout'), leftMs);
+    this.timer = startDeadlineTimer(() => this.fail('timeout'), leftMs);
   }
 
   onData(chunk: Buffer): void {
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -5,6 +5,7 @@
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
+import {startDeadlineTimer} from './deadline_timer.js';
 import {decideRequest, findPlacement} from './placement.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {ExchangeWaits} from './exchange_waits.js';
@@ -312,7 +313,7 @@
   /** Lets the call, which needs the body, go on after the exchange. */
   private runOn(abort: () => void, leftMs: number): void {
     this.runsOn = true;
-    setTimeout(() => {
+    startDeadlineTimer(() => {
       abort();
       this.freeBody();
     }, leftMs);
--- a/packages/gateway/src/lib/front/exchange_waits.ts
+++ b/packages/gateway/src/lib/front/exchange_waits.ts
@@ -1,4 +1,5 @@
 import {whenTargetsCurrent} from './current_targets.js';
+import {startDeadlineTimer} from './deadline_timer.js';
 import {lookUpVersion} from './version_lookup.js';
 
 import type {VersionNeed} from '@applebend/routing';
@@ -33,7 +34,7 @@
   }
 
   startDeadline(waitMs: number, onDeadline: () => void): void {
-    this.deadlineTimer = setTimeout(this.contain(onDeadline), waitMs);
+    this.deadlineTimer = startDeadlineTimer(this.contain(onDeadline), waitMs);
   }
 
   /** Calls back once it is known where the request may run, or cannot be. */
