Free the body of a call that outlasts its caller when the call ends

A request that must run only once goes on after its caller has left. Its body stayed counted, and in memory, until the timer of its deadline, even if the target had answered or failed long before, or no call was open any more. Callers that leave early could thus fill the memory for bodies, and others got 503 `body_memory`.

The body is now freed, and the timer stopped, when the call ends. Without an open call nothing runs on.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -36,8 +36,10 @@
   private readonly versionPin: VersionPin;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
-  /** Whether the call goes on although the caller has left. */
-  private runsOn = false;
+  /** Whether the call has not ended. */
+  private isCallOpen = false;
+  /** Ends the call at the deadline if it goes on although the caller has left. */
+  private runOnTimer: NodeJS.Timeout | undefined;
   private readonly relay: ResponseRelay;
   private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
@@ -181,6 +183,7 @@
       onSilence: () => this.onSilence(),
       onFailure: failure => this.onFailure(failure),
     });
+    this.isCallOpen = true;
   }
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
@@ -201,6 +204,7 @@
       this.retries.tryAcquire(true)
     ) {
       response.res.destroy();
+      this.isCallOpen = false;
       this.crashes.onUnresolved(this.nowMs);
       this.endRunning();
       this.attempts.onExecuted();
@@ -234,6 +238,7 @@
     if (status < 300) this.crashes.onServed();
     else this.crashes.onUnresolved(this.nowMs);
     if (status < 500) this.feedback?.onServed();
+    this.onCallEnded();
     this.ending.end('answered', status);
   }
 
@@ -246,6 +251,7 @@
   /** What failed is of interest also if the caller has left since. */
   private onFailure(failure: AttemptFailure): void {
     const checked = this.crashes.onFailure(failure, this.nowMs);
+    this.onCallEnded();
     if (this.ending.hasEnded) return;
     this.recordFailure(failure);
     if (failure.kind === 'reset') void this.onReset(failure, checked);
@@ -305,18 +311,27 @@
     const {route} = this.context;
     const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     const abort = this.contain(() => this.abortCall());
-    if (this.retries.isIdempotent || route.streaming) abort();
-    else this.runOn(abort, leftMs);
+    const mayRunOn = !this.retries.isIdempotent && !route.streaming;
+    if (mayRunOn && this.isCallOpen) this.runOn(abort, leftMs);
+    else abort();
     this.ending.end('caller_left', 0);
   }
 
   /** Lets the call, which needs the body, go on after the exchange. */
   private runOn(abort: () => void, leftMs: number): void {
-    this.runsOn = true;
-    startDeadlineTimer(() => {
+    const onDeadline = () => {
       abort();
-      this.freeBody();
-    }, leftMs);
+      this.onCallEnded();
+    };
+    this.runOnTimer = startDeadlineTimer(onDeadline, leftMs);
+  }
+
+  /** Frees the body if the exchange has ended before the call. */
+  private onCallEnded(): void {
+    this.isCallOpen = false;
+    if (this.runOnTimer === undefined) return;
+    clearTimeout(this.runOnTimer);
+    this.freeBody();
   }
 
   private freeBody(): void {
@@ -344,7 +359,7 @@
   }
 
   private onEnded(): void {
-    if (!this.runsOn) this.freeBody();
+    if (this.runOnTimer === undefined) this.freeBody();
     this.waits.end();
     this.endRunning();
   }
