Count and bound the body that a target leaves unread after its answer

A target may answer before it has read a long body. The rest then stayed in the write queue of its connection for as long as the target kept the connection open, while the body was no longer counted: `heldBodyBytes` said 0 as the resident memory grew towards its limit.

The body now counts until it is written (`finish` of the outgoing request) or the connection is closed, whatever became of the exchange. 500 ms after the end of a response whose request is not fully written, the connection is closed. No other bytes ever take the place of the rest.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -40,6 +40,9 @@
   private isCallOpen = false;
   /** Ends the call at the deadline if it goes on although the caller has left. */
   private runOnTimer: NodeJS.Timeout | undefined;
+  /** What still holds the body: the exchange, and calls that write it. */
+  private bodyHolders = 1;
+  private isBodyFreed = false;
   private readonly relay: ResponseRelay;
   private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
@@ -182,8 +185,10 @@
       onSignals: signals => deps.state.onTargetSignals(record, signals),
       onSilence: () => this.onSilence(),
       onFailure: failure => this.onFailure(failure),
+      onBodyDropped: () => this.onBodyDropped(),
     });
     this.isCallOpen = true;
+    if (this.call.holdsBody) this.bodyHolders += 1;
   }
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
@@ -335,9 +340,16 @@
   }
 
   private freeBody(): void {
+    if (this.isBodyFreed) return;
+    this.isBodyFreed = true;
     this.inbound.body = undefined;
     this.crashes.freeBody();
-    this.inbound.bodyClaim?.release();
+    this.onBodyDropped();
+  }
+
+  private onBodyDropped(): void {
+    this.bodyHolders -= 1;
+    if (this.bodyHolders === 0) this.inbound.bodyClaim?.release();
   }
 
   /** Ends the exchange, which may have stopped halfway through a change. */
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -54,6 +54,11 @@
   onSilence(): void;
   /** Called at most once, and only instead of `onResponse`. */
   onFailure(failure: AttemptFailure): void;
+  /**
+   * Called once if the call held a body, when the body is written or the
+   * connection is closed; this may be after the response.
+   */
+  onBodyDropped(): void;
 }
 
 /** Why a request could not be opened. */
@@ -63,6 +68,11 @@
 }
 
 const CONNECT_TIMEOUT_MS = 400;
+/**
+ * A target may answer before it has read a body. The unwritten rest stays in
+ * memory: if it is not read within this time, the connection is closed.
+ */
+const UNREAD_BODY_MS = 500;
 /** Misdirected Request: the server is not the addressed target. */
 const STATUS_MISDIRECTED = 421;
 /** Failures in which the target says that it did not run the request. */
@@ -85,6 +95,8 @@
   private connectTimer: NodeJS.Timeout | undefined;
   /** Whether the target may have received the request. */
   private sent = false;
+  private unreadTimer: NodeJS.Timeout | undefined;
+  private isBodyHeld = false;
   /** Whether a response or a failure was reported, or the call aborted. */
   private settled = false;
   private res: http.IncomingMessage | undefined;
@@ -124,6 +136,7 @@
       const onSilence = contain(() => events.onSilence());
       this.silenceTimer = setInterval(onSilence, silenceMs);
     }
+    if (options.body !== undefined) this.watchBody(req);
     req.end(options.body);
   }
 
@@ -139,12 +152,37 @@
     return this.sent;
   }
 
+  /** Whether the body of the request is not fully written. */
+  get holdsBody(): boolean {
+    return this.isBodyHeld;
+  }
+
   /** Closes the connection, so that the target cancels the request. */
   abort(): void {
     this.settle();
     this.req?.destroy();
   }
 
+  private watchBody(req: http.ClientRequest): void {
+    this.isBodyHeld = true;
+    const onDropped = this.options.contain(() => this.onBodyDropped());
+    req.on('finish', onDropped);
+    req.on('close', onDropped);
+  }
+
+  private onBodyDropped(): void {
+    if (!this.isBodyHeld) return;
+    this.isBodyHeld = false;
+    clearTimeout(this.unreadTimer);
+    this.events.onBodyDropped();
+  }
+
+  /** Limits the time for which a target that has answered may leave a body unread. */
+  private limitUnread(): void {
+    if (!this.isBodyHeld) return;
+    this.unreadTimer = setTimeout(() => this.req?.destroy(), UNREAD_BODY_MS);
+  }
+
   private onSocket(socket: Socket): void {
     // A connection that fails at once is destroyed before this is called.
     if (socket.destroyed) return;
@@ -173,6 +211,7 @@
 
   private onHead(res: http.IncomingMessage, isReusedSocket: boolean): void {
     res.on('error', ignoreError);
+    res.on('end', () => this.limitUnread());
     if (this.settled) {
       res.destroy();
       return;
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -18,6 +18,8 @@
   /** Called after the request was placed and before it is sent. */
   readonly onPlaced?: () => void;
   readonly onEnd?: () => void;
+  /** The body that is sent to the target. */
+  readonly body?: Buffer;
   /** Counts a body that the request has. */
   readonly bodyClaim?: BodyClaim;
 }
@@ -97,7 +99,7 @@
     const front = http.createServer((req, res) =>
       Exchange.create(
         context,
-        {req, res, body: undefined, bodyClaim: change.bodyClaim},
+        {req, res, body: change.body, bodyClaim: change.bodyClaim},
         deps
       )
     );
