--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -5,6 +5,7 @@
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
 import {recordUsage} from './record_usage.js';
+import {startDeadlineTimer} from './deadline_timer.js';
 import {decideRequest, findPlacement} from './placement.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {ExchangeWaits} from './exchange_waits.js';
@@ -35,8 +36,13 @@
   private readonly versionPin: VersionPin;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
-  /** Whether the call goes on although the caller has left. */
-  private runsOn = false;
+  /** Whether the call has not ended. */
+  private isCallOpen = false;
+  /** Ends the call at the deadline if it goes on although the caller has left. */
+  private runOnTimer: NodeJS.Timeout | undefined;
+  /** What still holds the body: the exchange, and calls that write it. */
+  private bodyHolders = 1;
+  private isBodyFreed = false;
   private readonly relay: ResponseRelay;
   private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
@@ -179,7 +185,10 @@
       onSignals: signals => deps.state.onTargetSignals(record, signals),
       onSilence: () => this.onSilence(),
       onFailure: failure => this.onFailure(failure),
+      onBodyDropped: () => this.onBodyDropped(),
     });
+    this.isCallOpen = true;
+    if (this.call.holdsBody) this.bodyHolders += 1;
   }
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
@@ -200,6 +209,7 @@
       this.retries.tryAcquire(true)
     ) {
       response.res.destroy();
+      this.isCallOpen = false;
       this.crashes.onUnresolved(this.nowMs);
       this.endRunning();
       this.attempts.onExecuted();
@@ -233,6 +243,7 @@
     if (status < 300) this.crashes.onServed();
     else this.crashes.onUnresolved(this.nowMs);
     if (status < 500) this.feedback?.onServed();
+    this.onCallEnded();
     this.ending.end('answered', status);
   }
 
@@ -245,6 +256,7 @@
   /** What failed is of interest also if the caller has left since. */
   private onFailure(failure: AttemptFailure): void {
     const checked = this.crashes.onFailure(failure, this.nowMs);
+    this.onCallEnded();
     if (this.ending.hasEnded) return;
     this.recordFailure(failure);
     if (failure.kind === 'reset') void this.onReset(failure, checked);
@@ -304,24 +316,40 @@
     const {route} = this.context;
     const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     const abort = this.contain(() => this.abortCall());
-    if (this.retries.isIdempotent || route.streaming) abort();
-    else this.runOn(abort, leftMs);
+    const mayRunOn = !this.retries.isIdempotent && !route.streaming;
+    if (mayRunOn && this.isCallOpen) this.runOn(abort, leftMs);
+    else abort();
     this.ending.end('caller_left', 0);
   }
 
   /** Lets the call, which needs the body, go on after the exchange. */
   private runOn(abort: () => void, leftMs: number): void {
-    this.runsOn = true;
-    setTimeout(() => {
+    const onDeadline = () => {
       abort();
-      this.freeBody();
-    }, leftMs);
+      this.onCallEnded();
+    };
+    this.runOnTimer = startDeadlineTimer(onDeadline, leftMs);
+  }
+
+  /** Frees the body if the exchange has ended before the call. */
+  private onCallEnded(): void {
+    this.isCallOpen = false;
+    if (this.runOnTimer === undefined) return;
+    clearTimeout(this.runOnTimer);
+    this.freeBody();
   }
 
   private freeBody(): void {
+    if (this.isBodyFreed) return;
+    this.isBodyFreed = true;
     this.inbound.body = undefined;
     this.crashes.freeBody();
-    this.inbound.bodyClaim?.release();
+    this.onBodyDropped();
+  }
+
+  private onBodyDropped(): void {
+    this.bodyHolders -= 1;
+    if (this.bodyHolders === 0) this.inbound.bodyClaim?.release();
   }
 
   /** Ends the exchange, which may have stopped halfway through a change. */
@@ -343,7 +371,7 @@
   }
 
   private onEnded(): void {
-    if (!this.runsOn) this.freeBody();
+    if (this.runOnTimer === undefined) this.freeBody();
     this.waits.end();
     this.endRunning();
   }
