Peers' bytes are checked before MessagePack decodes them

A datagram of 500 bytes (100 nested array headers that announce 1,000,000 elements each) ended the process by SIGABRT: msgpackr allocates an array of the announced length before it reads the elements, and a full heap cannot be caught. The daemon decodes frames of unauthenticated peers with the same library.

isBoundedMsgpack walks the bytes once, without allocating. It refuses a length that the bytes left cannot hold, also summed up over nested arrays and maps, and nesting deeper than 16. Both packers write no records, so it refuses all extensions but `undefined`, too: msgpackr lets some of them change how later bytes are read. Refused bytes take the path of malformed ones, as before.

--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -1,4 +1,5 @@
 import {ENGINE_POOL} from '@applebend/routing';
+import {isBoundedMsgpack} from '@applebend/utils';
 import {unpack} from 'msgpackr';
 import {decodeNotice, encodeNotice} from './notice_codec.js';
 
@@ -62,6 +63,7 @@
  * @public
  */
 export function unpackMessage(bytes: Buffer): unknown[] | undefined {
+  if (!isBoundedMsgpack(bytes)) return undefined;
   try {
     const wire = unpack(bytes) as unknown;
     return Array.isArray(wire) ? wire : undefined;
--- a/packages/protocol/src/lib/codec.ts
+++ b/packages/protocol/src/lib/codec.ts
@@ -1,5 +1,5 @@
 import {Packr} from 'msgpackr';
-import {fail, errorMessage, ok} from '@applebend/utils';
+import {fail, errorMessage, isBoundedMsgpack, ok} from '@applebend/utils';
 import {frameSchema} from './messages.js';
 import {unpackMessage, packMessage} from './wire_format.js';
 
@@ -23,6 +23,9 @@
 
 /** Decodes a frame from msgpack without validating its content. @public */
 export function decodeFrame(data: Uint8Array): Result<unknown, FrameError> {
+  if (!isBoundedMsgpack(data)) {
+    return fail({kind: 'malformed_frame', message: 'not bounded MessagePack'});
+  }
   try {
     return ok(packr.unpack(data));
   } catch (err) {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export {BusyMeter} from './lib/busy_meter.js';
+export {isBoundedMsgpack} from './lib/check_msgpack.js';
 export {systemClock} from './lib/clock.js';
 export type {Clock} from './lib/clock.js';
 export {containFaults} from './lib/contain_faults.js';
