The usage kept of customers that peers name is bounded

600 datagrams of 4000 new customer names each ended the process by SIGABRT. The receiver's totals, the relay's counters and the windows of the customer shares kept a row for each name ever sent.

Each keeps at most 8192 rows now; the customers used longest ago go first. A receiver that evicted a row takes a total that it does not know as a base only, since it may have counted it already. A total lower than before began again at its sender and counts from zero, not as negative usage.

--- a/packages/gateway/src/lib/peers/usage_counters.ts
+++ b/packages/gateway/src/lib/peers/usage_counters.ts
@@ -1,7 +1,16 @@
+import {evictOldest} from '@applebend/utils';
 import {targetOfPool} from '../state/target_pool.js';
 
 import type {UsageRow} from './peer_message.js';
 
+/**
+ * Names come from peers, so what is kept is bounded; the customers used longest
+ * ago go first. 8192 rows take about 2 MB for each sender.
+ *
+ * @internal
+ */
+export const MAX_USAGE_ROWS = 8192;
+
 /**
  * The sender's side of the exchange of usage: the total usage of each customer
  * in each pool since the start. Sending totals instead of increments lets the next message
@@ -22,12 +31,21 @@
   add(row: UsageRow): void {
     const key = keyOf(row);
     const total = this.totals.get(key);
+    this.totals.delete(key);
     this.totals.set(key, {
       ...row,
       requested: (total?.requested ?? 0) + row.requested,
       admitted: (total?.admitted ?? 0) + row.admitted,
     });
+    this.changed.delete(key);
     this.changed.add(key);
+    if (this.totals.size > MAX_USAGE_ROWS) evictOldest(this.totals);
+    if (this.changed.size > MAX_USAGE_ROWS) evictOldest(this.changed);
+  }
+
+  /** The number of totals that are kept. */
+  get size(): number {
+    return this.totals.size;
   }
 
   get hasChanges(): boolean {
@@ -55,7 +73,7 @@
 export class UsageReceiver {
   private readonly totals = new Map<string, UsageRow>();
 
-  private constructor(private readonly isFromStart: boolean) {}
+  private constructor(private isFromStart: boolean) {}
 
   /**
    * @param isFromStart - whether the sender is followed from its start. If not,
@@ -74,17 +92,35 @@
     for (const row of rows) {
       const key = keyOf(row);
       const before = this.totals.get(key);
-      this.totals.set(key, row);
+      this.keep(key, row);
       const isNew = before === undefined && !this.isFromStart;
       if (isNew && targetOfPool(row.pool) === undefined) continue;
-      increments.push({
-        ...row,
-        requested: row.requested - (before?.requested ?? 0),
-        admitted: row.admitted - (before?.admitted ?? 0),
-      });
+      increments.push(growth(row, before));
     }
     return increments;
   }
+
+  /** The number of totals that are kept. */
+  get size(): number {
+    return this.totals.size;
+  }
+
+  private keep(key: string, row: UsageRow): void {
+    this.totals.delete(key);
+    this.totals.set(key, row);
+    if (this.totals.size <= MAX_USAGE_ROWS) return;
+    evictOldest(this.totals);
+    // A customer that comes back may have been counted already.
+    this.isFromStart = false;
+  }
+}
+
+/** A total that is lower than before began again after the sender evicted it. */
+function growth(row: UsageRow, before: UsageRow | undefined): UsageRow {
+  if (before === undefined) return row;
+  const requested = row.requested - before.requested;
+  const admitted = row.admitted - before.admitted;
+  return requested < 0 || admitted < 0 ? row : {...row, requested, admitted};
 }
 
 function keyOf({pool, customer}: UsageRow): string {
--- a/packages/routing/src/lib/admission/usage_window.ts
+++ b/packages/routing/src/lib/admission/usage_window.ts
@@ -1,3 +1,4 @@
+import {evictOldest} from '@applebend/utils';
 import {SlidingWindowSum} from './sliding_window_sum.js';
 
 /**
@@ -18,6 +19,14 @@
 
 const NO_USAGE: CustomerUsage = {requested: 0, admitted: 0};
 
+/**
+ * Names come from peers, too, so the customers that are remembered are bounded;
+ * those used longest ago go first.
+ *
+ * @internal
+ */
+export const MAX_CUSTOMERS = 8192;
+
 /** The usage of each customer in a sliding window. @internal */
 export class UsageWindow {
   private readonly sums = new Map<string, UsageSums>();
@@ -61,15 +70,14 @@
   }
 
   private sumsOf(customer: string): UsageSums {
-    let sums = this.sums.get(customer);
-    if (sums === undefined) {
-      const {windowMs} = this;
-      sums = {
-        requested: SlidingWindowSum.create(windowMs),
-        admitted: SlidingWindowSum.create(windowMs),
-      };
-      this.sums.set(customer, sums);
-    }
+    const {windowMs} = this;
+    const sums = this.sums.get(customer) ?? {
+      requested: SlidingWindowSum.create(windowMs),
+      admitted: SlidingWindowSum.create(windowMs),
+    };
+    this.sums.delete(customer);
+    this.sums.set(customer, sums);
+    if (this.sums.size > MAX_CUSTOMERS) evictOldest(this.sums);
     return sums;
   }
 }
