Usage pools that a peer makes up are not kept

A peer's usage created the customer shares of any pool that it named, and nothing removed them again: memory grew with each new name until the process ended. A peer's usage counts only in the engines' pool, in pools used here and in those of configured services.

Evidence: 1000 made-up pools left 1001 kept before, 1 now.

--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -208,12 +208,24 @@
   addPeerUsage(row: UsageRow, nowMs: number): void {
     const target = targetOfPool(row.pool);
     if (target === undefined) {
+      if (!this.hasPool(row.pool)) return;
       this.sharesOf(row.pool).add(row.customer, row, nowMs);
       return;
     }
     this.targets.get(target)?.rateLimit.onPeersSent(row.admitted, nowMs);
   }
 
+  /** The number of pools whose usage is kept. */
+  get poolCount(): number {
+    return this.shares.size;
+  }
+
+  /** Pools of peers count only if requests here can use them, too. */
+  private hasPool(pool: string): boolean {
+    if (pool === ENGINE_POOL || this.shares.has(pool)) return true;
+    return this.config?.services.has(pool) === true;
+  }
+
   /** When refused callers of a service return; created on first use. */
   returnTimesOf(service: string): ReturnTimes {
     let times = this.returnTimes.get(service);
