Names and amounts in peers' messages are checked

A name as long as a datagram (60,000 bytes) made each of the usage rows kept of a peer that large, so their maximum number alone bounded little; rows with names over 256 characters are left out. A message with NaN or with no number as its group, instance count, incarnation, key or age of the target list was taken and could turn totals into NaN; it is malformed now, as are rows with NaN.

--- a/packages/gateway/src/lib/peers/aggregate_message.ts
+++ b/packages/gateway/src/lib/peers/aggregate_message.ts
@@ -1,5 +1,5 @@
 import {pack} from 'msgpackr';
-import {MESSAGE_KIND, decodeRows, encodeRows} from './wire_rows.js';
+import {MESSAGE_KIND, decodeRows, encodeRows, isAmount} from './wire_rows.js';
 
 import type {MessageRows, WireRows} from './wire_rows.js';
 
@@ -73,6 +73,8 @@
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
   }
+  const amounts = [incarnation, sequence, group, instanceCount];
+  if (!amounts.every(isAmount)) return undefined;
   if (rows === undefined) return undefined;
   return {
     scope,
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -168,3 +168,34 @@
   assert.deepEqual(decoded?.notices, []);
   assert.equal(decoded?.storeEra, 0);
 });
+
+test('a message with an amount that is no number makes no total NaN', () => {
+  const rowLists = [[], [], [], []];
+  for (const bad of [NaN, 'x', null, undefined]) {
+    const wire = ['entry-1', 1, 1, false, bad, 0, ...rowLists];
+    assert.equal(decodePeerMessage([MESSAGE_KIND.peer, ...wire]), undefined);
+    for (const [group, instances] of [
+      [bad, 8],
+      [0, bad],
+    ]) {
+      const head = ['group', 'entry-1', 1, 1, group, instances, true];
+      const aggregateWire = [MESSAGE_KIND.aggregate, ...head, ...rowLists];
+      assert.equal(decodeAggregate(aggregateWire), undefined);
+    }
+  }
+  const loads = [['t', NaN, 0, 0]];
+  const head = [MESSAGE_KIND.peer, 'entry-1', 1, 1, false, 0, 0];
+  assert.equal(decodePeerMessage([...head, loads, [], [], []]), undefined);
+});
+
+test('usage rows with names as long as a datagram are not kept', () => {
+  const head = [MESSAGE_KIND.peer, 'entry-1', 1, 1, false, 0, 0];
+  const long = 'n'.repeat(60_000);
+  const usage = [
+    [long, 1, 1],
+    ['c', 1, 1, long],
+    ['c', 1, 1],
+  ];
+  const decoded = decodePeerMessage([...head, [], usage, [], []]);
+  assert.equal(decoded?.usage.length, 1);
+});
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -1,5 +1,5 @@
 import {pack} from 'msgpackr';
-import {MESSAGE_KIND, decodeRows, encodeRows} from './wire_rows.js';
+import {MESSAGE_KIND, decodeRows, encodeRows, isAmount} from './wire_rows.js';
 
 import type {TargetListStamp} from '../ports.js';
 import type {LoadRow} from '../state/load_totals.js';
@@ -97,6 +97,7 @@
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
   }
+  if (![incarnation, sequence, key, ageMs].every(isAmount)) return undefined;
   if (typeof storeEra !== 'number' || typeof configVersion !== 'number') {
     return undefined;
   }
--- a/packages/gateway/src/lib/peers/wire_rows.ts
+++ b/packages/gateway/src/lib/peers/wire_rows.ts
@@ -22,6 +22,9 @@
   confirmationRefusal: 7,
 } as const;
 
+/** Rows with longer names are left out, so that a kept row stays small. */
+const MAX_NAME_CHARS = 256;
+
 type WireLoad = [
   target: string,
   running: number,
@@ -100,7 +103,7 @@
   if (!isListOf(notices, Array.isArray)) return undefined;
   return {
     loads: loads.map(decodeLoad),
-    usage: usage.map(decodeUsage),
+    usage: usage.map(decodeUsage).filter(hasShortNames),
     placements: placements.map(decodePlacement),
     notices: notices.flatMap(wireNotice => decodeNotice(wireNotice) ?? []),
   };
@@ -133,10 +136,15 @@
 }
 
 function areNumbers(values: readonly unknown[], count: number): boolean {
-  const numbers = values.filter(value => typeof value === 'number');
+  const numbers = values.filter(isAmount);
   return values.length === count && numbers.length === count;
 }
 
+/** Returns whether a value is a number other than NaN. @public */
+export function isAmount(value: unknown): boolean {
+  return typeof value === 'number' && !Number.isNaN(value);
+}
+
 function encodeLoad(row: LoadRow): WireLoad {
   const {target, running, prefillTokens, kvTokens} = row;
   return [target, running, Math.round(prefillTokens), Math.round(kvTokens)];
@@ -160,6 +168,10 @@
   return {pool, customer, requested, admitted};
 }
 
+function hasShortNames({pool, customer}: UsageRow): boolean {
+  return pool.length <= MAX_NAME_CHARS && customer.length <= MAX_NAME_CHARS;
+}
+
 function encodePlacement({
   target,
   blocks,
