Incarnations that a peer makes up are not kept without bound

Each datagram with a new incarnation added one to the former incarnations of its sender for good. The last 64 are kept.

Evidence: 6400 were kept before in the new test.

--- a/packages/gateway/src/lib/peers/sender_sequence.ts
+++ b/packages/gateway/src/lib/peers/sender_sequence.ts
@@ -1,3 +1,8 @@
+import {evictOldest} from '@applebend/utils';
+
+/** Late messages are from the last few incarnations. @internal */
+export const MAX_FORMER = 64;
+
 /**
  * Tells the late messages of one sender from new ones. A restarted sender has
  * another incarnation, and its sequence begins again.
@@ -16,6 +21,11 @@
     return new SenderSequence();
   }
 
+  /** The number of replaced incarnations that are remembered. */
+  get formerCount(): number {
+    return this.former.size;
+  }
+
   /** Records a message; returns false if it is late and must not count. */
   accept(incarnation: number, sequence: number): boolean {
     if (this.former.has(incarnation)) return false;
@@ -24,6 +34,7 @@
     }
     if (this.incarnation !== undefined && this.incarnation !== incarnation) {
       this.former.add(this.incarnation);
+      if (this.former.size > MAX_FORMER) evictOldest(this.former);
     }
     this.incarnation = incarnation;
     this.sequence = sequence;
