--- a/packages/gateway/src/lib/front/waiting_requests.ts
+++ b/packages/gateway/src/lib/front/waiting_requests.ts
@@ -16,12 +16,12 @@
  * Memory that waiting requests of all connections may take. The heap has
  * 160 MB, of which an instance without load uses some 20 MB.
  */
-const MAX_BYTES = 32 * 1024 * 1024;
+const SOFT_LIMIT_BYTES = 32 * 1024 * 1024;
 /**
  * Above this, also connections are closed of which a request is at a target, or
  * that hold little.
  */
-const MAX_BYTES_AT_ALL = 2 * MAX_BYTES;
+const HARD_LIMIT_BYTES = 2 * SOFT_LIMIT_BYTES;
 /** What a connection may hold up to then: 12 short requests. */
 const SMALL_BYTES = 80 * 1024;
 
@@ -58,8 +58,8 @@
   add(bytes: number, heldBytes: number, isPassedOn: boolean): Verdict {
     this.requests += 1;
     this.bytes += bytes;
-    if (this.bytes <= MAX_BYTES) return VERDICT.keep;
-    if (this.bytes > MAX_BYTES_AT_ALL) return VERDICT.close;
+    if (this.bytes <= SOFT_LIMIT_BYTES) return VERDICT.keep;
+    if (this.bytes > HARD_LIMIT_BYTES) return VERDICT.close;
     if (heldBytes <= SMALL_BYTES) return VERDICT.keep;
     return isPassedOn ? VERDICT.endAfterAnswer : VERDICT.close;
   }
