--- a/packages/gateway/src/lib/archive/journal_log.ts
+++ b/packages/gateway/src/lib/archive/journal_log.ts
@@ -1,3 +1,5 @@
+import {EventThrottle} from '@applebend/utils';
+
 import type {JournalRecord} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
@@ -9,8 +11,8 @@
 /** Logs what is appended to the journal of stream versions. @internal */
 export class JournalLog {
   private wasWriter = false;
-  private loggedSaveAtMs = -Infinity;
-  private loggedFailureAtMs = -Infinity;
+  private readonly saves = EventThrottle.create(MIN_INTERVAL_MS);
+  private readonly failures = EventThrottle.create(MIN_INTERVAL_MS);
   /** What was saved and has not been logged yet. */
   private unlogged = {services: 0, attempts: 0};
 
@@ -32,17 +34,13 @@
   onSaved(record: JournalRecord): void {
     if (record.kind === 'service') this.unlogged.services += 1;
     else this.unlogged.attempts += attemptCount(record.attempts);
-    const nowMs = this.clock.monotonicMs();
-    if (nowMs - this.loggedSaveAtMs < MIN_INTERVAL_MS) return;
-    this.loggedSaveAtMs = nowMs;
+    if (this.saves.onEvent(this.clock.monotonicMs()) === 0) return;
     this.log.info('version journal saved', this.unlogged);
     this.unlogged = {services: 0, attempts: 0};
   }
 
   onFailed(err: ArchiveError): void {
-    const nowMs = this.clock.monotonicMs();
-    if (nowMs - this.loggedFailureAtMs < MIN_INTERVAL_MS) return;
-    this.loggedFailureAtMs = nowMs;
+    if (this.failures.onEvent(this.clock.monotonicMs()) === 0) return;
     this.log.warn('version journal not saved', {...err});
   }
 }
--- a/packages/gateway/src/lib/front/body_refusal_log.ts
+++ b/packages/gateway/src/lib/front/body_refusal_log.ts
@@ -1,3 +1,5 @@
+import {EventThrottle} from '@applebend/utils';
+
 import type {BodyMemory} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
@@ -12,8 +14,7 @@
  * @public
  */
 export class BodyRefusalLog {
-  private loggedAtMs = -Infinity;
-  private refused = 0;
+  private readonly throttle = EventThrottle.create(MIN_LOG_INTERVAL_MS);
 
   private constructor(
     private readonly log: Logger,
@@ -25,12 +26,8 @@
   }
 
   onRefused(customer: string, {heldBytes, limitBytes}: BodyMemory): void {
-    this.refused += 1;
-    const nowMs = this.clock.monotonicMs();
-    if (nowMs - this.loggedAtMs < MIN_LOG_INTERVAL_MS) return;
-    this.loggedAtMs = nowMs;
-    const {refused} = this;
-    this.refused = 0;
+    const refused = this.throttle.onEvent(this.clock.monotonicMs());
+    if (refused === 0) return;
     this.log.warn('no memory for request bodies', {
       refused,
       customer,
--- a/packages/gateway/src/lib/front/rate_limited_log.ts
+++ b/packages/gateway/src/lib/front/rate_limited_log.ts
@@ -1,3 +1,5 @@
+import {EventThrottle} from '@applebend/utils';
+
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
@@ -10,9 +12,8 @@
  * @public
  */
 export class RateLimitedLog {
-  private count = 0;
+  private readonly throttle = EventThrottle.create(INTERVAL_MS);
   private timer: NodeJS.Timeout | undefined;
-  private lastLineMs = -Infinity;
 
   private constructor(
     private readonly log: Logger,
@@ -25,25 +26,25 @@
   }
 
   onEvent(): void {
-    this.count += 1;
-    if (this.timer !== undefined) return;
-    const leftMs = this.lastLineMs + INTERVAL_MS - this.clock.monotonicMs();
-    if (leftMs <= 0) {
-      this.flush();
+    const nowMs = this.clock.monotonicMs();
+    const count = this.throttle.onEvent(nowMs);
+    if (count > 0) {
+      this.write(count);
       return;
     }
-    this.timer = setTimeout(() => this.flush(), leftMs);
+    this.timer ??= setTimeout(() => this.flush(), this.throttle.leftMs(nowMs));
     this.timer.unref();
   }
 
   /** Logs the events that have no line yet. */
   flush(): void {
+    const count = this.throttle.take(this.clock.monotonicMs());
+    if (count > 0) this.write(count);
+  }
+
+  private write(count: number): void {
     clearTimeout(this.timer);
     this.timer = undefined;
-    if (this.count === 0) return;
-    this.lastLineMs = this.clock.monotonicMs();
-    const {count} = this;
-    this.count = 0;
     this.log.warn(this.message, {count});
   }
 }
--- a/packages/gateway/src/lib/loop_monitor.ts
+++ b/packages/gateway/src/lib/loop_monitor.ts
@@ -1,4 +1,5 @@
 import {performance} from 'node:perf_hooks';
+import {EventThrottle} from '@applebend/utils';
 
 import type {OverloadGuard} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
@@ -18,7 +19,7 @@
   private lastUtilization = performance.eventLoopUtilization();
   private timer: NodeJS.Timeout | undefined;
   private lastLoggedState = false;
-  private loggedAtMs = -Infinity;
+  private readonly changes = EventThrottle.create(MIN_LOG_INTERVAL_MS);
 
   private constructor(
     private readonly guard: OverloadGuard,
@@ -61,10 +62,9 @@
     const listenerDelayMs = this.listenerDelayMs();
     guard.onSample({lagMs, busyFraction: utilization, listenerDelayMs}, nowMs);
     const {isOverloaded} = guard;
-    const isDue = nowMs - this.loggedAtMs >= MIN_LOG_INTERVAL_MS;
-    if (isOverloaded === this.lastLoggedState || !isDue) return;
+    if (isOverloaded === this.lastLoggedState) return;
+    if (this.changes.onEvent(nowMs) === 0) return;
     this.lastLoggedState = isOverloaded;
-    this.loggedAtMs = nowMs;
     const {busyFraction: busyPart} = guard;
     log.warn('event loop overload changed', {isOverloaded, lagMs, busyPart});
   }
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -9,7 +9,7 @@
   StreamVersions,
   VersionJournal,
 } from '@applebend/routing';
-import {errorMessage, systemClock} from '@applebend/utils';
+import {errorMessage, EventThrottle, systemClock} from '@applebend/utils';
 import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
 import {ResponseMemory} from '../front/response_memory.js';
@@ -62,7 +62,7 @@
   groupInstanceCount = 1;
   isStopping = false;
   private wasConfirmed = false;
-  private oldTargetsLoggedAtMs = -Infinity;
+  private readonly oldTargets = EventThrottle.create(MIN_LOG_INTERVAL_MS);
   /** Called with what a target says of itself, in any of its responses. */
   onTargetSignals: TargetSignalListener = () => undefined;
   /** Number of open connections of callers. */
@@ -167,9 +167,7 @@
   }
 
   private logOldTargets(): void {
-    const nowMs = systemClock.monotonicMs();
-    if (nowMs - this.oldTargetsLoggedAtMs < MIN_LOG_INTERVAL_MS) return;
-    this.oldTargetsLoggedAtMs = nowMs;
+    if (this.oldTargets.onEvent(systemClock.monotonicMs()) === 0) return;
     const ageMs = this.source.targetsAgeMs();
     const {lagMs} = this.overloadGuard;
     this.log.warn('target list too old', {ageMs, loopLagMs: lagMs});
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -9,6 +9,7 @@
 export type {Clock} from './lib/clock.js';
 export {containFaults} from './lib/contain_faults.js';
 export type {Contain} from './lib/contain_faults.js';
+export {EventThrottle} from './lib/event_throttle.js';
 export {evictOldest} from './lib/evict_oldest.js';
 export {GrowingBuffer} from './lib/growing_buffer.js';
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
--- a/packages/utils/src/lib/log_server_errors.ts
+++ b/packages/utils/src/lib/log_server_errors.ts
@@ -1,3 +1,5 @@
+import {EventThrottle} from './event_throttle.js';
+
 import type {EventEmitter} from 'node:events';
 import type {PortLog} from './open_port.js';
 
@@ -16,14 +18,10 @@
   purpose: string,
   log: PortLog
 ): void {
-  let count = 0;
-  let loggedAtMs = -Infinity;
+  const throttle = EventThrottle.create(LOG_INTERVAL_MS);
   emitter.on('error', (err: Error) => {
-    count += 1;
-    const nowMs = performance.now();
-    if (nowMs - loggedAtMs < LOG_INTERVAL_MS) return;
+    const count = throttle.onEvent(performance.now());
+    if (count === 0) return;
     log.warn('server error', {purpose, cause: err.message, count});
-    loggedAtMs = nowMs;
-    count = 0;
   });
 }
