One claim on a bounded memory, for bodies and for responses

ResponseClaim was a copy of BodyClaim. MemoryClaim serves both; what bounds it is passed in. ResponseMemory stands beside BodyMemory, as it does no I/O.

--- a/packages/gateway/src/lib/front/body_reader.ts
+++ b/packages/gateway/src/lib/front/body_reader.ts
@@ -2,7 +2,7 @@
 import {startDeadlineTimer} from './deadline_timer.js';
 
 import type {IncomingMessage} from 'node:http';
-import type {BodyClaim} from '@applebend/routing';
+import type {MemoryClaim} from '@applebend/routing';
 import type {Result} from '@applebend/utils';
 
 /** Why a body was not read to its end. @public */
@@ -19,7 +19,7 @@
 export interface HeldBody {
   readonly bytes: Buffer;
   /** To be released once nothing refers to the bytes. */
-  readonly claim: BodyClaim;
+  readonly claim: MemoryClaim;
 }
 
 /** What bounds the read of a body. @public */
@@ -28,7 +28,7 @@
   /** Milliseconds until the request times out. */
   readonly leftMs: number;
   /** Called if there is a body. */
-  readonly claim: () => BodyClaim;
+  readonly claim: () => MemoryClaim;
 }
 
 type BodyResult = Result<HeldBody | undefined, BodyError>;
@@ -84,7 +84,7 @@
 
   private constructor(
     private readonly maxBytes: number,
-    private readonly claim: BodyClaim,
+    private readonly claim: MemoryClaim,
     private readonly resolve: (result: BodyResult) => void
   ) {
     this.buffer = GrowingBuffer.create(maxBytes);
@@ -92,7 +92,7 @@
 
   static create(
     maxBytes: number,
-    claim: BodyClaim,
+    claim: MemoryClaim,
     resolve: (result: BodyResult) => void
   ): BodyRead {
     return new BodyRead(maxBytes, claim, resolve);
--- a/packages/gateway/src/lib/front/buffered_relay.test.ts
+++ b/packages/gateway/src/lib/front/buffered_relay.test.ts
@@ -3,8 +3,8 @@
 import {test} from 'node:test';
 import v8 from 'node:v8';
 import vm from 'node:vm';
+import {ResponseMemory} from '@applebend/routing';
 import {BufferedRelay} from './buffered_relay.js';
-import {ResponseMemory} from './response_memory.js';
 
 import type http from 'node:http';
 import type {TargetResponse} from '../upstream/target_call.js';
--- a/packages/gateway/src/lib/front/buffered_relay.ts
+++ b/packages/gateway/src/lib/front/buffered_relay.ts
@@ -2,9 +2,9 @@
 import {isFollowed} from './caller_connection.js';
 
 import type http from 'node:http';
+import type {MemoryClaim} from '@applebend/routing';
 import type {Contain} from '@applebend/utils';
 import type {TargetResponse} from '../upstream/target_call.js';
-import type {ResponseClaim} from './response_memory.js';
 
 /** At most one of these is called, and only once. @public */
 export interface BufferedRelayEvents {
@@ -33,7 +33,7 @@
     private readonly res: http.ServerResponse,
     private readonly closeConnection: boolean,
     private readonly events: BufferedRelayEvents,
-    private readonly claim: ResponseClaim,
+    private readonly claim: MemoryClaim,
     contain: Contain
   ) {
     const from = response.res;
@@ -65,7 +65,7 @@
     res: http.ServerResponse,
     closeConnection: boolean,
     events: BufferedRelayEvents,
-    claim: ResponseClaim,
+    claim: MemoryClaim,
     contain: Contain
   ): BufferedRelay {
     return new BufferedRelay(
--- a/packages/gateway/src/lib/front/exchange_deps.ts
+++ b/packages/gateway/src/lib/front/exchange_deps.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http';
-import type {BodyClaim} from '@applebend/routing';
+import type {MemoryClaim} from '@applebend/routing';
 import type {Clock} from '@applebend/utils';
 import type {HeaderCodec} from '../ports.js';
 import type {UsageRow} from '../peers/peer_message.js';
@@ -57,5 +57,5 @@
    */
   body: Buffer | undefined;
   /** What the body holds of the memory; undefined without a body. */
-  readonly bodyClaim?: BodyClaim | undefined;
+  readonly bodyClaim?: MemoryClaim | undefined;
 }
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -4,6 +4,7 @@
   ENGINE_POOL,
   FleetRetryBudget,
   OverloadGuard,
+  ResponseMemory,
   ReturnTimes,
   RotationNotice,
   StreamVersions,
@@ -12,7 +13,6 @@
 import {errorMessage, EventThrottle, systemClock} from '@applebend/utils';
 import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
-import {ResponseMemory} from '../front/response_memory.js';
 import {confirmTargetList} from './list_confirmation.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -7,7 +7,7 @@
 import {sampleTarget} from './sample_target.js';
 
 import type {AddressInfo} from 'node:net';
-import type {BodyClaim, FleetConfig} from '@applebend/routing';
+import type {MemoryClaim, FleetConfig} from '@applebend/routing';
 import type {ExchangeDeps} from '../lib/front/exchange_deps.js';
 import type {RequestContext} from '../lib/front/request_context.js';
 import type {GatewaySettings, HeaderCodec, StateSource} from '../lib/ports.js';
@@ -21,7 +21,7 @@
   /** The body that is sent to the target. */
   readonly body?: Buffer;
   /** Counts a body that the request has. */
-  readonly bodyClaim?: BodyClaim;
+  readonly bodyClaim?: MemoryClaim;
 }
 
 const SERVICE = 'app';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,7 +20,9 @@
 } from './lib/admission/request_decision.js';
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {EventLoopSample} from './lib/admission/overload_guard.js';
-export {BodyClaim, BodyMemory} from './lib/admission/body_memory.js';
+export {BodyMemory} from './lib/admission/body_memory.js';
+export {MemoryClaim} from './lib/admission/memory_claim.js';
+export {ResponseMemory} from './lib/admission/response_memory.js';
 export type {RefusedBody} from './lib/admission/body_memory.js';
 export {RotationNotice} from './lib/admission/rotation_notice.js';
 export {CustomerShares, ENGINE_POOL} from './lib/admission/customer_shares.js';
--- a/packages/routing/src/lib/admission/body_memory.test.ts
+++ b/packages/routing/src/lib/admission/body_memory.test.ts
@@ -3,14 +3,14 @@
 import {Random} from '@applebend/utils';
 import {BodyMemory} from './body_memory.js';
 
-import type {BodyClaim} from './body_memory.js';
+import type {MemoryClaim} from './memory_claim.js';
 
 const LIMIT = 1000;
 const SMALL = 5;
 
 /** Claims bodies of one size until one is refused. */
 function flood(memory: BodyMemory, customer: string, bytes: number) {
-  const claims: BodyClaim[] = [];
+  const claims: MemoryClaim[] = [];
   for (;;) {
     const claim = memory.claim(customer);
     if (!claim.growTo(bytes)) return claims;
@@ -54,7 +54,7 @@
 test('the bytes of all bodies never pass the limit and return to 0', () => {
   const random = Random.create(7);
   const memory = BodyMemory.create(LIMIT);
-  const claims: {claim: BodyClaim; bytes: number}[] = [];
+  const claims: {claim: MemoryClaim; bytes: number}[] = [];
   for (let step = 0; step < 5000; step++) {
     const draw = random.int(0, 3);
     if (draw === 0 && claims.length > 0) {
--- a/packages/routing/src/lib/admission/body_memory.ts
+++ b/packages/routing/src/lib/admission/body_memory.ts
@@ -1,3 +1,4 @@
+import {MemoryClaim} from './memory_claim.js';
 import {honoredRetryAfterMs} from './retry_after.js';
 
 /** What the time depends on after which a refused caller may retry. @public */
@@ -40,12 +41,15 @@
   }
 
   /** Starts to count a body, which holds nothing yet. */
-  claim(customer: string): BodyClaim {
-    return new BodyClaim(this, customer);
+  claim(customer: string): MemoryClaim {
+    return MemoryClaim.create({
+      fits: bytes => this.fits(customer, bytes),
+      add: bytes => this.add(customer, bytes),
+    });
   }
 
   /** Whether the customer may hold so many bytes more. */
-  fits(customer: string, bytes: number): boolean {
+  private fits(customer: string, bytes: number): boolean {
     const own = this.heldBy.get(customer) ?? 0;
     const freeBytes = this.limitBytes - this.held;
     return own + bytes <= freeBytes - bytes;
@@ -57,48 +61,10 @@
     return honoredRetryAfterMs(retryAfterMs, leftMs, spread) / 1000;
   }
 
-  /**
-   * Adds bytes of a customer, or takes them off if negative.
-   *
-   * @internal
-   */
-  add(customer: string, bytes: number): void {
+  private add(customer: string, bytes: number): void {
     this.held += bytes;
     const own = (this.heldBy.get(customer) ?? 0) + bytes;
     if (own > 0) this.heldBy.set(customer, own);
     else this.heldBy.delete(customer);
   }
 }
-
-/** The bytes that one body holds. @public */
-export class BodyClaim {
-  private bytes = 0;
-  private isReleased = false;
-
-  /** @internal */
-  constructor(
-    private readonly memory: BodyMemory,
-    private readonly customer: string
-  ) {}
-
-  /** Whether so many bytes more would fit now. */
-  fits(bytes: number): boolean {
-    return this.memory.fits(this.customer, bytes);
-  }
-
-  /** Holds so many bytes in all; returns false, and holds no more, without room. */
-  growTo(bytes: number): boolean {
-    const added = bytes - this.bytes;
-    if (this.isReleased || (added > 0 && !this.fits(added))) return false;
-    this.bytes = bytes;
-    this.memory.add(this.customer, added);
-    return true;
-  }
-
-  /** Frees the bytes for good; calls after the first have no effect. */
-  release(): void {
-    if (this.isReleased) return;
-    this.isReleased = true;
-    this.memory.add(this.customer, -this.bytes);
-  }
-}
