--- a/apps/daemon/src/lib/daemon.ts
+++ b/apps/daemon/src/lib/daemon.ts
@@ -45,7 +45,10 @@
   /** Undefined until the callers' port is open. */
   entry: EntryServer | undefined;
   private admin: AdminServer | undefined;
+  /** Aborted when a drain begins. */
   private readonly startEnd = new AbortController();
+  /** Ends a start that waits for a port. */
+  private readonly startSignal: AbortSignal;
   private tracing!: Tracing;
   /** Time spent on links, cells and membership. */
   readonly busyMeter = BusyMeter.create();
@@ -61,9 +64,12 @@
 
   private constructor(
     readonly settings: Settings,
-    logger: Logger
+    logger: Logger,
+    stopSignal: AbortSignal | undefined
   ) {
     this.log = logger;
+    const ends = [this.startEnd.signal, stopSignal].flatMap(s => s ?? []);
+    this.startSignal = AbortSignal.any(ends);
     const {instance, timing, platform, policy} = settings;
     const localAddress = settings.listen.peer.host;
     const log = HttpLogClient.create({
@@ -155,17 +161,12 @@
     stopSignal?: AbortSignal,
     log = createDaemonLog(settings)
   ): Promise<Daemon> {
-    const daemon = new Daemon(settings, log);
-    const abort = () => daemon.startEnd.abort();
-    if (stopSignal?.aborted === true) abort();
-    stopSignal?.addEventListener('abort', abort);
+    const daemon = new Daemon(settings, log, stopSignal);
     try {
       await daemon.start();
     } catch (err) {
       await daemon.closeParts();
       throw err;
-    } finally {
-      stopSignal?.removeEventListener('abort', abort);
     }
     return daemon;
   }
@@ -195,7 +196,7 @@
   private async start(): Promise<void> {
     const {settings, metrics, log} = this;
     const {instance, listen} = settings;
-    const {signal: stopSignal} = this.startEnd;
+    const {startSignal: stopSignal} = this;
     const otlpUrl = settings.tracing.otlp_url;
     this.tracing = await Tracing.create({otlpUrl, instance});
     this.mesh = await PeerMesh.create({
@@ -245,7 +246,7 @@
       settings,
       incarnation: this.incarnation,
       log: this.log,
-      stopSignal: this.startEnd.signal,
+      stopSignal: this.startSignal,
       metrics,
       tracing: this.tracing,
       ready: () => this.readiness.canServe,
