The caller's server no longer holds its refusals and malformed bytes

The connection of a malformed request is looked up once, a connection ends early in one place, and one constant says how long a refused caller is listened to.

--- a/packages/gateway/src/lib/front/caller_connection.ts
+++ b/packages/gateway/src/lib/front/caller_connection.ts
@@ -33,8 +33,10 @@
  * Time between the end of an answer and the close of a connection with unread
  * bytes. The close resets the connection, which could cost the caller the
  * answer.
+ *
+ * @internal
  */
-const LINGER_MS = 2000;
+export const LINGER_MS = 2000;
 
 /** The caller closed the connection within a head. */
 const CUT_OFF = 'HPE_INVALID_EOF_STATE';
@@ -123,9 +125,7 @@
     if (!this.isPassedOn || socket.destroyed || code === CUT_OFF) return false;
     // The rest of a head may be among the bytes that are not read.
     if (this.isPaused && code === LATE_HEAD) return true;
-    this.isEnding = true;
-    this.isPaused = true;
-    this.dropWaiting();
+    this.dropRest();
     socket.pause();
     return true;
   }
@@ -181,14 +181,19 @@
 
   private endEarly(afterAnswer: boolean): void {
     if (!this.isEnding) this.deps.onOverflow();
-    this.isEnding = true;
-    this.isPaused = true;
-    this.dropWaiting();
+    this.dropRest();
     if (afterAnswer) this.socket.pause();
     else this.socket.destroy();
     stopParsing(this.socket);
   }
 
+  /** No other request is run than the one that runs. */
+  private dropRest(): void {
+    this.isEnding = true;
+    this.isPaused = true;
+    this.dropWaiting();
+  }
+
   private onClose(): void {
     // A response that was never the first of its connection does not close.
     this.onAnswered();
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -1,26 +1,30 @@
 import http from 'node:http';
 import {setImmediate} from 'node:timers/promises';
 import {listenWhenFree} from '@applebend/utils';
-import {EXECUTION} from '../errors.js';
 import {readBody} from './body_reader.js';
-import {CallerConnection, stopParsing} from './caller_connection.js';
+import {CallerConnection} from './caller_connection.js';
 import {MAX_HEADER_LINES, checkHead, hasTooManyLines} from './check_head.js';
 import {checkRequest} from './check_request.js';
+import {onClientError, refuseLines} from './client_errors.js';
 import {Exchange} from './exchange.js';
-import {RETRY_AFTER_S} from './exchange_ending.js';
+import {
+  INTERNAL_FAULT,
+  overloadedResponse,
+  STOPPING,
+  TOO_MANY_WAITING,
+  unreadResponse,
+} from './front_refusals.js';
 import {recordUsage} from './record_usage.js';
-import {STATUS, refuseUnread, sendResponse} from './responses.js';
+import {refuseUnread, sendResponse} from './responses.js';
 import {WaitingRequests} from './waiting_requests.js';
 
 import type {Socket} from 'node:net';
-import type {Duplex} from 'node:stream';
 import type {FleetLimits} from '@applebend/routing';
 import type {PortOptions} from '@applebend/utils';
 import type {BodyError, HeldBody} from './body_reader.js';
 import type {CallerConnectionDeps, ParsedRequest} from './caller_connection.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
-import type {GatewayResponse} from './responses.js';
 
 /** Before a configuration is read, and the most that one may allow. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -55,37 +59,6 @@
  */
 const ACCEPT_AFTER_STOP_MS = 2500;
 
-const STOPPING: GatewayResponse = {
-  status: STATUS.unavailable,
-  kind: 'stopping',
-  execution: EXECUTION.notRun,
-  retryAfterS: 0.1,
-};
-
-const TOO_MANY_WAITING: GatewayResponse = {
-  status: STATUS.unavailable,
-  kind: 'too_many_waiting',
-  execution: EXECUTION.notRun,
-  retryAfterS: 1,
-};
-
-const INTERNAL_FAULT: GatewayResponse = {
-  status: STATUS.unavailable,
-  kind: 'internal_fault',
-  execution: EXECUTION.notRun,
-  retryAfterS: 1,
-};
-
-/** Why a request was refused before its body was read to its end. */
-type UnreadKind = Exclude<BodyError['kind'], 'broken_off'>;
-
-/** Status lines for what Node's parser refuses; 400 for all else. */
-const CLIENT_ERROR_STATUS: Partial<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
 /**
  * Node reads the size for each connection that it accepts; its types leave the
  * property out.
@@ -212,21 +185,11 @@
     context: RequestContext,
     res: http.ServerResponse
   ): void {
-    const {state, random, clock, onOverloaded} = this.deps;
-    const nowMs = clock.monotonicMs();
-    onOverloaded();
-    recordUsage(this.deps, context, false);
-    const response = {
-      status: STATUS.unavailable,
-      kind: 'overloaded',
-      execution: EXECUTION.notRun,
-      retryAfterS: state.overloadGuard.retryAfterS({
-        noticeLeftMs: state.rotationNotice.leftMs(nowMs),
-        leftMs: context.deadlineAtMs - nowMs,
-        spread: random(),
-      }),
-    };
-    sendResponse(res, response, state.closesConnections);
+    const {deps} = this;
+    deps.onOverloaded();
+    recordUsage(deps, context, false);
+    const response = overloadedResponse(context, deps);
+    sendResponse(res, response, deps.state.closesConnections);
   }
 
   private onParsed(req: http.IncomingMessage, res: http.ServerResponse): void {
@@ -357,53 +320,8 @@
     }
     deps.onBodyRefused(kind, context.customer ?? '');
     if (kind === 'body_memory') recordUsage(deps, context, false);
-    refuseUnread(req, res, this.unreadResponse(kind, context));
-  }
-
-  private unreadResponse(
-    kind: UnreadKind,
-    context: RequestContext
-  ): GatewayResponse {
-    const {state, random, clock} = this.deps;
-    const leftMs = context.deadlineAtMs - clock.monotonicMs();
-    const spread = random();
-    const retryAfterS = {
-      too_large: undefined,
-      timeout: RETRY_AFTER_S,
-      body_memory: state.bodyMemory.retryAfterS({leftMs, spread}),
-    }[kind];
-    const status = kind === 'too_large' ? STATUS.tooLarge : STATUS.unavailable;
-    return {status, kind, execution: EXECUTION.notRun, retryAfterS};
-  }
-}
-
-function onClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
-  const connection = CallerConnection.of(socket as Socket);
-  if (connection?.onClientError(err) !== true) refuseMalformed(err, socket);
-}
-
-/**
- * Refuses a head that Node's parser allows, as those that it does not. Node
- * holds the request until its connection closes, so its headers are freed.
- */
-function refuseLines(req: http.IncomingMessage): void {
-  const {socket} = req;
-  req.rawHeaders = [];
-  req.headers = {};
-  stopParsing(socket);
-  if (socket.destroyed) return;
-  const err = new Error('too many header lines');
-  onClientError(Object.assign(err, {code: 'HPE_HEADER_OVERFLOW'}), socket);
-}
-
-/** Answers bytes that are no request as Node does by default, and closes. */
-function refuseMalformed(err: NodeJS.ErrnoException, socket: Duplex): void {
-  const status = CLIENT_ERROR_STATUS[err.code ?? ''] ?? '400 Bad Request';
-  const connection = CallerConnection.of(socket as Socket);
-  if (socket.writable && connection?.hasBegunAnswer !== true) {
-    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    refuseUnread(req, res, unreadResponse(kind, context, deps));
   }
-  socket.destroy(err);
 }
 
 /**
--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -1,4 +1,4 @@
-import {isFollowed} from './caller_connection.js';
+import {isFollowed, LINGER_MS} from './caller_connection.js';
 
 import type http from 'node:http';
 import type {Execution} from '../errors.js';
@@ -13,9 +13,6 @@
   readonly retryAfterS?: number;
 }
 
-/** For the response to arrive, and for the caller to stop sending. */
-const LINGER_MS = 2000;
-
 /** The HTTP statuses that the gateway itself sends. @public */
 export const STATUS = {
   ok: 200,
--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -1,5 +1,4 @@
 import {EventSplitter} from '../upstream/event_splitter.js';
-
 import {isFollowed} from './caller_connection.js';
 
 import type http from 'node:http';
