--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -7,6 +7,7 @@
 import {recordUsage} from './record_usage.js';
 import {startDeadlineTimer} from './deadline_timer.js';
 import {decideRequest, findPlacement} from './placement.js';
+import {ExchangeBody} from './exchange_body.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {ExchangeWaits} from './exchange_waits.js';
 import {requestContent} from './request_content.js';
@@ -40,9 +41,7 @@
   private isCallOpen = false;
   /** Ends the call at the deadline if it goes on although the caller has left. */
   private runOnTimer: NodeJS.Timeout | undefined;
-  /** What still holds the body: the exchange, and calls that write it. */
-  private bodyHolders = 1;
-  private isBodyFreed = false;
+  private readonly body: ExchangeBody;
   private readonly relay: ResponseRelay;
   private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
@@ -61,6 +60,7 @@
       context.prompt
     );
     const {attempts, crashes} = this;
+    this.body = ExchangeBody.create(inbound, crashes);
     this.retries = RetryGate.create(context, deps, attempts, crashes);
     this.ending = ExchangeEnding.create(
       context,
@@ -185,10 +185,10 @@
       onSignals: signals => deps.state.onTargetSignals(record, signals),
       onSilence: () => this.onSilence(),
       onFailure: failure => this.onFailure(failure),
-      onBodyDropped: () => this.onBodyDropped(),
+      onBodyDropped: () => this.body.drop(),
     });
     this.isCallOpen = true;
-    if (this.call.holdsBody) this.bodyHolders += 1;
+    if (this.call.holdsBody) this.body.hold();
   }
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
@@ -336,20 +336,7 @@
     this.isCallOpen = false;
     if (this.runOnTimer === undefined) return;
     clearTimeout(this.runOnTimer);
-    this.freeBody();
-  }
-
-  private freeBody(): void {
-    if (this.isBodyFreed) return;
-    this.isBodyFreed = true;
-    this.inbound.body = undefined;
-    this.crashes.freeBody();
-    this.onBodyDropped();
-  }
-
-  private onBodyDropped(): void {
-    this.bodyHolders -= 1;
-    if (this.bodyHolders === 0) this.inbound.bodyClaim?.release();
+    this.body.free();
   }
 
   /** Ends the exchange, which may have stopped halfway through a change. */
@@ -371,7 +358,7 @@
   }
 
   private onEnded(): void {
-    if (this.runOnTimer === undefined) this.freeBody();
+    if (this.runOnTimer === undefined) this.body.free();
     this.waits.end();
     this.endRunning();
   }
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -13,7 +13,8 @@
 import {weightedCostOf, decideRequest} from './placement.js';
 
 import type {UsageTimeline} from '@applebend/routing';
-import type {GatewaySettings, StateSource} from '../ports.js';
+import type {StateSource} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 import type {RequestContext} from './request_context.js';
 
 const SERVICE = 'app';
