--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,7 +9,6 @@
   ArchivedRecords,
   ArchiveError,
   CallerRequest,
-  GatewaySettings,
   HeaderCodec,
   ListenAddress,
   PeerAddress,
@@ -28,3 +27,4 @@
   TargetRequest,
   TargetListStamp,
 } from './lib/ports.js';
+export type {GatewaySettings} from './lib/settings.js';
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,23 +1,20 @@
 import {Random, sleep, systemClock} from '@applebend/utils';
 import {VersionArchive} from './archive/version_archive.js';
 import {QuarantineArchive} from './archive/quarantine_archive.js';
+import {FleetPorts} from './fleet_ports.js';
 import {BodyRefusalLog} from './front/body_refusal_log.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {ListenerProbe} from './front/listener_probe.js';
 import {RateLimitedLog} from './front/rate_limited_log.js';
-import {startReadinessServer} from './front/readiness_server.js';
 import {RequestLog} from './front/request_log.js';
 import {LoopMonitor} from './loop_monitor.js';
 import {GatewayMetrics} from './metrics/gateway_metrics.js';
-import {startMetricsServer} from './metrics/metrics_server.js';
-import {startConfigServer} from './peers/config_transfer.js';
 import {PeerExchange} from './peers/peer_exchange.js';
 import {TargetReporter} from './peers/target_reporter.js';
 import {FleetState} from './state/fleet_state.js';
 import {TargetAgent} from './upstream/target_agent.js';
 
-import type http from 'node:http';
 import type {FleetConfig, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {PortOptions} from '@applebend/utils';
@@ -25,14 +22,13 @@
 import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
 import type {
-  GatewaySettings,
   HeaderCodec,
-  ListenAddress,
   PeerInfo,
   RecordArchive,
   StateSource,
   TargetInspector,
 } from './ports.js';
+import type {GatewaySettings} from './settings.js';
 
 /** The settings and platform adapters of a gateway. @public */
 export interface GatewayPorts {
@@ -74,7 +70,7 @@
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly listenerProbe: ListenerProbe;
-  private readonly servers: http.Server[] = [];
+  private readonly fleetPorts: FleetPorts;
   private front: FrontServer | undefined;
   private shutdown: Promise<void> | undefined;
   private coldTimer: NodeJS.Timeout | undefined;
@@ -133,6 +129,15 @@
       log,
       figures: () => this.loadFigures(),
     });
+    this.fleetPorts = FleetPorts.create({
+      settings,
+      log,
+      stopSignal: ports.stopSignal,
+      startPeers: port => this.startPeers(port),
+      configRecord: () => stateSource.configRecord(),
+      isReady: () => this.checkReadiness(),
+      metricsText: () => this.metricsText(),
+    });
     this.loop = LoopMonitor.create(
       this.state.overloadGuard,
       () => this.listenerProbe.delayMs,
@@ -203,66 +208,14 @@
   private async start(): Promise<void> {
     const {settings, log} = this.ports;
     this.loop.start();
-    await this.openInternalPorts();
-    const port = this.portOptions('callers', settings.callers);
+    await this.fleetPorts.open();
+    const port = this.fleetPorts.portOptions('callers', settings.callers);
     this.front = await FrontServer.create(this.exchangeDeps, port);
     this.listenerProbe.start();
     this.applyLimits();
     log.info('started', {isFleetBootstrap: settings.isFleetBootstrap});
   }
 
-  /** Waits for all of them together; one that fails ends the wait for others. */
-  private async openInternalPorts(): Promise<void> {
-    const {settings, stateSource} = this.ports;
-    const failure = new AbortController();
-    const port = (purpose: string, address: ListenAddress) =>
-      this.portOptions(purpose, address, failure.signal);
-    const opened = [
-      this.startPeers(port('peers', settings.peers)),
-      this.keep(
-        startConfigServer(port('configuration', settings.peers), () =>
-          stateSource.configRecord()
-        )
-      ),
-      this.keep(
-        startReadinessServer(port('readiness', settings.readiness), () =>
-          this.checkReadiness()
-        )
-      ),
-      this.keep(
-        startMetricsServer(port('metrics', settings.metrics), () =>
-          this.metricsText()
-        )
-      ),
-    ];
-    try {
-      await Promise.all(opened);
-    } catch (err) {
-      failure.abort();
-      await Promise.allSettled(opened);
-      throw err;
-    }
-  }
-
-  private portOptions(
-    purpose: string,
-    address: ListenAddress,
-    failureSignal?: AbortSignal
-  ): PortOptions {
-    const {log, stopSignal} = this.ports;
-    const signals = [stopSignal, failureSignal].flatMap(s => s ?? []);
-    return {
-      ...address,
-      purpose,
-      log,
-      stopSignal: AbortSignal.any(signals),
-    };
-  }
-
-  private async keep(server: Promise<http.Server>): Promise<void> {
-    this.servers.push(await server);
-  }
-
   /**
    * The store is read from when the peers' port is open. Earlier, a predecessor
    * with the same id may still run, and without messages of peers this instance
@@ -432,10 +385,7 @@
   }
 
   private stopParts(): void {
-    for (const server of this.servers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    this.fleetPorts.close();
     this.loop.stop();
     this.listenerProbe.stop();
     clearInterval(this.coldTimer);
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -8,12 +8,8 @@
 import {PeerExchange} from './peer_exchange.js';
 
 import type {LoadHandle} from '@applebend/routing';
-import type {
-  GatewaySettings,
-  PeerInfo,
-  ConfirmedState,
-  StateSource,
-} from '../ports.js';
+import type {PeerInfo, ConfirmedState, StateSource} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
 /** All instances share one process, so a busy machine slows them all. */
--- a/packages/gateway/src/lib/state/cached_block_query.test.ts
+++ b/packages/gateway/src/lib/state/cached_block_query.test.ts
@@ -7,7 +7,8 @@
 
 import type {FleetConfig, Target} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {GatewaySettings, StateSource} from '../ports.js';
+import type {StateSource} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 
 const SERVICE = 'llm';
 const ENGINE = {slots: 4, kvTokens: 1000};
--- a/packages/gateway/src/lib/state/cold_targets.test.ts
+++ b/packages/gateway/src/lib/state/cold_targets.test.ts
@@ -10,7 +10,8 @@
 import type {FleetConfig, Target, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {ExchangeDeps} from '../front/exchange_deps.js';
-import type {GatewaySettings, StateSource} from '../ports.js';
+import type {StateSource} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 
 const SERVICE = 'app';
 const DURATION_MS = 6000;
--- a/packages/gateway/src/lib/state/cold_targets.ts
+++ b/packages/gateway/src/lib/state/cold_targets.ts
@@ -7,7 +7,7 @@
   FleetConfig,
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {GatewaySettings} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 import type {TargetRecord} from './target_record.js';
 
 /** How the targets of a service are limited while they are cold. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -25,7 +25,8 @@
   TargetList,
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {GatewaySettings, StateSource, TargetInspector} from '../ports.js';
+import type {StateSource, TargetInspector} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 import type {UsageRow} from '../peers/peer_message.js';
 import type {TargetSignalListener} from './target_directory.js';
 
--- a/packages/gateway/src/lib/state/peer_pools.test.ts
+++ b/packages/gateway/src/lib/state/peer_pools.test.ts
@@ -4,7 +4,8 @@
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {FleetState} from './fleet_state.js';
 
-import type {GatewaySettings, StateSource} from '../ports.js';
+import type {StateSource} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 
 const PEER_POOLS = 1000;
 
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -24,11 +24,8 @@
   TargetLoad,
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {
-  GatewaySettings,
-  TargetInspector,
-  TargetSignals,
-} from '../ports.js';
+import type {TargetInspector, TargetSignals} from '../ports.js';
+import type {GatewaySettings} from '../settings.js';
 import type {PeerLoadTotals, LoadRow} from './load_totals.js';
 
 /** Called with what a target says of itself in a response. @public */
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -10,7 +10,8 @@
 import type {MemoryClaim, FleetConfig} from '@applebend/routing';
 import type {ExchangeDeps} from '../lib/front/exchange_deps.js';
 import type {RequestContext} from '../lib/front/request_context.js';
-import type {GatewaySettings, HeaderCodec, StateSource} from '../lib/ports.js';
+import type {HeaderCodec, StateSource} from '../lib/ports.js';
+import type {GatewaySettings} from '../lib/settings.js';
 
 /** What a test changes for one exchange. */
 export interface ExchangeChange {
