The daemon's admin server uses the server for internal requests

It had the same timeouts and containment written again. startInternalServer moves to packages/utils.

--- a/apps/daemon/src/lib/admin/admin_server.ts
+++ b/apps/daemon/src/lib/admin/admin_server.ts
@@ -1,6 +1,6 @@
-import http from 'node:http';
-import {errorMessage, listenWhenFree} from '@applebend/utils';
+import {errorMessage, startInternalServer} from '@applebend/utils';
 
+import type http from 'node:http';
 import type {Logger, Metrics} from '@applebend/telemetry';
 
 /** Reasons why an instance is not ready; empty if it is. @public */
@@ -24,15 +24,10 @@
 type AdminHandler = () => Promise<{status: number; type: string; body: string}>;
 
 const JSON_TYPE = 'application/json';
-/** Time for a whole request, which has hardly more than a path. */
-const REQUEST_TIMEOUT_MS = 5000;
-/** A connection on which nothing moves for this long is closed. */
-const INACTIVITY_TIMEOUT_MS = 10_000;
-const CHECK_INTERVAL_MS = 1000;
 
 /** HTTP server for operators: health, readiness, metrics, status, drain. @public */
 export class AdminServer {
-  private readonly server: http.Server;
+  private server!: http.Server;
   private readonly routes: Readonly<Record<string, AdminHandler>>;
 
   private constructor(private readonly options: AdminServerOptions) {
@@ -43,20 +38,14 @@
       'GET /status': async () => json(200, options.status()),
       'POST /drain': async () => this.drain(),
     };
-    this.server = http.createServer(
-      {
-        headersTimeout: REQUEST_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
-        connectionsCheckingInterval: CHECK_INTERVAL_MS,
-      },
-      (req, res) => void this.serve(req, res)
-    );
-    this.server.setTimeout(INACTIVITY_TIMEOUT_MS);
   }
 
   static async create(options: AdminServerOptions): Promise<AdminServer> {
     const admin = new AdminServer(options);
-    await listenWhenFree(admin.server, {...options, purpose: 'admin'});
+    const port = {...options, purpose: 'admin'};
+    admin.server = await startInternalServer(port, (req, res) =>
+      admin.serve(req, res)
+    );
     return admin;
   }
 
@@ -69,8 +58,6 @@
     req: http.IncomingMessage,
     res: http.ServerResponse
   ): Promise<void> {
-    req.resume();
-    res.on('error', () => res.destroy());
     const path = (req.url ?? '/').split('?', 1)[0];
     const {status, type, body} = await this.answer(`${req.method} ${path}`);
     res.writeHead(status, {'content-type': type});
--- a/packages/gateway/src/lib/front/readiness_server.ts
+++ b/packages/gateway/src/lib/front/readiness_server.ts
@@ -1,4 +1,4 @@
-import {startInternalServer} from '../internal_server.js';
+import {startInternalServer} from '@applebend/utils';
 
 import type http from 'node:http';
 import type {PortOptions} from '@applebend/utils';
--- a/packages/gateway/src/lib/peers/config_transfer.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.ts
@@ -1,6 +1,5 @@
 import http from 'node:http';
-import {errorMessage, readAll} from '@applebend/utils';
-import {startInternalServer} from '../internal_server.js';
+import {errorMessage, readAll, startInternalServer} from '@applebend/utils';
 
 import type {Logger} from '@applebend/telemetry';
 import type {PortOptions} from '@applebend/utils';
--- a/packages/gateway/src/lib/internal_server.ts
+++ b/packages/utils/src/lib/internal_server.ts
@@ -1,8 +1,9 @@
 import http from 'node:http';
-import {errorMessage, listenWhenFree} from '@applebend/utils';
+import {listenWhenFree} from './open_port.js';
+import {errorMessage} from './tagged_error.js';
 
 import type {Socket} from 'node:net';
-import type {PortOptions} from '@applebend/utils';
+import type {PortOptions} from './open_port.js';
 
 /** Answers one request; its body is discarded. @public */
 export type InternalHandler = (
@@ -24,7 +25,7 @@
 
 /**
  * Starts an HTTP server for the fleet itself: the balancer's checks, peers,
- * scrapers of metrics. A fault of the handler is logged and answered with 500.
+ * scrapers of metrics, operators. A fault of the handler is logged and answered with 500.
  * Resolves when the port is open, see `openPort`.
  *
  * @public
