--- a/packages/telemetry/src/lib/process_faults.ts
+++ b/packages/telemetry/src/lib/process_faults.ts
@@ -25,14 +25,19 @@
     if (isStopping) return;
     isStopping = true;
     process.on('exit', () => (process.exitCode = EXIT_FAULT));
-    setTimeout(() => {
-      log.error('shutdown unfinished', {limitMs});
-      process.exit(EXIT_FAULT);
-    }, limitMs);
+    exitAfter(log, limitMs);
     void shutDownAndExit(log, shutDown);
   });
 }
 
+/** Ends the process with code 1 if it still runs after a time. @internal */
+export function exitAfter(log: Logger, limitMs: number): void {
+  setTimeout(() => {
+    log.error('shutdown unfinished', {limitMs});
+    process.exit(EXIT_FAULT);
+  }, limitMs);
+}
+
 async function shutDownAndExit(
   log: Logger,
   shutDown: () => Promise<void>
--- a/packages/telemetry/src/lib/process_run.ts
+++ b/packages/telemetry/src/lib/process_run.ts
@@ -1,7 +1,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {describeError} from './error_fields.js';
 import {ignoreErrorEvents} from './log_output.js';
-import {shutDownOnFault} from './process_faults.js';
+import {exitAfter, shutDownOnFault} from './process_faults.js';
 
 import type {Logger} from './logger.js';
 import type {HandledSignal, ProcessSignals} from './process_signals.js';
@@ -121,7 +121,7 @@
   }
 
   private onSignal(signal: HandledSignal): void {
-    const {log} = this.options;
+    const {log, stopLimitMs} = this.options;
     if (signal === 'SIGHUP') {
       log.info('SIGHUP ignored; settings are read only at start');
       return;
@@ -131,19 +131,10 @@
       return;
     }
     log.info('stop signal', {signal});
-    this.limitStop();
+    if (stopLimitMs !== undefined) exitAfter(log, stopLimitMs);
     this.end(signal);
   }
 
-  private limitStop(): void {
-    const {log, stopLimitMs} = this.options;
-    if (stopLimitMs === undefined) return;
-    setTimeout(() => {
-      log.error('shutdown unfinished', {limitMs: stopLimitMs});
-      process.exit(EXIT_FAILED);
-    }, stopLimitMs);
-  }
-
   /** Resolves once the process may exit. */
   private async onFault(): Promise<void> {
     this.exitCode = EXIT_FAILED;
