--- a/packages/gateway/src/lib/front/early_answer.test.ts
+++ b/packages/gateway/src/lib/front/early_answer.test.ts
@@ -4,11 +4,11 @@
 import {test} from 'node:test';
 import {BodyMemory} from '@applebend/routing';
 import {sleep} from '@applebend/utils';
-import {ExchangeRig} from '../../testing/exchange_rig.js';
+import {ExchangeRig, SAMPLE_HEAD} from '../../testing/exchange_rig.js';
 
 import type http from 'node:http';
 import type {Socket} from 'node:net';
-import type {HeaderCodec, TargetResponseHead} from '../ports.js';
+import type {HeaderCodec} from '../ports.js';
 
 /** More than the buffers of a connection take, so that a part is not written. */
 const BODY_BYTES = 32 * 1024 * 1024;
@@ -16,15 +16,6 @@
 const MAX_KEPT_MS = 1000;
 const POLL_MS = 20;
 
-const HEAD: TargetResponseHead = {
-  attemptId: 'a-1',
-  signed: true,
-  notExecuted: false,
-  contentEncoded: false,
-  signals: {isLeaving: false, pauseMs: undefined, limitPerS: undefined},
-  headers: ['Content-Type', 'text/plain'],
-};
-
 const codec: Partial<HeaderCodec> = {
   encodeTargetRequest: () => [
     'Host',
@@ -32,7 +23,7 @@
     'Content-Length',
     String(BODY_BYTES),
   ],
-  decodeTargetResponse: () => HEAD,
+  decodeTargetResponse: () => SAMPLE_HEAD,
 };
 
 /** Answers a request once it has begun, and reads no more of it until told to. */
--- a/packages/gateway/src/lib/front/exchange_fault.test.ts
+++ b/packages/gateway/src/lib/front/exchange_fault.test.ts
@@ -3,19 +3,9 @@
 import http from 'node:http';
 import {test} from 'node:test';
 import {BodyMemory} from '@applebend/routing';
-import {ExchangeRig} from '../../testing/exchange_rig.js';
+import {ExchangeRig, SAMPLE_HEAD} from '../../testing/exchange_rig.js';
 
 import type {ExchangeChange} from '../../testing/exchange_rig.js';
-import type {TargetResponseHead} from '../ports.js';
-
-const HEAD: TargetResponseHead = {
-  attemptId: 'a-1',
-  signed: true,
-  notExecuted: false,
-  contentEncoded: false,
-  signals: {isLeaving: false, pauseMs: undefined, limitPerS: undefined},
-  headers: ['Content-Type', 'text/plain'],
-};
 
 const fault = (): never => {
   throw new RangeError('a fault');
@@ -73,7 +63,7 @@
 test('a response that cannot be written ends the connection of its caller only', async () => {
   const rig = await ExchangeRig.create(await startTarget());
   try {
-    const invalid = {...HEAD, headers: ['Name', 'line\nbreak']};
+    const invalid = {...SAMPLE_HEAD, headers: ['Name', 'line\nbreak']};
     const {status} = await rig.exchange({
       codec: {decodeTargetResponse: () => invalid},
     });
@@ -81,7 +71,7 @@
     assert.equal(rig.faults.length, 1);
     assert.equal(rig.running, 0);
     const next = await rig.exchange({
-      codec: {decodeTargetResponse: () => HEAD},
+      codec: {decodeTargetResponse: () => SAMPLE_HEAD},
     });
     assert.equal(next.status, 200);
   } finally {
@@ -93,7 +83,7 @@
   const rig = await ExchangeRig.create(await startTarget());
   try {
     const {status} = await rig.exchange({
-      codec: {decodeTargetResponse: () => HEAD},
+      codec: {decodeTargetResponse: () => SAMPLE_HEAD},
       onEnd: fault,
     });
     assert.equal(status, 200);
@@ -108,7 +98,7 @@
   const changes: ExchangeChange[] = [
     {codec: {encodeTargetRequest: fault}},
     {codec: {decodeTargetResponse: fault}},
-    {codec: {decodeTargetResponse: () => HEAD}, onEnd: fault},
+    {codec: {decodeTargetResponse: () => SAMPLE_HEAD}, onEnd: fault},
     {onPlaced: fault},
   ];
   for (const change of changes) {
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -6,15 +6,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ENGINE_POOL, fairnessWindows, UsageRecorder} from '@applebend/routing';
-import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {Random} from '@applebend/utils';
+import {sampleState} from '../../testing/sample_state.js';
 import {sampleTarget} from '../../testing/sample_target.js';
-import {FleetState} from '../state/fleet_state.js';
 import {weightedCostOf, decideRequest} from './placement.js';
 
 import type {UsageTimeline} from '@applebend/routing';
-import type {StateSource} from '../ports.js';
-import type {GatewaySettings} from '../settings.js';
+import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
 
 const SERVICE = 'app';
@@ -40,15 +38,7 @@
   });
 
 function createState(): FleetState {
-  const settings = {
-    failureDomain: 'hall-a',
-    shareWindowMs: 4000,
-    coldBound: {overage: Infinity, slack: 0},
-  } as unknown as GatewaySettings;
-  const inspector = {inspect: () => Promise.resolve(undefined)};
-  const log = Logger.create(LOG_LEVEL.error, {});
-  const source = {} as StateSource;
-  const state = FleetState.create(settings, source, inspector, log);
+  const state = sampleState();
   const targets = Array.from({length: TARGETS}, (_, i) => target(i));
   state.onTargets({targets, storeEra: 0, restoredBefore: 0}, 0);
   return state;
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -10,9 +10,23 @@
 import type {MemoryClaim, FleetConfig} from '@applebend/routing';
 import type {ExchangeDeps} from '../lib/front/exchange_deps.js';
 import type {RequestContext} from '../lib/front/request_context.js';
-import type {HeaderCodec, StateSource} from '../lib/ports.js';
+import type {
+  HeaderCodec,
+  StateSource,
+  TargetResponseHead,
+} from '../lib/ports.js';
 import type {GatewaySettings} from '../lib/settings.js';
 
+/** The head of a sound response of a target. */
+export const SAMPLE_HEAD: TargetResponseHead = {
+  attemptId: 'a-1',
+  signed: true,
+  notExecuted: false,
+  contentEncoded: false,
+  signals: {isLeaving: false, pauseMs: undefined, limitPerS: undefined},
+  headers: ['Content-Type', 'text/plain'],
+};
+
 /** What a test changes for one exchange. */
 export interface ExchangeChange {
   readonly codec?: Partial<HeaderCodec>;
