Logs tell by what a request was sent, which call lost the store, who closed

An on-call engineer could not explain the users' record: no line named the request, `store lost` did not say which call on what connection had failed for how long, and a caller's connection that we close ourselves was logged as `caller_left`.

- A request's line has its last send: the age of the list of targets, for how long the store was lost, the position of the target's registration, and whether the target has departed since.
- `store lost` names the call, how long it had waited and whether its connection had been used before; `store regained` names what showed it.
- `connection_closed` tells our own close from the caller's; `stopped` names the requests that were left without a whole response.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,8 +1,11 @@
 /** The gateway: accepts callers' requests and forwards them to targets. */
 export {Gateway} from './lib/gateway.js';
 export type {GatewayPorts} from './lib/gateway.js';
-export {StoreContact} from './lib/state/store_contact.js';
-export type {StoreCallError} from './lib/state/store_contact.js';
+export {STORE_SIGN, StoreContact} from './lib/state/store_contact.js';
+export type {
+  StoreCallError,
+  StoreCallTrace,
+} from './lib/state/store_contact.js';
 export {RECORD_TOPIC} from './lib/ports.js';
 export type {
   ArchivedRecord,
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -17,8 +17,10 @@
 import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
 import {VersionPin} from './version_pin.js';
 
+import type {Socket} from 'node:net';
 import type {Placement, Target, VersionNeed} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
+import type {TargetRecord} from '../state/target_record.js';
 import type {TargetResponse} from '../upstream/target_call.js';
 import type {PlacementInput} from './placement.js';
 import type {RequestContext} from './request_context.js';
@@ -160,6 +162,7 @@
     }
     const record = reserved.value;
     this.ending.notePlacement(candidate);
+    this.noteSend(record);
     this.target = record.target;
     this.resumedAfter = this.relay.lastEventId;
     this.attempts.onSend(candidate.id);
@@ -191,6 +194,13 @@
     if (this.call.holdsBody) this.body.hold();
   }
 
+  private noteSend(record: TargetRecord): void {
+    const {context, deps, nowMs} = this;
+    const basis = deps.state.sendBasis(record.target);
+    record.recentSends.add(context.caller.attemptId, basis, nowMs);
+    this.ending.noteSend(record, basis);
+  }
+
   /** Forwards a response, or retries an idempotent request after a 5xx. */
   private onResponse(response: TargetResponse): void {
     const {status} = response;
@@ -319,7 +329,7 @@
     const mayRunOn = !this.retries.isIdempotent && !route.streaming;
     if (mayRunOn && this.isCallOpen) this.runOn(abort, leftMs);
     else abort();
-    this.ending.end('caller_left', 0);
+    this.ending.end(disconnectOutcome(this.inbound.req.socket), 0);
   }
 
   /** Lets the call, which needs the body, go on after the exchange. */
@@ -368,3 +378,9 @@
     this.relay.detach();
   }
 }
+
+/** Who closed the connection of a caller before its response was complete. */
+function disconnectOutcome({readableEnded, errored}: Socket): string {
+  const isByCaller = readableEnded || errored !== null;
+  return isByCaller ? 'caller_left' : 'connection_closed';
+}
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -8,10 +8,18 @@
 import type {AttemptFailure} from '../errors.js';
 import type {AttemptTracker} from './attempt_tracker.js';
 import type {ExchangeDeps, InboundRequest} from './exchange_deps.js';
-import type {PlacementEstimates} from './exchange_report.js';
+import type {SendBasis} from '../state/recent_sends.js';
+import type {TargetRecord} from '../state/target_record.js';
+import type {PlacementEstimates, SendReport} from './exchange_report.js';
 import type {RequestContext} from './request_context.js';
 import type {GatewayResponse} from './responses.js';
 
+interface LastSend {
+  readonly record: TargetRecord;
+  readonly basis: SendBasis;
+  readonly sentAtMs: number;
+}
+
 /** When callers may retry a request that certainly did not run. */
 export const RETRY_AFTER_S = 0.3;
 
@@ -24,6 +32,7 @@
 export class ExchangeEnding {
   private ended = false;
   private target: string | undefined;
+  private lastSend: LastSend | undefined;
   private placed: PlacementEstimates | undefined;
   private refusedFor: AdmissionInput | undefined;
   private headMs: number | undefined;
@@ -60,6 +69,11 @@
     return this.ended;
   }
 
+  /** Records by what the request is sent to a target. */
+  noteSend(record: TargetRecord, basis: SendBasis): void {
+    this.lastSend = {record, basis, sentAtMs: this.deps.clock.monotonicMs()};
+  }
+
   notePlacement(candidate: Candidate): void {
     const {id, load, waitMs, prefillMs, uncachedTokens} = candidate;
     const {running, kvTokens} = load;
@@ -146,6 +160,7 @@
       status,
       sends: attempts.sends,
       target: this.target,
+      sent: this.sendReport(nowMs),
       failure: attempts.lastFailure,
       placed: this.placed,
       refusedFor: this.refusedFor,
@@ -155,6 +170,14 @@
     });
   }
 
+  private sendReport(nowMs: number): SendReport | undefined {
+    const {lastSend, deps} = this;
+    if (lastSend === undefined) return undefined;
+    const {record, basis, sentAtMs} = lastSend;
+    const hasDeparted = deps.state.targets.hasDeparted(record);
+    return {...basis, agoMs: nowMs - sentAtMs, hasDeparted};
+  }
+
   private secondsUntilResumed(): number | undefined {
     const {context, deps} = this;
     const nowMs = deps.clock.monotonicMs();
--- a/packages/gateway/src/lib/front/exchange_report.ts
+++ b/packages/gateway/src/lib/front/exchange_report.ts
@@ -1,5 +1,6 @@
 import type {AdmissionInput} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
+import type {SendBasis} from '../state/recent_sends.js';
 
 /** The target's load and the estimates for one placement. @public */
 export interface PlacementEstimates {
@@ -15,6 +16,14 @@
   readonly kvTokens: number;
 }
 
+/** By what a request was sent to its last target. @public */
+export interface SendReport extends SendBasis {
+  /** Time from the send to the end of the request. */
+  readonly agoMs: number;
+  /** Whether the target gets no new requests any more. */
+  readonly hasDeparted: boolean;
+}
+
 /** How a request ended, for the log and the metrics. @public */
 export interface ExchangeReport {
   readonly attemptId: string;
@@ -27,7 +36,10 @@
   readonly fingerprint: string | undefined;
   /** A block of the prompt that is in quarantine at its end, see `blockKey`. */
   readonly quarantinedBlock: string | undefined;
-  /** `answered`, `caller_left`, or the kind of the gateway's response. */
+  /**
+   * `answered`, `caller_left`, `connection_closed` by this instance, or the kind of
+   * the gateway's response.
+   */
   readonly outcome: string;
   /** HTTP status; 0 if the caller disconnected. */
   readonly status: number;
@@ -35,6 +47,8 @@
   readonly sends: number;
   /** Id of the last target that it was sent to. */
   readonly target: string | undefined;
+  /** Its last send; undefined if it was not sent. */
+  readonly sent: SendReport | undefined;
   /** The last failed attempt. */
   readonly failure: AttemptFailure | undefined;
   /** Estimates for the last placement. */
--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -72,6 +72,8 @@
   private active = 0;
   private accepted = 0;
   private readonly waiting = WaitingRequests.create();
+  /** Attempts that were passed on to an exchange and have no whole response. */
+  private readonly passedOn = new Set<string>();
 
   private constructor(private readonly deps: ExchangeDeps) {
     this.server = http.createServer(
@@ -129,6 +131,11 @@
     return this.waiting.count;
   }
 
+  /** Ids of attempts that may have reached a target and have no whole response. */
+  get unansweredAttempts(): string[] {
+    return [...this.passedOn];
+  }
+
   /** Number of connections that were accepted since the start. */
   get acceptedCount(): number {
     return this.accepted;
@@ -299,6 +306,9 @@
     }
     const inbound = {req, res, body: body?.bytes, bodyClaim: body?.claim};
     connection.onPassOn();
+    const {attemptId} = context.caller;
+    this.passedOn.add(attemptId);
+    res.on('close', () => this.passedOn.delete(attemptId));
     Exchange.create(context, inbound, deps);
     return true;
   }
--- a/packages/gateway/src/lib/front/request_log.test.ts
+++ b/packages/gateway/src/lib/front/request_log.test.ts
@@ -18,6 +18,7 @@
     status: 200,
     sends: 1,
     target: 't',
+    sent: undefined,
     failure: undefined,
     placed: undefined,
     refusedFor: undefined,
@@ -27,6 +28,42 @@
   };
 }
 
+/** Sent while all was well. */
+const SENT = {
+  listAgeMs: 300,
+  storeLostMs: 0,
+  registeredAt: 7,
+  agoMs: 20,
+  hasDeparted: false,
+};
+
+function rig() {
+  const lines: ExchangeReport[] = [];
+  const log = {
+    info: (_event: string, line: ExchangeReport) => lines.push(line),
+  };
+  const clock = {monotonicMs: () => 0, wallMs: () => 0};
+  return {lines, requestLog: RequestLog.create(log as never, clock)};
+}
+
+test('an answered request that was sent late to a target has a line beside many others', () => {
+  const {lines, requestLog} = rig();
+  for (let i = 0; i < 1000; i++) {
+    requestLog.onEnd({...report('answered'), sent: SENT});
+  }
+  const notable = [
+    {...SENT, hasDeparted: true},
+    {...SENT, storeLostMs: 400},
+    {...SENT, listAgeMs: 1500},
+  ];
+  for (const [i, sent] of notable.entries()) {
+    requestLog.onEnd({...report('answered'), attemptId: `late-${i}`, sent});
+  }
+  requestLog.onEnd({...report('answered'), attemptId: 'again', sends: 2});
+  const ids = lines.map(({attemptId}) => attemptId);
+  assert.deepEqual(ids, ['x', 'x', 'late-0', 'late-1', 'late-2', 'again']);
+});
+
 test('limits the lines a second and counts the requests that are left out', () => {
   const lines: {leftOut: number}[] = [];
   const log = {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -47,6 +47,8 @@
 /** Running requests are aborted this long before the forced end. */
 const FORCED_CLOSE_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
+/** Bounds the line that names the requests without a response at a stop. */
+const MAX_LOGGED_ATTEMPTS = 20;
 /** Time between two updates of which targets are cold. */
 const COLD_UPDATE_MS = 250;
 
@@ -381,7 +383,11 @@
     this.stopParts();
     this.usageLog.flush();
     this.pipeliningLog.flush();
-    log.info('stopped', {cut: this.front?.activeCount});
+    const unanswered = this.front?.unansweredAttempts ?? [];
+    log.info('stopped', {
+      cut: this.front?.activeCount,
+      unanswered: unanswered.slice(0, MAX_LOGGED_ATTEMPTS),
+    });
   }
 
   private stopParts(): void {
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -57,6 +57,10 @@
   targetsAgeMs(): number {
     return 0;
   }
+  storeLostMs(): number {
+    return 0;
+  }
+
   areTargetsCurrent(): boolean {
     return true;
   }
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -218,6 +218,8 @@
    * `maxTargetListAgeMs`, or the store is lost and no other one can be had.
    */
   areTargetsCurrent(): boolean;
+  /** Milliseconds for which the store has been lost; 0 while it responds. */
+  storeLostMs(): number;
   /** Reads the targets from the store; resolves when the read has ended. */
   refreshTargets(): Promise<void>;
   /**
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -22,12 +22,14 @@
   AttemptKey,
   FleetConfig,
   ShareLevels,
+  Target,
   TargetList,
 } from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {StateSource, TargetInspector} from '../ports.js';
 import type {GatewaySettings} from '../settings.js';
 import type {UsageRow} from '../peers/peer_message.js';
+import type {SendBasis} from './recent_sends.js';
 import type {TargetSignalListener} from './target_directory.js';
 
 /** Minimum time between two log lines of one kind. */
@@ -157,6 +159,13 @@
     return this.source.areTargetsCurrent();
   }
 
+  /** What is known now of the list that a target is chosen from. */
+  sendBasis({registeredAt}: Target): SendBasis {
+    const {source} = this;
+    const listAgeMs = source.targetsAgeMs();
+    return {listAgeMs, storeLostMs: source.storeLostMs(), registeredAt};
+  }
+
   /** Resolves when a read of the targets has ended, whether or not it succeeded. */
   async refreshTargets(): Promise<void> {
     this.logOldTargets();
--- a/packages/gateway/src/lib/state/store_contact.test.ts
+++ b/packages/gateway/src/lib/state/store_contact.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
 import {systemClock} from '@applebend/utils';
-import {StoreContact} from './store_contact.js';
+import {STORE_SIGN, StoreContact} from './store_contact.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
 const DOWN = {kind: 'unreachable', message: 'down'};
@@ -21,7 +21,7 @@
   const contact = StoreContact.create(log, () => false);
   await contact.onError(DOWN);
   assert.equal(contact.isLost, true);
-  contact.onResponse();
+  contact.onResponse(STORE_SIGN.targets);
   assert.equal(contact.isLost, false);
   const nowMs = systemClock.monotonicMs();
   assert.ok(contact.graceEndsAtMs < nowMs);
--- a/packages/gateway/src/lib/state/store_contact.ts
+++ b/packages/gateway/src/lib/state/store_contact.ts
@@ -7,8 +7,32 @@
   /** `era_changed` if the store was restored from a copy since the call. */
   readonly kind: string;
   readonly message: string;
+  /** The call, if it got no response. */
+  readonly call?: StoreCallTrace;
 }
 
+/** A call as it is logged. @public */
+export interface StoreCallTrace {
+  readonly path: string;
+  /** Time from the call to its failure. */
+  readonly elapsedMs: number;
+  /** Whether its connection had served an earlier call. */
+  readonly isKeptConnection: boolean;
+}
+
+/** What showed that the store responds. @public */
+export const STORE_SIGN = {
+  targets: 'targets',
+  config: 'config',
+  peers: 'peers',
+  registration: 'registration',
+  /** The parent, which reads the store for this instance. */
+  parent: 'parent',
+} as const;
+
+/** One of these signs. @public */
+export type StoreSign = (typeof STORE_SIGN)[keyof typeof STORE_SIGN];
+
 const INITIAL_RETRY_MS = 250;
 /** Longest pause between retries if each instance reads for itself. */
 const MAX_RETRY_MS = 400;
@@ -49,6 +73,12 @@
     return this.lostAtMs !== undefined;
   }
 
+  /** Time for which the store has been lost; 0 while it responds. */
+  get lostMs(): number {
+    if (this.lostAtMs === undefined) return 0;
+    return systemClock.monotonicMs() - this.lostAtMs;
+  }
+
   /** Until then, by monotonic milliseconds, missing records may return. */
   get graceEndsAtMs(): number {
     return this.graceUntilMs;
@@ -68,14 +98,14 @@
     await sleep(retryMs);
   }
 
-  onResponse(): void {
+  onResponse(sign: StoreSign): void {
     this.retryMs = INITIAL_RETRY_MS;
     if (this.lostAtMs === undefined) return;
     const nowMs = systemClock.monotonicMs();
-    const lostMs = nowMs - this.lostAtMs;
+    const {lostMs} = this;
     this.lostAtMs = undefined;
     if (lostMs > MIN_OUTAGE_MS) this.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
-    this.log.info('store regained', {lostMs});
+    this.log.info('store regained', {lostMs, by: sign});
   }
 
   /** Called when the store was restored from a copy. */
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -107,6 +107,12 @@
     );
   }
 
+  /** Whether a target was removed, replaced, or is leaving. */
+  hasDeparted(record: TargetRecord): boolean {
+    const {id, state} = record.target;
+    return this.records.get(id) !== record || state !== TARGET_STATE.ready;
+  }
+
   /** Whether a registered target is neither leaving nor in an evacuated domain. */
   private isEligible({target}: TargetRecord): boolean {
     const {state, failureDomain} = target;
@@ -177,8 +183,8 @@
       version: softwareVersion,
     }));
     this.versions.setRegistered(registered, nowMs);
-    for (const id of this.records.keys()) {
-      if (!records.has(id)) this.log.info('target removed', {target: id});
+    for (const [id, record] of this.records) {
+      if (!records.has(id)) this.logDeparture('target removed', record, nowMs);
     }
     this.records = records;
     this.loaded = true;
@@ -223,12 +229,32 @@
     if (!this.isLeaving(incarnationOf(record.target))) return true;
     if (record.target.state === TARGET_STATE.leaving) return true;
     record.target = {...record.target, state: TARGET_STATE.leaving};
-    const {id, service} = record.target;
-    this.log.info('target leaving', {target: id, service});
+    this.logDeparture('target leaving', record, nowMs);
     this.indexServices();
     return true;
   }
 
+  private logState(
+    target: Target,
+    {recentSends}: TargetRecord,
+    nowMs: number
+  ): void {
+    const {id, state, registeredAt} = target;
+    const lastSends = recentSends.list(nowMs);
+    this.log.info('target state', {target: id, state, registeredAt, lastSends});
+  }
+
+  /** The last sends name each request that reached the target late. */
+  private logDeparture(
+    event: string,
+    {target, recentSends}: TargetRecord,
+    nowMs: number
+  ): void {
+    const {id, service, registeredAt} = target;
+    const lastSends = recentSends.list(nowMs);
+    this.log.info(event, {target: id, service, registeredAt, lastSends});
+  }
+
   private applyEvacuations(
     {begun, ended}: EvacuationChanges,
     nowMs: number
@@ -249,6 +275,8 @@
         service: target.service,
         version: target.softwareVersion,
         state: target.state,
+        startedAtMs: target.startedAtMs,
+        registeredAt: target.registeredAt,
       });
       const model = this.firstEventModelOf(target.service);
       const {peerLoads} = this;
@@ -258,8 +286,7 @@
       return record;
     }
     if (existing.target.state !== target.state) {
-      const {id, state} = target;
-      this.log.info('target state', {target: id, state});
+      this.logState(target, existing, nowMs);
     }
     existing.target = target;
     return existing;
--- a/packages/gateway/src/lib/state/target_record.ts
+++ b/packages/gateway/src/lib/state/target_record.ts
@@ -7,6 +7,7 @@
   TargetPause,
   TargetRateLimit,
 } from '@applebend/routing';
+import {RecentSends} from './recent_sends.js';
 
 import type {FirstEventModel, TargetLoad, Target} from '@applebend/routing';
 import type {PeerLoadTotals} from './load_totals.js';
@@ -28,6 +29,8 @@
   /** Until then, by monotonic milliseconds, it paused some peer. */
   peerPauseEndsAtMs = -Infinity;
   readonly prefixCache = PrefixCache.create(0);
+  /** The last requests that this instance sent to it. */
+  readonly recentSends = RecentSends.create();
   /** Whether its prefix cache has been queried. */
   cachedBlocksRequested = false;
   private memory = 0;
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -147,6 +147,7 @@
   const source = {
     targetsAgeMs: () => 0,
     targetsReadAgeMs: () => 0,
+    storeLostMs: () => 0,
     areTargetsCurrent: () => rigSource.isCurrent,
     refreshTargets: async () => rigSource.onRefresh(),
   } as StateSource;
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -13,6 +13,8 @@
 export {evictOldest} from './lib/evict_oldest.js';
 export {GrowingBuffer} from './lib/growing_buffer.js';
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
+export {httpCall} from './lib/http_call.js';
+export type {HttpCall, HttpCallError, HttpResponse} from './lib/http_call.js';
 export {startInternalServer} from './lib/internal_server.js';
 export type {InternalHandler} from './lib/internal_server.js';
 export {limitInformation} from './lib/limit_information.js';
