An older report of a target takes no newer one back

What callers saw: requests went to a target that had said it was leaving, or whose entry was removed, up to the moment at which it closed (DRAIN).

Cause: the newest record of a target's key was taken for the newest report. A heartbeat without an answer may be executed seconds later, after the target has said `draining` or was removed; its `ready` then replaced what came before, and an instance that had not read in between never heard of the leaving.

Change: TargetReports decides which of two reports is newer: by the start of the incarnation, then by `seq`, for 10 s after the newer one (no belief without an end). A removed incarnation counts as registered again with its second report, since the first may have been under way at the removal; a new incarnation at once. Each instance reads every record that was written since the fleet's last read of the same list, not the newest ones only; peers name the offset of their read, so this is one heartbeat of each target. An instance that starts, or was away for over 15 s, reads the list and the last five records of each target. A leaving that a list showed stays in force for that incarnation, as before.

TargetListFollower stands in the gateway, since it decides; platform/ keeps how registrations are read and decoded.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,12 @@
   StoreCallError,
   StoreCallTrace,
 } from './lib/state/store_contact.js';
+export {TargetListFollower} from './lib/state/target_list_follower.js';
+export type {
+  TargetListFollowerOptions,
+  TargetListStore,
+  TargetRecords,
+} from './lib/state/target_list_follower.js';
 export {RECORD_TOPIC} from './lib/ports.js';
 export type {
   ArchivedRecord,
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -102,7 +102,11 @@
   incarnation: count,
   sequence: count,
   leaving: fc.boolean(),
-  targetList: fc.record({key: count, ageMs: count}),
+  targetList: fc.record({
+    key: count,
+    ageMs: count,
+    next: fc.option(count, {nil: undefined}),
+  }),
   storeEra: count,
   configVersion: count,
   ...rows,
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -62,6 +62,8 @@
   ...rows: WireRows,
   storeEra: number,
   configVersion: number,
+  /** -1 if it is not known. */
+  targetsNext: number,
 ];
 
 /** Index of the first row list of a message. */
@@ -82,6 +84,7 @@
     ...encodeRows(message),
     message.storeEra,
     message.configVersion,
+    message.targetList.next ?? -1,
   ];
   return pack(wire);
 }
@@ -92,7 +95,8 @@
 ): PeerDatagram | undefined {
   const [, instance, incarnation, sequence, leaving, key, ageMs] =
     wire as unknown as Wire;
-  const [storeEra = 0, configVersion = 0] = wire.slice(STORE_ERA_INDEX);
+  const [storeEra = 0, configVersion = 0, next = -1] =
+    wire.slice(STORE_ERA_INDEX);
   const rows = decodeRows(wire, ROWS_INDEX);
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
@@ -107,9 +111,13 @@
     incarnation,
     sequence,
     leaving,
-    targetList: {key, ageMs},
+    targetList: {key, ageMs, next: isOffset(next) ? next : undefined},
     storeEra,
     configVersion,
     ...rows,
   };
 }
+
+function isOffset(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -176,6 +176,8 @@
   readonly key: number;
   /** Milliseconds since the read that returned the list was sent. */
   readonly ageMs: number;
+  /** Offset up to which the records were read; undefined if it is not known. */
+  readonly next?: number;
 }
 
 /** What an instance holds, for its peers to compare with. @public */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -107,6 +107,11 @@
   DepartureKind,
   TargetList,
 } from './lib/membership/target_departures.js';
+export {TargetReports} from './lib/membership/target_reports.js';
+export type {
+  TargetRecordEntry,
+  TargetReport,
+} from './lib/membership/target_reports.js';
 export {FirstEventModel} from './lib/placement/first_event_model.js';
 export type {Candidate, Placement} from './lib/placement/placer.js';
 export {PrefixCache} from './lib/placement/prefix_cache.js';
