--- a/packages/gateway/src/lib/state/store_contact.test.ts
+++ b/packages/gateway/src/lib/state/store_contact.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {LOG_LEVEL, Logger} from '@applebend/telemetry';
-import {systemClock} from '@applebend/utils';
+import {sleep, systemClock} from '@applebend/utils';
 import {STORE_SIGN, StoreContact} from './store_contact.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
@@ -28,3 +28,16 @@
   contact.onNewEra();
   assert.ok(contact.graceEndsAtMs >= nowMs + 2000);
 });
+
+// The store did not let registrations lapse while it served others.
+test('a loss in which peers read gives no grace to missing records', async () => {
+  const contact = StoreContact.create(log, () => false);
+  for (const readsMeanwhile of [true, false]) {
+    await contact.onError(DOWN);
+    await sleep(1600);
+    if (readsMeanwhile) contact.onPeerRead(systemClock.monotonicMs() - 500);
+    contact.onResponse(STORE_SIGN.targets);
+    const hasGrace = contact.graceEndsAtMs > systemClock.monotonicMs();
+    assert.equal(hasGrace, !readsMeanwhile);
+  }
+});
--- a/packages/gateway/src/lib/state/store_contact.ts
+++ b/packages/gateway/src/lib/state/store_contact.ts
@@ -18,6 +18,8 @@
   readonly elapsedMs: number;
   /** Whether its connection had served an earlier call. */
   readonly isKeptConnection: boolean;
+  /** Whether the time for it was over, and the connection still open. */
+  readonly isTimeout: boolean;
 }
 
 /** What showed that the store responds. @public */
@@ -44,7 +46,7 @@
  * again.
  */
 const EXPIRY_GRACE_MS = 2200;
-/** A loss of the store counts as an outage if it lasts longer than this. */
+/** An outage, in which no peer reads either, lasts longer than this. */
 const MIN_OUTAGE_MS = 1500;
 
 /**
@@ -58,6 +60,8 @@
   private lostAtMs: number | undefined;
   private retryMs = INITIAL_RETRY_MS;
   private graceUntilMs = -Infinity;
+  /** When a peer last sent a read that the store answered. */
+  private peerReadAtMs = -Infinity;
 
   private constructor(
     private readonly log: Logger,
@@ -103,11 +107,19 @@
     if (this.lostAtMs === undefined) return;
     const nowMs = systemClock.monotonicMs();
     const {lostMs} = this;
+    const lastReadAtMs = Math.max(this.lostAtMs, this.peerReadAtMs);
     this.lostAtMs = undefined;
-    if (lostMs > MIN_OUTAGE_MS) this.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
+    if (nowMs - lastReadAtMs > MIN_OUTAGE_MS) {
+      this.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
+    }
     this.log.info('store regained', {lostMs, by: sign});
   }
 
+  /** Called with the time at which a peer sent a read that succeeded. */
+  onPeerRead(sentAtMs: number): void {
+    this.peerReadAtMs = Math.max(this.peerReadAtMs, sentAtMs);
+  }
+
   /** Called when the store was restored from a copy. */
   onNewEra(): void {
     this.graceUntilMs = systemClock.monotonicMs() + EXPIRY_GRACE_MS;
--- a/packages/gateway/src/lib/state/target_list_follower.ts
+++ b/packages/gateway/src/lib/state/target_list_follower.ts
@@ -152,11 +152,12 @@
 
   /** Called when a peer has read the list in the present era of the store. */
   onPeerStamp({key, ageMs, next}: TargetListStamp): void {
-    const {freshness, reports} = this;
+    const {freshness, reports, options} = this;
+    const nowMs = systemClock.monotonicMs();
+    options.contact.onPeerRead(nowMs - ageMs);
     // A peer's list lacks the missing targets that are kept here, so it cannot
     // replace the read that removes them.
     if (reports.hasMissing) return;
-    const nowMs = systemClock.monotonicMs();
     freshness.onPeerRead(key, ageMs, nowMs);
     if (key !== freshness.contentKey || reports.hasCold) return;
     // What the peer has read up to there leads to the list that is held here,
--- a/packages/utils/src/lib/http_call.ts
+++ b/packages/utils/src/lib/http_call.ts
@@ -36,6 +36,8 @@
   readonly elapsedMs: number;
   /** Whether its connection had served an earlier call. */
   readonly isKeptConnection: boolean;
+  /** Whether the time for it was over, and the connection still open. */
+  readonly isTimeout: boolean;
 }
 
 /** A longer response is rejected; a page of a store has some 1.4 MB at most. */
@@ -53,6 +55,7 @@
   const {body, timeoutMs} = call;
   const sentAtMs = systemClock.monotonicMs();
   return new Promise(resolve => {
+    let isTimeout = false;
     const onError = (err: unknown, req?: http.ClientRequest) =>
       resolve(
         fail({
@@ -60,6 +63,7 @@
           message: errorMessage(err),
           elapsedMs: systemClock.monotonicMs() - sentAtMs,
           isKeptConnection: req?.reusedSocket ?? false,
+          isTimeout,
         })
       );
     const opened = openRequest(call);
@@ -68,7 +72,10 @@
       return;
     }
     const req = opened.value;
-    const onTimeout = () => req.destroy(timeoutError(timeoutMs));
+    const onTimeout = () => {
+      isTimeout = true;
+      req.destroy(timeoutError(timeoutMs));
+    };
     const cancelTimeout = afterLoopTime(timeoutMs, onTimeout);
     req.on('close', cancelTimeout);
     limitInformation(req);
