The age of a peer's read includes the time for which its message waited

What callers would see: requests sent by a list of targets that is older than the instance takes it for, so later than drainMs after a leaving (DRAIN).

Cause: a peer's message says how old its read is, and the receiver counts from the moment at which it reads the message. libuv reads 32 datagrams a turn of the event loop; at a busy instance they wait, in a queue of some 200, for most of a second, and the list looks younger by that much. So does every belief that starts when a report is read and not when it was sent.

Change: messages have their sender's monotonic time.

Evidence: a receiver that stands still for 900 ms took the read for 0 ms old (test failed), now for 900.

--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -19,6 +19,7 @@
   PeerAddress,
   PeerInfo,
   ConfirmedState,
+  HeldState,
   StateSource,
 } from '../ports.js';
 import type {FleetState} from '../state/fleet_state.js';
@@ -238,6 +239,7 @@
 
   private send(): void {
     const {state, incarnation, source, clock} = this.options;
+    const nowMs = clock.monotonicMs();
     clearTimeout(this.sendTimer);
     this.sendTimer = undefined;
     this.sequence += 1;
@@ -247,10 +249,11 @@
       sequence: this.sequence,
       leaving: state.isStopping,
       ...source.heldState(),
+      sentAtMs: nowMs,
       loads: state.targets.loadRows(({ownLoad}) => ownLoad.load),
       usage: this.usage.takeChanged(),
       placements: this.placements,
-      notices: this.notices.take(clock.monotonicMs()),
+      notices: this.notices.take(nowMs),
     });
     this.placements = [];
     for (const address of this.directory.directPeers()) {
@@ -275,7 +278,7 @@
     const order = this.peerTable.onMessage(message, nowMs, onUsage);
     if (order === MESSAGE_ORDER.stale) return;
     this.directory.addAddress(from);
-    source.onPeerState(message);
+    source.onPeerState(this.agedState(message));
     if (order === MESSAGE_ORDER.started) this.onPeerStarted(nowMs);
     for (const notice of message.notices) {
       applyNotice(notice, state, nowMs);
@@ -287,6 +290,14 @@
     }
   }
 
+  /** What the peer holds; its read is older by the time for which this waited. */
+  private agedState(message: PeerDatagram): HeldState {
+    const {storeEra, configVersion, targetList} = message;
+    const lateMs = this.peerTable.lateMs(message.instance);
+    const ageMs = targetList.ageMs + lateMs;
+    return {storeEra, configVersion, targetList: {...targetList, ageMs}};
+  }
+
   /**
    * Tells a peer that started what is held here; it lets no key in before it has
    * heard a peer.
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -8,10 +8,17 @@
 import {PeerExchange} from './peer_exchange.js';
 
 import type {LoadHandle} from '@applebend/routing';
-import type {PeerInfo, ConfirmedState, StateSource} from '../ports.js';
+import type {
+  ConfirmedState,
+  HeldState,
+  PeerInfo,
+  StateSource,
+} from '../ports.js';
 import type {GatewaySettings} from '../settings.js';
 
 const log = Logger.create(LOG_LEVEL.error, {});
+/** For which an instance does not read its messages. */
+const BUSY_MS = 900;
 /** All instances share one process, so a busy machine slows them all. */
 const WAIT_TIMEOUT_MS = 15_000;
 
@@ -49,7 +56,11 @@
     const targetList = {key: 0, ageMs: 0};
     return {storeEra: 0, configVersion: 7, targetList};
   }
-  onPeerState(): void {}
+  /** Ages of the lists that peers have read, as they were passed on. */
+  readonly peerListAgesMs: number[] = [];
+  onPeerState({targetList}: HeldState): void {
+    this.peerListAgesMs.push(targetList.ageMs);
+  }
   targetsReadAgeMs(): number {
     return 0;
   }
@@ -371,3 +382,16 @@
     }
   });
 });
+
+test('a list that a peer read is as old as its message, however late that is read', async () => {
+  await withFleet(2, async ([sender, receiver]) => {
+    const {peerListAgesMs} = receiver.source;
+    const before = peerListAgesMs.length;
+    sender.exchange.announceNow([]);
+    const untilMs = performance.now() + BUSY_MS;
+    while (performance.now() < untilMs);
+    await waitUntil('it is read', () => peerListAgesMs.length > before);
+    const [ageMs] = peerListAgesMs.slice(before);
+    assert.ok(ageMs >= BUSY_MS - 100, `${ageMs} ms`);
+  });
+});
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -109,6 +109,7 @@
   }),
   storeEra: count,
   configVersion: count,
+  sentAtMs: count,
   ...rows,
 });
 
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -47,6 +47,8 @@
   readonly storeEra: number;
   /** Version of the configuration that the sender holds; 0 without one. */
   readonly configVersion: number;
+  /** The sender's monotonic clock; undefined if it is an older version. */
+  readonly sentAtMs: number | undefined;
   /** The sender's load at every target where it has any. */
   readonly loads: readonly LoadRow[];
 }
@@ -64,6 +66,7 @@
   configVersion: number,
   /** -1 if it is not known. */
   targetsNext: number,
+  sentAtMs: number,
 ];
 
 /** Index of the first row list of a message. */
@@ -85,6 +88,7 @@
     message.storeEra,
     message.configVersion,
     message.targetList.next ?? -1,
+    Math.round(message.sentAtMs ?? 0),
   ];
   return pack(wire);
 }
@@ -95,7 +99,7 @@
 ): PeerDatagram | undefined {
   const [, instance, incarnation, sequence, leaving, key, ageMs] =
     wire as unknown as Wire;
-  const [storeEra = 0, configVersion = 0, next = -1] =
+  const [storeEra = 0, configVersion = 0, next = -1, sentAtMs] =
     wire.slice(STORE_ERA_INDEX);
   const rows = decodeRows(wire, ROWS_INDEX);
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
@@ -114,6 +118,7 @@
     targetList: {key, ageMs, next: isOffset(next) ? next : undefined},
     storeEra,
     configVersion,
+    sentAtMs: typeof sentAtMs === 'number' ? sentAtMs : undefined,
     ...rows,
   };
 }
--- a/packages/gateway/src/lib/peers/peer_table.ts
+++ b/packages/gateway/src/lib/peers/peer_table.ts
@@ -1,3 +1,4 @@
+import {TransitDelay} from '@applebend/routing';
 import {MESSAGE_ORDER} from './message_order.js';
 import {SenderSequence} from './sender_sequence.js';
 import {UsageReceiver} from './usage_counters.js';
@@ -21,6 +22,9 @@
   readonly receivedAtMs: number;
   readonly usage: UsageReceiver;
   readonly sequence: SenderSequence;
+  readonly transit: TransitDelay;
+  /** How much later than usual the message was read. */
+  readonly lateMs: number;
 }
 
 /** The latest message of each peer in this instance's group. @public */
@@ -54,6 +58,8 @@
     const usage = isSameIncarnation
       ? known.usage
       : UsageReceiver.create(message.sequence <= MAX_FIRST_SEQUENCE);
+    const transit = isSameIncarnation ? known.transit : TransitDelay.create();
+    const {sentAtMs = nowMs} = message;
     for (const row of usage.increments(message.usage)) onUsage(row);
     this.loads.replace(known?.message.loads ?? [], message.loads);
     this.peers.set(message.instance, {
@@ -61,10 +67,17 @@
       receivedAtMs: nowMs,
       usage,
       sequence,
+      transit,
+      lateMs: transit.onMessage(sentAtMs, nowMs),
     });
     return isSameIncarnation ? MESSAGE_ORDER.newer : MESSAGE_ORDER.started;
   }
 
+  /** How much later than usual the last message of a peer was read. */
+  lateMs(instance: string): number {
+    return this.peers.get(instance)?.lateMs ?? 0;
+  }
+
   /** Returns whether a peer sent a message recently and is not shutting down. */
   isAlive(instance: string, nowMs: number): boolean {
     const record = this.peers.get(instance);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -76,6 +76,7 @@
 export type {ConfigKnowledgeOptions} from './lib/freshness/config_knowledge.js';
 export {ListFreshness} from './lib/freshness/list_freshness.js';
 export type {ListFreshnessOptions} from './lib/freshness/list_freshness.js';
+export {TransitDelay} from './lib/freshness/transit_delay.js';
 export {ERA_ORDER, StoreEra} from './lib/freshness/store_era.js';
 export type {EraOrder} from './lib/freshness/store_era.js';
 export {COLD_REASON, ColdStart, coldShareOf} from './lib/health/cold_start.js';
