A connection that opened late is not used by a list that became too old

Cause: after the choice of a target nothing looked at the age of the list again. Now a new connection is used only while the list is no older than at the choice plus the time that a connection may take; otherwise nothing is written, and the request is placed again by a new read.

The test failed before (the target received the request).

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -175,7 +175,7 @@
       leftMs: this.leftMs,
       resumeAfter: this.resumedAfter,
       predictedMs: candidate.waitMs + candidate.prefillMs,
-      maySend: () => deps.state.targets.mayGetRequests(record),
+      maySend: () => deps.state.mayStillSend(record),
       canFailOver: this.retries.isIdempotent && !this.attempts.isLastAttempt,
       contain,
     });
--- a/packages/gateway/src/lib/front/late_drain.test.ts
+++ b/packages/gateway/src/lib/front/late_drain.test.ts
@@ -54,3 +54,13 @@
     assert.equal(status, 503);
     assert.equal(receivedCount(), 0);
   }));
+
+test('a connection that opens late sends no request by a list that became too old', () =>
+  withTarget(async (rig, receivedCount) => {
+    const agent = new LateAgent();
+    agent.onConnecting = () => (rig.source.ageMs = 1801);
+    rig.agent = agent;
+    const {status} = await rig.exchange();
+    assert.equal(status, 503);
+    assert.equal(receivedCount(), 0);
+  }));
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -13,6 +13,7 @@
 import {errorMessage, EventThrottle, systemClock} from '@applebend/utils';
 import {JournalReadiness} from '../archive/journal_readiness.js';
 import {CrashGuard} from '../crash/crash_guard.js';
+import {CONNECT_TIMEOUT_MS} from '../upstream/target_call.js';
 import {confirmTargetList} from './list_confirmation.js';
 import {PeerLoadTotals} from './load_totals.js';
 import {TargetDirectory} from './target_directory.js';
@@ -31,6 +32,7 @@
 import type {UsageRow} from '../peers/peer_message.js';
 import type {SendBasis} from './recent_sends.js';
 import type {TargetSignalListener} from './target_directory.js';
+import type {TargetRecord} from './target_record.js';
 
 /** Minimum time between two log lines of one kind. */
 const MIN_LOG_INTERVAL_MS = 1000;
@@ -166,6 +168,17 @@
     return {listAgeMs, storeLostMs: source.storeLostMs(), registeredAt};
   }
 
+  /**
+   * Whether a target may still get a request that was to be sent to it. The list
+   * may be older than at the choice by the time that a connection takes.
+   */
+  mayStillSend(record: TargetRecord): boolean {
+    const {listAgeMs, storeLostMs} = this.sendBasis(record.target);
+    const maxAgeMs = this.settings.maxTargetListAgeMs + CONNECT_TIMEOUT_MS;
+    const isCurrent = storeLostMs > 0 || listAgeMs <= maxAgeMs;
+    return isCurrent && this.targets.mayGetRequests(record);
+  }
+
   /** Resolves when a read of the targets has ended, whether or not it succeeded. */
   async refreshTargets(): Promise<void> {
     this.logOldTargets();
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -67,7 +67,8 @@
   readonly message: string;
 }
 
-const CONNECT_TIMEOUT_MS = 400;
+/** A connection to a target is given up after this time. @public */
+export const CONNECT_TIMEOUT_MS = 400;
 /**
  * A target may answer before it has read a body. The unwritten rest stays in
  * memory: if it is not read within this time, the connection is closed.
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -47,6 +47,8 @@
 export interface RigSource {
   /** Whether the list is recent enough to send requests by it. */
   isCurrent: boolean;
+  /** Its age. */
+  ageMs: number;
   /** Called to read the list. */
   onRefresh: () => void;
 }
@@ -66,7 +68,11 @@
   /** @param target - undefined if nothing listens at the target's address */
   static async create(target?: http.Server): Promise<ExchangeRig> {
     const address = target?.address() as AddressInfo | undefined;
-    const source: RigSource = {isCurrent: true, onRefresh: () => undefined};
+    const source: RigSource = {
+      isCurrent: true,
+      ageMs: 0,
+      onRefresh: () => undefined,
+    };
     const state = createState(address?.port ?? 9, source);
     return new ExchangeRig(state, source, target);
   }
@@ -138,6 +144,7 @@
     instance: 'entry-1',
     failureDomain: 'hall-a',
     isFleetBootstrap: false,
+    maxTargetListAgeMs: 1400,
     shareWindowMs: 4000,
     coldBound: {overage: 1.5, slack: 5},
     retryBudget: {windowMs: 10_000, ratio: 0.2, minRetries: 58},
@@ -145,7 +152,7 @@
   const log = Logger.create(LOG_LEVEL.error, {});
   const inspector = {inspect: () => Promise.resolve(undefined)};
   const source = {
-    targetsAgeMs: () => 0,
+    targetsAgeMs: () => rigSource.ageMs,
     targetsReadAgeMs: () => 0,
     storeLostMs: () => 0,
     areTargetsCurrent: () => rigSource.isCurrent,
