--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -4,8 +4,9 @@
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
+import {CallLifetime} from './call_lifetime.js';
+import {disconnectOutcome} from './disconnect_outcome.js';
 import {recordUsage} from './record_usage.js';
-import {startDeadlineTimer} from './deadline_timer.js';
 import {decideRequest, findPlacement} from './placement.js';
 import {ExchangeBody} from './exchange_body.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
@@ -14,13 +15,11 @@
 import {reserveSend} from './send_check.js';
 import {RetryGate} from './retry_gate.js';
 import {ResponseRelay} from './response_relay.js';
-import {DEADLINE_GRACE_MS, targetCallOptions} from './target_call_options.js';
+import {targetCallOptions} from './target_call_options.js';
 import {VersionPin} from './version_pin.js';
 
-import type {Socket} from 'node:net';
 import type {Placement, Target, VersionNeed} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
-import type {TargetRecord} from '../state/target_record.js';
 import type {TargetResponse} from '../upstream/target_call.js';
 import type {PlacementInput} from './placement.js';
 import type {RequestContext} from './request_context.js';
@@ -39,11 +38,8 @@
   private readonly versionPin: VersionPin;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
-  /** Whether the call has not ended. */
-  private isCallOpen = false;
-  /** Ends the call at the deadline if it goes on although the caller has left. */
-  private runOnTimer: NodeJS.Timeout | undefined;
   private readonly body: ExchangeBody;
+  private readonly lifetime: CallLifetime;
   private readonly relay: ResponseRelay;
   private readonly waits: ExchangeWaits;
   private readonly contain = containFaults(err => this.onFault(err));
@@ -63,6 +59,7 @@
     );
     const {attempts, crashes} = this;
     this.body = ExchangeBody.create(inbound, crashes);
+    this.lifetime = CallLifetime.create(this.body);
     this.retries = RetryGate.create(context, deps, attempts, crashes);
     this.ending = ExchangeEnding.create(
       context,
@@ -107,9 +104,8 @@
       if (!res.writableFinished) this.onCallerDisconnected();
     });
     res.on('close', onClose);
-    const waitMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     const {waits} = this;
-    waits.startDeadline(waitMs, () => this.onDeadline());
+    waits.startDeadline(this.leftMs, () => this.onDeadline());
     waits.whenVersionKnown(need =>
       waits.whenTargetsCurrent(() => this.admit(need))
     );
@@ -135,8 +131,7 @@
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
     }
-    const {placementInput} = this;
-    const decision = decideRequest(placementInput);
+    const decision = decideRequest(this.placementInput);
     recordUsage(deps, context, decision?.admission.kind === 'admit');
     if (decision === undefined) {
       this.ending.refuseWithoutTarget();
@@ -148,7 +143,7 @@
       this.ending.refuse(admission.reason, admission.retryAfterS);
       return;
     }
-    deps.state.retryBudgetOf(context.service).onRequest(placementInput.nowMs);
+    deps.state.retryBudgetOf(context.service).onRequest(this.nowMs);
     this.send(placement);
   }
 
@@ -162,14 +157,13 @@
     }
     const record = reserved.value;
     this.ending.notePlacement(candidate);
-    this.noteSend(record);
+    this.ending.noteSend(record);
     this.target = record.target;
     this.resumedAfter = this.relay.lastEventId;
     this.attempts.onSend(candidate.id);
     this.crashes.onSend(record.target, this.nowMs);
     const feedback = AttemptFeedback.create(record, candidate, context, deps);
     this.feedback = feedback;
-    const {contain} = this;
     const options = targetCallOptions(context, this.inbound, deps, {
       target: record.target,
       leftMs: this.leftMs,
@@ -177,7 +171,7 @@
       predictedMs: candidate.waitMs + candidate.prefillMs,
       maySend: () => deps.state.mayStillSend(record),
       canFailOver: this.retries.isIdempotent && !this.attempts.isLastAttempt,
-      contain,
+      contain: this.contain,
     });
     this.call = TargetCall.create(options, {
       onResponse: response => {
@@ -190,17 +184,10 @@
       onFailure: failure => this.onFailure(failure),
       onBodyDropped: () => this.body.drop(),
     });
-    this.isCallOpen = true;
+    this.lifetime.onCallOpened();
     if (this.call.holdsBody) this.body.hold();
   }
 
-  private noteSend(record: TargetRecord): void {
-    const {context, deps, nowMs} = this;
-    const basis = deps.state.sendBasis(record.target);
-    record.recentSends.add(context.caller.attemptId, basis, nowMs);
-    this.ending.noteSend(record, basis);
-  }
-
   /** Forwards a response, or retries an idempotent request after a 5xx. */
   private onResponse(response: TargetResponse): void {
     const {status} = response;
@@ -219,7 +206,7 @@
       this.retries.tryAcquire(true)
     ) {
       response.res.destroy();
-      this.isCallOpen = false;
+      this.lifetime.onCallEnded();
       this.crashes.onUnresolved(this.nowMs);
       this.endRunning();
       this.attempts.onExecuted();
@@ -236,8 +223,8 @@
    */
   private onSilence(): void {
     if (this.ending.hasEnded || !this.retries.isIdempotent) return;
-    const isListCurrent = this.deps.state.areTargetsCurrent;
-    const placement = isListCurrent ? this.placeAgain() : undefined;
+    const {areTargetsCurrent} = this.deps.state;
+    const placement = areTargetsCurrent ? this.placeAgain() : undefined;
     if (placement === undefined || !this.retries.tryAcquire(true)) {
       this.feedback?.onSilence();
       return;
@@ -253,7 +240,7 @@
     if (status < 300) this.crashes.onServed();
     else this.crashes.onUnresolved(this.nowMs);
     if (status < 500) this.feedback?.onServed();
-    this.onCallEnded();
+    this.lifetime.onCallEnded();
     this.ending.end('answered', status);
   }
 
@@ -266,7 +253,7 @@
   /** What failed is of interest also if the caller has left since. */
   private onFailure(failure: AttemptFailure): void {
     const checked = this.crashes.onFailure(failure, this.nowMs);
-    this.onCallEnded();
+    this.lifetime.onCallEnded();
     if (this.ending.hasEnded) return;
     this.recordFailure(failure);
     if (failure.kind === 'reset') void this.onReset(failure, checked);
@@ -324,31 +311,14 @@
   private onCallerDisconnected(): void {
     if (this.ending.hasEnded) return;
     const {route} = this.context;
-    const leftMs = Math.max(0, this.leftMs) + DEADLINE_GRACE_MS;
     const abort = this.contain(() => this.abortCall());
     const mayRunOn = !this.retries.isIdempotent && !route.streaming;
-    if (mayRunOn && this.isCallOpen) this.runOn(abort, leftMs);
-    else abort();
+    if (mayRunOn && this.lifetime.isCallOpen) {
+      this.lifetime.runOn(abort, this.leftMs);
+    } else abort();
     this.ending.end(disconnectOutcome(this.inbound.req.socket), 0);
   }
 
-  /** Lets the call, which needs the body, go on after the exchange. */
-  private runOn(abort: () => void, leftMs: number): void {
-    const onDeadline = () => {
-      abort();
-      this.onCallEnded();
-    };
-    this.runOnTimer = startDeadlineTimer(onDeadline, leftMs);
-  }
-
-  /** Frees the body if the exchange has ended before the call. */
-  private onCallEnded(): void {
-    this.isCallOpen = false;
-    if (this.runOnTimer === undefined) return;
-    clearTimeout(this.runOnTimer);
-    this.body.free();
-  }
-
   /** Ends the exchange, which may have stopped halfway through a change. */
   private onFault(err: unknown): void {
     const {deps, context} = this;
@@ -368,7 +338,7 @@
   }
 
   private onEnded(): void {
-    if (this.runOnTimer === undefined) this.body.free();
+    this.lifetime.onExchangeEnded();
     this.waits.end();
     this.endRunning();
   }
@@ -378,9 +348,3 @@
     this.relay.detach();
   }
 }
-
-/** Who closed the connection of a caller before its response was complete. */
-function disconnectOutcome({readableEnded, errored}: Socket): string {
-  const isByCaller = readableEnded || errored !== null;
-  return isByCaller ? 'caller_left' : 'connection_closed';
-}
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -70,8 +70,12 @@
   }
 
   /** Records by what the request is sent to a target. */
-  noteSend(record: TargetRecord, basis: SendBasis): void {
-    this.lastSend = {record, basis, sentAtMs: this.deps.clock.monotonicMs()};
+  noteSend(record: TargetRecord): void {
+    const {context, deps} = this;
+    const sentAtMs = deps.clock.monotonicMs();
+    const basis = deps.state.sendBasis(record.target);
+    record.recentSends.add(context.caller.attemptId, basis, sentAtMs);
+    this.lastSend = {record, basis, sentAtMs};
   }
 
   notePlacement(candidate: Candidate): void {
--- a/packages/gateway/src/lib/front/exchange_waits.ts
+++ b/packages/gateway/src/lib/front/exchange_waits.ts
@@ -1,5 +1,5 @@
 import {whenTargetsCurrent} from './current_targets.js';
-import {startDeadlineTimer} from './deadline_timer.js';
+import {startResponseTimer} from './deadline_timer.js';
 import {lookUpVersion} from './version_lookup.js';
 
 import type {VersionNeed} from '@applebend/routing';
@@ -33,8 +33,9 @@
     return new ExchangeWaits(context, deps, contain);
   }
 
-  startDeadline(waitMs: number, onDeadline: () => void): void {
-    this.deadlineTimer = startDeadlineTimer(this.contain(onDeadline), waitMs);
+  /** Calls back when the response that a target sends at the deadline is late. */
+  startDeadline(leftMs: number, onDeadline: () => void): void {
+    this.deadlineTimer = startResponseTimer(this.contain(onDeadline), leftMs);
   }
 
   /** Calls back once it is known where the request may run, or cannot be. */
--- a/packages/gateway/src/lib/front/target_call_options.ts
+++ b/packages/gateway/src/lib/front/target_call_options.ts
@@ -23,14 +23,6 @@
   readonly contain: Contain;
 }
 
-/**
- * How long to wait past the deadline, so that the response that the target
- * itself sends at the deadline still arrives.
- *
- * @public
- */
-export const DEADLINE_GRACE_MS = 60;
-
 /** Returns the options of one attempt at a caller's request. @public */
 export function targetCallOptions(
   {caller, customer, route}: RequestContext,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,14 +1,14 @@
-import {Random, sleep, systemClock} from '@applebend/utils';
+import {Random, systemClock} from '@applebend/utils';
 import {VersionArchive} from './archive/version_archive.js';
 import {QuarantineArchive} from './archive/quarantine_archive.js';
+import {whenDrained} from './drain.js';
 import {FleetPorts} from './fleet_ports.js';
-import {BodyRefusalLog} from './front/body_refusal_log.js';
 import {CustomerUsageLog} from './front/customer_usage_log.js';
 import {FrontServer} from './front/front_server.js';
 import {ListenerProbe} from './front/listener_probe.js';
-import {RateLimitedLog} from './front/rate_limited_log.js';
-import {RequestLog} from './front/request_log.js';
+import {RequestReports} from './front/request_reports.js';
 import {LoopMonitor} from './loop_monitor.js';
+import {gaugeValues, loadFigures} from './metrics/gateway_figures.js';
 import {GatewayMetrics} from './metrics/gateway_metrics.js';
 import {PeerExchange} from './peers/peer_exchange.js';
 import {TargetReporter} from './peers/target_reporter.js';
@@ -18,8 +18,6 @@
 import type {FleetConfig, TargetList} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {PortOptions} from '@applebend/utils';
-import type {BodyError} from './front/body_reader.js';
-import type {ExchangeReport} from './front/exchange_report.js';
 import type {ExchangeDeps} from './front/exchange_deps.js';
 import type {
   HeaderCodec,
@@ -42,11 +40,6 @@
   readonly stopSignal?: AbortSignal;
 }
 
-/** Time that the balancer may need to stop sending new connections. */
-const LAME_DUCK_MS = 3000;
-/** Running requests are aborted this long before the forced end. */
-const FORCED_CLOSE_MARGIN_MS = 400;
-const STOP_POLL_MS = 50;
 /** Bounds the line that names the requests without a response at a stop. */
 const MAX_LOGGED_ATTEMPTS = 20;
 /** Time between two updates of which targets are cold. */
@@ -66,9 +59,7 @@
   private readonly versionArchive: VersionArchive;
   private readonly loop: LoopMonitor;
   private readonly exchangeDeps: ExchangeDeps;
-  private readonly requestLog: RequestLog;
-  private readonly bodyRefusals: BodyRefusalLog;
-  private readonly pipeliningLog: RateLimitedLog;
+  private readonly reports: RequestReports;
   private readonly usageLog: CustomerUsageLog;
   private readonly metrics = GatewayMetrics.create();
   private readonly listenerProbe: ListenerProbe;
@@ -79,15 +70,14 @@
 
   private constructor(private readonly ports: GatewayPorts) {
     const {settings, stateSource, archive, codec, inspector, log} = ports;
-    this.requestLog = RequestLog.create(log, systemClock);
-    this.bodyRefusals = BodyRefusalLog.create(log, systemClock);
-    this.pipeliningLog = RateLimitedLog.create(
-      log,
-      systemClock,
-      'connections closed: too many pipelined requests'
-    );
     const random = Random.create(Math.trunc(Math.random() * 0x7fffffff));
     this.state = FleetState.create(settings, stateSource, inspector, log);
+    this.reports = RequestReports.create({
+      log,
+      clock: systemClock,
+      metrics: this.metrics,
+      bodyMemory: this.state.bodyMemory,
+    });
     this.usageLog = CustomerUsageLog.create(log, systemClock, () =>
       this.state.shareLevels(systemClock.monotonicMs())
     );
@@ -129,7 +119,7 @@
       address: settings.callers,
       clock: systemClock,
       log,
-      figures: () => this.loadFigures(),
+      figures: () => loadFigures(this.state, this.front),
     });
     this.fleetPorts = FleetPorts.create({
       settings,
@@ -159,11 +149,12 @@
         this.usageLog.onUsage(usage);
       },
       onOverloaded: () => this.metrics.onOverloaded(),
-      onBodyRefused: (kind, customer) => this.onBodyRefused(kind, customer),
+      onBodyRefused: (kind, customer) =>
+        this.reports.onBodyRefused(kind, customer),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
-      onPipeliningClosed: () => this.onPipeliningClosed(),
-      onFault: (err, attemptId) => this.onFault(err, attemptId),
-      onEnd: report => this.onEnd(report),
+      onPipeliningClosed: () => this.reports.onPipeliningClosed(),
+      onFault: (err, attemptId) => this.reports.onFault(err, attemptId),
+      onEnd: report => this.reports.onEnd(report),
     };
   }
 
@@ -301,62 +292,13 @@
     return this.state.targets.cold.update(systemClock.monotonicMs());
   }
 
-  /** How busy this instance is, beside its listener. */
-  private loadFigures() {
-    const {overloadGuard, callerConnections} = this.state;
-    return {
-      acceptedConnections: this.front?.acceptedCount ?? 0,
-      callerConnections,
-      active: this.front?.activeCount ?? 0,
-      waitingRequests: this.front?.waitingCount ?? 0,
-      loopLagMs: overloadGuard.lagMs,
-      loopBusyPart: overloadGuard.busyFraction,
-    };
-  }
-
   private metricsText(): Promise<string> {
-    const {state} = this;
-    return this.metrics.text({
-      configAgeMs: this.ports.stateSource.configAgeMs(),
-      targetListAgeMs: this.ports.stateSource.targetsAgeMs(),
-      configVersion: state.config?.version ?? 0,
-      storeEra: this.ports.stateSource.heldState().storeEra,
-      instances: state.instanceCount,
-      targets: [...state.targets.all()].length,
-      coldTargets: this.updateCold(),
-      evacuatedDomains: state.targets.evacuations.count,
-      listenerDelayMs: this.listenerProbe.delayMs,
-      heldBodyBytes: state.bodyMemory.heldBytes,
-      heldBodyLimitBytes: state.bodyMemory.limitBytes,
-      heldResponseBytes: state.responseMemory.heldBytes,
-      heldResponseLimitBytes: state.responseMemory.limitBytes,
-      residentBytes: process.memoryUsage.rss(),
-      residentLimitBytes: this.ports.settings.memoryLimitBytes,
-      ...this.loadFigures(),
-    });
-  }
-
-  private onFault(err: unknown, attemptId: string): void {
-    const {message, stack} =
-      err instanceof Error ? err : new TypeError(String(err));
-    this.ports.log.error('request fault', {attemptId, message, stack});
-    this.metrics.onFault();
-  }
-
-  private onBodyRefused(kind: BodyError['kind'], customer: string): void {
-    this.metrics.onBodyRefused(kind);
-    if (kind !== 'body_memory') return;
-    this.bodyRefusals.onRefused(customer, this.state.bodyMemory);
-  }
-
-  private onPipeliningClosed(): void {
-    this.pipeliningLog.onEvent();
-    this.metrics.onPipeliningClosed();
-  }
-
-  private onEnd(report: ExchangeReport): void {
-    this.requestLog.onEnd(report);
-    this.metrics.onEnd(report);
+    const {state, front, listenerProbe} = this;
+    const {stateSource: source} = this.ports;
+    const coldTargets = this.updateCold();
+    return this.metrics.text(
+      gaugeValues({state, source, front, listenerProbe, coldTargets})
+    );
   }
 
   /**
@@ -365,24 +307,16 @@
    */
   private async drainAndStop(): Promise<void> {
     const {log, settings} = this.ports;
-    const stoppingSinceMs = systemClock.monotonicMs();
     log.info('stopping', {active: this.front?.activeCount});
     this.state.isStopping = true;
     this.front?.beginShutdown();
-    const forcedCloseAtMs =
-      stoppingSinceMs + settings.shutdownGraceMs - FORCED_CLOSE_MARGIN_MS;
-    for (;;) {
-      await sleep(STOP_POLL_MS);
-      const nowMs = systemClock.monotonicMs();
-      const isIdle = this.front?.activeCount === 0;
-      if (isIdle && nowMs - stoppingSinceMs >= LAME_DUCK_MS) break;
-      if (nowMs >= forcedCloseAtMs) break;
-    }
+    const activeCount = () => this.front?.activeCount;
+    await whenDrained(activeCount, settings.shutdownGraceMs);
     this.front?.close();
     this.peers.stop();
     this.stopParts();
     this.usageLog.flush();
-    this.pipeliningLog.flush();
+    this.reports.flush();
     const unanswered = this.front?.unansweredAttempts ?? [];
     log.info('stopped', {
       cut: this.front?.activeCount,
