--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -93,7 +93,7 @@
 );
 await runAll(
   files.filter(file => !file.endsWith(PROCESS_TEST)),
-  4
+  5
 );
 await runAll(
   files.filter(file => file.endsWith(PROCESS_TEST)),
