Requests that are read together are all answered before a refusal closes

What callers saw: a connection that ended without an answer to requests that the instance had read whole, up to a second after their last byte, around a planned stop and in overload (LOST).

Cause: a refusal that closes the connection was written in the turn of the parser that read its request. The requests behind it in the same bytes were not parsed yet, so the response said `Connection: close` and cut them.

Change: such a refusal waits until the parser has handed over all that was read; if others follow, only the last one closes the connection.

Requests at a target were never cut.

--- a/packages/gateway/src/lib/front/front_server.ts
+++ b/packages/gateway/src/lib/front/front_server.ts
@@ -14,17 +14,18 @@
   TOO_MANY_WAITING,
   unreadResponse,
 } from './front_refusals.js';
+import {hasDisconnected} from './has_disconnected.js';
 import {recordUsage} from './record_usage.js';
 import {refuseUnread, sendResponse} from './responses.js';
 import {WaitingRequests} from './waiting_requests.js';
 
-import type {Socket} from 'node:net';
 import type {FleetLimits} from '@applebend/routing';
 import type {PortOptions} from '@applebend/utils';
 import type {BodyError, HeldBody} from './body_reader.js';
 import type {CallerConnectionDeps, ParsedRequest} from './caller_connection.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
+import type {GatewayResponse} from './responses.js';
 
 /** Before a configuration is read, and the most that one may allow. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -36,11 +37,6 @@
 const MAX_PARSED_LINES = MAX_HEADER_LINES + 1;
 /** How often Node closes connections that exceed the header timeout. */
 const CHECK_INTERVAL_MS = 1000;
-/**
- * Calls of `setImmediate` until a close that was received is reported. The
- * first may return in the turn of the event loop that read the request.
- */
-const CLOSE_DETECTION_TURNS = 2;
 /**
  * Connections that may wait to be accepted. With a longer queue, callers wait
  * here although another instance could serve them.
@@ -188,15 +184,15 @@
     sendResponse(res, TOO_MANY_WAITING, deps.state.closesConnections);
   }
 
-  private refuseOverloaded(
+  private async refuseOverloaded(
     context: RequestContext,
     res: http.ServerResponse
-  ): void {
+  ): Promise<void> {
     const {deps} = this;
     deps.onOverloaded();
     recordUsage(deps, context, false);
     const response = overloadedResponse(context, deps);
-    sendResponse(res, response, deps.state.closesConnections);
+    await refuse(res, response, deps.state.closesConnections);
   }
 
   private onParsed(req: http.IncomingMessage, res: http.ServerResponse): void {
@@ -233,7 +229,7 @@
     const {req, res, arrivedAtMs} = request;
     const {state, clock, codec} = deps;
     if (!this.acceptsRequests) {
-      sendResponse(res, STOPPING, true);
+      await refuse(res, STOPPING, true);
       return;
     }
     const fault = checkHead(req);
@@ -251,13 +247,13 @@
       state
     );
     if (!checked.ok) {
-      sendResponse(res, checked.err, state.closesConnections);
+      await refuse(res, checked.err, state.closesConnections);
       return;
     }
     const context = checked.value;
     const nowMs = clock.monotonicMs();
     if (state.overloadGuard.shouldRefuse(context.customer ?? '', nowMs)) {
-      this.refuseOverloaded(context, res);
+      await this.refuseOverloaded(context, res);
       return;
     }
     const body = await readBody(req, {
@@ -335,11 +331,14 @@
 }
 
 /**
- * Whether the caller has disconnected. If a connection waited long to be
- * accepted, the request is read together with the caller's close, which the
- * event loop reports a turn later.
+ * Refuses a request. Before its response closes the connection, the requests that
+ * were read together with it are parsed, as they need an answer, too.
  */
-async function hasDisconnected(socket: Socket): Promise<boolean> {
-  for (let turn = 0; turn < CLOSE_DETECTION_TURNS; turn++) await setImmediate();
-  return socket.destroyed || socket.readableEnded;
+async function refuse(
+  res: http.ServerResponse,
+  response: GatewayResponse,
+  closeConnection: boolean
+): Promise<void> {
+  if (closeConnection) await setImmediate();
+  sendResponse(res, response, closeConnection);
 }
