An instance names to its peers only the offset of its own read

Cause: a member whose parent confirms its list kept the offset of a read of long ago and named it beside the age of the confirmation. A peer that then read for itself would have read all records since, a minute of heartbeats of each target, in place of the list.

--- a/packages/gateway/src/lib/state/target_list_follower.ts
+++ b/packages/gateway/src/lib/state/target_list_follower.ts
@@ -124,10 +124,12 @@
   get stamp(): TargetListStamp {
     const ageMs = this.freshness.ownReadAgeMs(systemClock.monotonicMs());
     const key = this.freshness.contentKey;
+    // The offset is that of the last read here, and not of a confirmation.
+    const isOwnOffset = this.offsetAtMs === this.readAtMs;
     return {
       key,
       ageMs: Math.min(ageMs, MAX_REPORTED_AGE_MS),
-      next: this.offset,
+      next: isOwnOffset ? this.offset : undefined,
     };
   }
 
