What is asked of the targets' reports is computed once a read

- TargetReports made its lists anew at each question; with each message of a peer, hundreds a second, two of them walked all targets.
They are computed when a read was applied.
The list's key is computed once unless missing targets are kept.
- mayStillSend repeated the check of areTargetsCurrent with another bound; the one check takes an allowance. mayGetRequests calls hasDeparted, and the line of a target's state has no method of its own.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,11 +7,11 @@
   StoreCallTrace,
 } from './lib/state/store_contact.js';
 export {TargetListFollower} from './lib/state/target_list_follower.js';
+export type {TargetListFollowerOptions} from './lib/state/target_list_follower.js';
 export type {
-  TargetListFollowerOptions,
   TargetListStore,
   TargetRecords,
-} from './lib/state/target_list_follower.js';
+} from './lib/state/target_list_store.js';
 export {RECORD_TOPIC} from './lib/ports.js';
 export type {
   ArchivedRecord,
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -218,8 +218,10 @@
   /**
    * Whether the list of targets is recent enough to send requests by it, see
    * `maxTargetListAgeMs`, or the store is lost and no other one can be had.
+   *
+   * @param allowanceMs - by which the list may be older; 0 by default
    */
-  areTargetsCurrent(): boolean;
+  areTargetsCurrent(allowanceMs?: number): boolean;
   /** Milliseconds for which the store has been lost; 0 while it responds. */
   storeLostMs(): number;
   /** Reads the targets from the store; resolves when the read has ended. */
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -173,10 +173,8 @@
    * may be older than at the choice by the time that a connection takes.
    */
   mayStillSend(record: TargetRecord): boolean {
-    const {listAgeMs, storeLostMs} = this.sendBasis(record.target);
-    const maxAgeMs = this.settings.maxTargetListAgeMs + CONNECT_TIMEOUT_MS;
-    const isCurrent = storeLostMs > 0 || listAgeMs <= maxAgeMs;
-    return isCurrent && this.targets.mayGetRequests(record);
+    const isListCurrent = this.source.areTargetsCurrent(CONNECT_TIMEOUT_MS);
+    return isListCurrent && this.targets.mayGetRequests(record);
   }
 
   /** Resolves when a read of the targets has ended, whether or not it succeeded. */
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -102,9 +102,7 @@
 
   /** Whether a target that was chosen may still get a request. */
   mayGetRequests(record: TargetRecord): boolean {
-    return (
-      this.records.get(record.target.id) === record && this.isEligible(record)
-    );
+    return !this.hasDeparted(record) && this.isEligible(record);
   }
 
   /** Whether a target was removed, replaced, or is leaving. */
@@ -234,16 +232,6 @@
     return true;
   }
 
-  private logState(
-    target: Target,
-    {recentSends}: TargetRecord,
-    nowMs: number
-  ): void {
-    const {id, state, registeredAt} = target;
-    const lastSends = recentSends.list(nowMs);
-    this.log.info('target state', {target: id, state, registeredAt, lastSends});
-  }
-
   /** The last sends name each request that reached the target late. */
   private logDeparture(
     event: string,
@@ -286,7 +274,10 @@
       return record;
     }
     if (existing.target.state !== target.state) {
-      this.logState(target, existing, nowMs);
+      const {id, state, registeredAt} = target;
+      const lastSends = existing.recentSends.list(nowMs);
+      const fields = {target: id, state, registeredAt, lastSends};
+      this.log.info('target state', fields);
     }
     existing.target = target;
     return existing;
--- a/packages/gateway/src/lib/state/target_list_follower.ts
+++ b/packages/gateway/src/lib/state/target_list_follower.ts
@@ -1,38 +1,18 @@
 import {ListFreshness, TargetReports} from '@applebend/routing';
-import {hash32, ok, sleep, systemClock} from '@applebend/utils';
+import {sleep, systemClock} from '@applebend/utils';
 import {STORE_SIGN} from './store_contact.js';
+import {targetListKey} from './target_list_key.js';
+import {readWithHistory} from './target_list_store.js';
 
-import type {Target, TargetList, TargetRecordEntry} from '@applebend/routing';
+import type {TargetList, TargetRecordEntry} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
-import type {Result} from '@applebend/utils';
 import type {
   ConfirmedState,
   StateSourceCallbacks,
   TargetListStamp,
 } from '../ports.js';
-import type {StoreCallError, StoreContact} from './store_contact.js';
-
-/** Records of the list of targets. @public */
-export interface TargetRecords {
-  readonly entries: readonly TargetRecordEntry[];
-  /** Offset at which to continue reading. */
-  readonly next: number;
-}
-
-/** Reads the registrations of the targets. @public */
-export interface TargetListStore {
-  /** Era of the store, see `TargetList.storeEra`. */
-  readonly era: number;
-  /** Reads the newest record of each target. */
-  readList(): Promise<Result<TargetRecords, StoreCallError>>;
-  /**
-   * Reads the records from an offset to the end, in the order in which they were
-   * written. Fails with `history_gone` if they are not retained.
-   */
-  readSince(offset: number): Promise<Result<TargetRecords, StoreCallError>>;
-  /** Adds a listener that is called when the store was restored from a copy. */
-  onNewEra(listener: () => void): void;
-}
+import type {StoreContact} from './store_contact.js';
+import type {TargetListStore, TargetRecords} from './target_list_store.js';
 
 /** @public */
 export interface TargetListFollowerOptions {
@@ -57,8 +37,6 @@
 const POLL_MS = 100;
 /** Reported instead of a greater or infinite age; too old to save a read. */
 const MAX_REPORTED_AGE_MS = 1e9;
-/** Records of each target that an instance reads when it starts: some seconds. */
-const HISTORY_PER_TARGET = 5;
 /** More records than have been written in this time are not read one by one. */
 const MAX_BACKLOG_MS = 15_000;
 
@@ -114,10 +92,15 @@
     return this.freshness.ageMs(systemClock.monotonicMs());
   }
 
-  /** Whether requests may be sent by the list: it is recent, or the store lost. */
-  get isCurrent(): boolean {
+  /**
+   * Whether requests may be sent by the list: it is recent, or the store lost.
+   *
+   * @param allowanceMs - by which the list may be older
+   */
+  isCurrent(allowanceMs: number): boolean {
     const {maxListAgeMs, contact} = this.options;
-    return this.confirmedAgeMs <= maxListAgeMs || contact.isLost;
+    const maxAgeMs = maxListAgeMs + allowanceMs;
+    return this.confirmedAgeMs <= maxAgeMs || contact.isLost;
   }
 
   /** Identity and age of the last read, for peers that read for themselves. */
@@ -276,9 +259,11 @@
     const {reports, options} = this;
     this.readAtMs = readAtMs;
     const {reportedAgain} = reports;
-    const listedKey = contentKeyOf(reports.listedTargets, reportedAgain);
+    const listedKey = targetListKey(reports.listedTargets, reportedAgain);
     this.freshness.onRead(listedKey, readAtMs);
-    this.targetsKey = contentKeyOf(reports.targets, reportedAgain);
+    this.targetsKey = reports.hasMissing
+      ? targetListKey(reports.targets, reportedAgain)
+      : listedKey;
     options.callbacks.onTargets(this.list);
   }
 
@@ -318,43 +303,3 @@
     return this.freshness.isReadDue(nowMs);
   }
 }
-
-/**
- * Reads the list, and the last records of each target in the order in which they
- * were written, of which the list shows the newest only.
- */
-async function readWithHistory(
-  store: TargetListStore
-): Promise<Result<TargetRecords, StoreCallError>> {
-  const list = await store.readList();
-  if (!list.ok) return list;
-  const {entries, next} = list.value;
-  const from = Math.max(0, next - HISTORY_PER_TARGET * entries.length);
-  if (next <= entries.length) return list;
-  const history = await store.readSince(from);
-  if (!history.ok) return list;
-  const before = entries.filter(({offset}) => offset < from);
-  return ok({
-    entries: [...before, ...history.value.entries],
-    next: history.value.next,
-  });
-}
-
-/**
- * Returns the same hash for lists with the same targets in the same state.
- *
- * @param reportedAgain - see `TargetReports`
- */
-function contentKeyOf(
-  targets: readonly Target[],
-  reportedAgain: readonly string[]
-): number {
-  const rows = targets.map(target => {
-    const {id, service, host, port, failureDomain} = target;
-    const {softwareVersion, slots, state, startedAtMs, coldLeftMs} = target;
-    const phase = `${state} ${coldLeftMs > 0}`;
-    const place = `${service} ${host}:${port} ${failureDomain}`;
-    return `${id} ${place} ${softwareVersion} ${slots} ${phase} ${startedAtMs}`;
-  });
-  return hash32([...rows, ...reportedAgain].sort().join('\n'));
-}
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -42,6 +42,8 @@
 const SERVICE = 'app';
 const COLD_START = {ratePerS: 8, durationMs: 60_000};
 const MAX_MS = 500;
+/** Age of the list up to which requests are sent by it. */
+const MAX_LIST_AGE_MS = 1400;
 
 /** The list of targets of a rig's instance, and its source. */
 export interface RigSource {
@@ -144,7 +146,6 @@
     instance: 'entry-1',
     failureDomain: 'hall-a',
     isFleetBootstrap: false,
-    maxTargetListAgeMs: 1400,
     shareWindowMs: 4000,
     coldBound: {overage: 1.5, slack: 5},
     retryBudget: {windowMs: 10_000, ratio: 0.2, minRetries: 58},
@@ -155,7 +156,8 @@
     targetsAgeMs: () => rigSource.ageMs,
     targetsReadAgeMs: () => 0,
     storeLostMs: () => 0,
-    areTargetsCurrent: () => rigSource.isCurrent,
+    areTargetsCurrent: (allowanceMs = 0) =>
+      rigSource.isCurrent && rigSource.ageMs <= MAX_LIST_AGE_MS + allowanceMs,
     refreshTargets: async () => rigSource.onRefresh(),
   } as StateSource;
   const state = FleetState.create(settings, source, inspector, log);
--- a/packages/routing/src/lib/membership/target_reports.ts
+++ b/packages/routing/src/lib/membership/target_reports.ts
@@ -49,6 +49,8 @@
  */
 export class TargetReports {
   private readonly held = new Map<string, HeldReport>();
+  /** Asked with each message of a peer, and changed by reads only. */
+  private view = viewOf(this.held);
 
   private constructor() {}
 
@@ -57,24 +59,28 @@
   }
 
   /** The registered targets, with those that are kept although missing. */
-  get targets(): Target[] {
-    return [...this.held.values()].flatMap(({target}) => target ?? []);
+  get targets(): readonly Target[] {
+    return this.view.targets;
   }
 
   /** The registered targets that were not missing in the last list. */
-  get listedTargets(): Target[] {
-    const listed = [...this.held.values()].filter(h => !h.isMissing);
-    return listed.flatMap(({target}) => target ?? []);
+  get listedTargets(): readonly Target[] {
+    return this.view.listedTargets;
   }
 
   /** Whether targets are kept that were missing in the last list. */
   get hasMissing(): boolean {
-    return [...this.held.values()].some(({isMissing}) => isMissing);
+    return this.view.hasMissing;
   }
 
   /** Whether a registered target said that it is cold. */
   get hasCold(): boolean {
-    return this.targets.some(({coldLeftMs}) => coldLeftMs > 0);
+    return this.view.hasCold;
+  }
+
+  /** Ids of removed targets that have reported once since. */
+  get reportedAgain(): readonly string[] {
+    return this.view.reportedAgain;
   }
 
   /** Number of targets whose last report is kept, registered or not. */
@@ -82,13 +88,6 @@
     return this.held.size;
   }
 
-  /** Ids of removed targets that have reported once since. */
-  get reportedAgain(): string[] {
-    return [...this.held]
-      .filter(([, {reportedAgainAt}]) => reportedAgainAt !== undefined)
-      .map(([id]) => id);
-  }
-
   /**
    * Applies records in the order in which they were written. Returns those that
    * are older than what is held, and change nothing.
@@ -128,7 +127,7 @@
       const isSame = held?.startedAtMs === target.startedAtMs;
       this.hold(target, isSame ? held.sequence : undefined, nowMs);
     }
-    this.evictOld(nowMs);
+    this.onApplied(nowMs);
   }
 
   /** Only targets that were in use before the list are kept. */
@@ -143,7 +142,7 @@
     nowMs: number
   ): TargetRecordEntry[] {
     const older = entries.filter(entry => !this.apply(entry, keeps, nowMs));
-    this.evictOld(nowMs);
+    this.onApplied(nowMs);
     return older;
   }
 
@@ -226,6 +225,11 @@
     });
   }
 
+  private onApplied(nowMs: number): void {
+    this.evictOld(nowMs);
+    this.view = viewOf(this.held);
+  }
+
   private evictOld(nowMs: number): void {
     for (const [id, held] of this.held) {
       const isListed = held.target ?? held.reportedAgainAt;
@@ -236,6 +240,31 @@
   }
 }
 
+/** What is asked of the reports that are held. */
+interface ReportsView {
+  readonly targets: readonly Target[];
+  readonly listedTargets: readonly Target[];
+  readonly hasMissing: boolean;
+  readonly hasCold: boolean;
+  readonly reportedAgain: readonly string[];
+}
+
+function viewOf(held: ReadonlyMap<string, HeldReport>): ReportsView {
+  const targets: Target[] = [];
+  const listedTargets: Target[] = [];
+  const reportedAgain: string[] = [];
+  let hasMissing = false;
+  for (const [id, {target, isMissing, reportedAgainAt}] of held) {
+    if (reportedAgainAt !== undefined) reportedAgain.push(id);
+    hasMissing ||= isMissing;
+    if (target === undefined) continue;
+    targets.push(target);
+    if (!isMissing) listedTargets.push(target);
+  }
+  const hasCold = targets.some(({coldLeftMs}) => coldLeftMs > 0);
+  return {targets, listedTargets, hasMissing, hasCold, reportedAgain};
+}
+
 /** Whether reports that were under way when this one was heard may still come. */
 function isUnderWay({heardAtMs}: HeldReport, nowMs: number): boolean {
   return nowMs - heardAtMs <= MAX_UNDER_WAY_MS;
