A response without length that was reset under an upload is not complete

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, and a stream in this state got its last chunk.

Cause: a body with neither a length nor chunks is whole if the engine closed the connection, and not if it reset it. Node reports a reset that arrives with the last bytes as an ordinary end (libuv ends the stream on POLLHUP without reading the error). The call told the two apart by an empty line written at that end, which fails after a reset. While the upload was unwritten, that line waited behind it, and Node destroyed the socket in the same turn, so the write that would have failed never reported.

Change: connections to targets are FlushedEndSocket: while a write is pending, they hold back the end until the write is done or has failed, for 500 ms at most. A reset makes the pending write fail in the same turn of libuv, so the failure replaces the end; an engine that only closed its side lets it go on. watchBodyEnd (utils) is the one place that tells whether a body arrived in full, for the buffered, the long, the streamed and the resumed response. An end behind an unfinished write counts for nothing on other sockets. A reset behind a close (EPIPE; ECONNRESET without one) leaves the body whole.

--- a/packages/gateway/src/lib/upstream/target_agent.ts
+++ b/packages/gateway/src/lib/upstream/target_agent.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
+import {FlushedEndSocket} from '@applebend/utils';
 
-import type {Socket} from 'node:net';
+import type {NetConnectOpts, Socket} from 'node:net';
 
 const MAX_IDLE_PER_TARGET = 16;
 /** For targets that do not name their idle timeout. */
@@ -36,6 +37,11 @@
     return new TargetAgent();
   }
 
+  /** Called by Node to open a connection. */
+  override createConnection(options: NetConnectOpts): FlushedEndSocket {
+    return FlushedEndSocket.create(options);
+  }
+
   /** Called by Node when a response is complete; false closes the socket. */
   override keepSocketAlive(socket: Socket): boolean {
     const idleMs = idleTimeoutMs(socket);
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -1,5 +1,11 @@
 import http from 'node:http';
-import {errorMessage, fail, limitInformation, ok} from '@applebend/utils';
+import {
+  errorMessage,
+  fail,
+  limitInformation,
+  ok,
+  watchBodyEnd,
+} from '@applebend/utils';
 import {EXECUTION, attemptFailure} from '../errors.js';
 import {drainBody} from './drain_body.js';
 
@@ -100,9 +106,6 @@
   private isBodyHeld = false;
   /** Whether a response or a failure was reported, or the call aborted. */
   private settled = false;
-  private res: http.IncomingMessage | undefined;
-  /** Whether the connection failed while the body was read. */
-  private wasReset = false;
 
   private constructor(
     options: TargetCallOptions,
@@ -236,11 +239,7 @@
       return;
     }
     this.settle();
-    this.res = res;
-    const {socket} = res;
-    if (endsAtClose(res)) exposeReset(socket);
-    const isComplete = () =>
-      res.complete && !this.wasReset && socket.errored === null;
+    const isComplete = watchBodyEnd(res);
     this.events.onResponse({status, head, res, isComplete});
   }
 
@@ -265,8 +264,6 @@
   }
 
   private onError(err: NodeJS.ErrnoException): void {
-    // Node reports a reset as the end of a response that has no length.
-    if (this.res?.complete === false) this.wasReset = true;
     const kind = this.sent ? 'reset' : 'connect_failed';
     const isRefused = err.code === 'ECONNREFUSED';
     this.fail(kind, err.message, isRefused);
@@ -316,20 +313,5 @@
   return head.signals.pauseMs === undefined ? 'not_executed' : 'target_paused';
 }
 
-/** Whether the body ends with the connection, for lack of any framing. */
-function endsAtClose({headers}: http.IncomingMessage): boolean {
-  const {'content-length': length, 'transfer-encoding': coding} = headers;
-  return length === undefined && coding === undefined;
-}
-
-/**
- * Node reports a reset that arrives together with the last bytes as an ordinary
- * end of the stream. Writing an empty line, which is not a request, makes the
- * reset visible because it fails on a connection that was reset.
- */
-function exposeReset(socket: Socket): void {
-  socket.prependOnceListener('end', () => socket.write('\r\n'));
-}
-
 /** For errors that the handlers of the request have already reported. */
 function ignoreError(): void {}
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export {watchBodyEnd} from './lib/body_end.js';
 export {BusyMeter} from './lib/busy_meter.js';
 export {isBoundedMsgpack} from './lib/check_msgpack.js';
 export {systemClock} from './lib/clock.js';
@@ -11,6 +12,7 @@
 export type {Contain} from './lib/contain_faults.js';
 export {EventThrottle} from './lib/event_throttle.js';
 export {evictOldest} from './lib/evict_oldest.js';
+export {FlushedEndSocket} from './lib/flushed_end_socket.js';
 export {GrowingBuffer} from './lib/growing_buffer.js';
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
 export {httpCall} from './lib/http_call.js';
