Every end of a call is reported, and a body that was cut is not taken as whole

What callers saw: the store answered once with 101 and an upgrade; the reader that had sent that call never read again, so leaving targets stayed in use and new ones got nothing for as long as the instance lived. The same answer of an engine left a request without an outcome until its deadline (504 after 3 s, no second engine for a request that may be repeated).

Cause: Node ends a call by a response, by an error, or by a close alone: a switch to another protocol that nobody listens for gives neither of the first two. httpCall, requestJson, the transfer of a configuration, the calls to targets, and the daemon's settled on the first two. Nor did any of them but the calls to targets tell a body without length that was reset from a whole one.

Change: receiveResponse and receiveAll (utils) are the one way to receive a response; a request gets a response or an error, and exactly one of them. A switch of protocol is a typed `invalid_response`; a close without anything is `no_response`; a body that ended early fails the call.

--- a/apps/daemon/src/lib/entry/response_relay.ts
+++ b/apps/daemon/src/lib/entry/response_relay.ts
@@ -3,7 +3,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {EngineUsage} from '@applebend/externals';
-import type {Clock} from '@applebend/utils';
+import type {Clock, ReceivedResponse} from '@applebend/utils';
 import type {HttpHeaders, Caller} from './caller.js';
 
 /** How the relaying of a response ended. @public */
@@ -74,11 +74,12 @@
   }
 
   /** Relays a response, or the rest of one that was resumed. */
-  forward(res: IncomingMessage): Promise<RelayOutcome> {
+  forward(received: ReceivedResponse): Promise<RelayOutcome> {
+    const {res} = received;
     const type = res.headers['content-type'] ?? '';
     return type.startsWith(EVENT_STREAM_TYPE)
       ? this.relayEventStream(res)
-      : this.relayBody(res);
+      : this.relayBody(received);
   }
 
   private async relayEventStream(res: IncomingMessage): Promise<RelayOutcome> {
@@ -106,7 +107,10 @@
     return this.completed(res, undefined, {inputTokens, outputTokens});
   }
 
-  private async relayBody(res: IncomingMessage): Promise<RelayOutcome> {
+  private async relayBody({
+    res,
+    isComplete,
+  }: ReceivedResponse): Promise<RelayOutcome> {
     const {caller} = this.options;
     let buffered: Buffer[] = [];
     let bufferedBytes = 0;
@@ -131,7 +135,7 @@
       if (caller.gone.aborted) return {type: 'caller_gone'};
       return interrupted(errorMessage(err));
     }
-    if (!res.complete) return interrupted('the answer ended early');
+    if (!isComplete()) return interrupted('the answer ended early');
     if (streaming) {
       caller.end();
       return this.completed(res, undefined, undefined);
--- a/apps/daemon/src/lib/entry/target_attempt.ts
+++ b/apps/daemon/src/lib/entry/target_attempt.ts
@@ -138,9 +138,10 @@
       signal
     );
     if (!sent.ok) return this.noResponse(sent.err);
-    const echoedId = sent.value.headers[REQUEST_ID_HEADER];
+    const {res} = sent.value;
+    const echoedId = res.headers[REQUEST_ID_HEADER];
     if (typeof echoedId === 'string' && echoedId !== this.options.attemptId) {
-      sent.value.destroy();
+      res.destroy();
       return {type: 'no_response', reason: 'mismatched'};
     }
     const relayed = await this.relay.forward(sent.value);
@@ -221,13 +222,14 @@
   /** Returns undefined if the response was not resumed to its end. */
   private async resume(id: string): Promise<AttemptOutcome | undefined> {
     const path = streamResumePath(id, this.stream.outputTokens);
-    const res = await this.requestStream('GET', path);
-    if (res?.statusCode !== OK_STATUS) {
-      this.targetLost ||= res?.statusCode === NOT_FOUND_STATUS;
-      res?.destroy();
+    const received = await this.requestStream('GET', path);
+    const status = received?.res.statusCode;
+    if (received === undefined || status !== OK_STATUS) {
+      this.targetLost ||= status === NOT_FOUND_STATUS;
+      received?.res.destroy();
       return undefined;
     }
-    const relayed = await this.relay.forward(res);
+    const relayed = await this.relay.forward(received);
     return match(relayed)
       .with({type: 'complete'}, ({response}) => this.completed(response))
       .with({type: 'caller_gone'}, outcome => this.onCallerGone(outcome))
@@ -242,8 +244,9 @@
   private async onCallerGone(outcome: AttemptOutcome): Promise<AttemptOutcome> {
     const {id} = this.stream;
     if (this.options.request.service.resume && id !== undefined) {
-      const res = await this.requestStream('DELETE', streamResumePath(id, 0));
-      res?.destroy();
+      const path = streamResumePath(id, 0);
+      const received = await this.requestStream('DELETE', path);
+      received?.res.destroy();
     }
     return outcome;
   }
--- a/apps/daemon/src/lib/entry/target_connection.ts
+++ b/apps/daemon/src/lib/entry/target_connection.ts
@@ -1,8 +1,14 @@
 import http from 'node:http';
-import net from 'node:net';
-import {fail, errorMessage, limitInformation, ok} from '@applebend/utils';
+import {
+  fail,
+  errorMessage,
+  FlushedEndSocket,
+  ok,
+  receiveResponse,
+} from '@applebend/utils';
 
-import type {Result} from '@applebend/utils';
+import type net from 'node:net';
+import type {ReceivedResponse, Result} from '@applebend/utils';
 import type {TargetAddress} from '../membership/target_directory.js';
 import type {HttpHeaders} from './caller.js';
 
@@ -35,7 +41,8 @@
 ): Promise<Result<net.Socket, TargetFailure>> {
   return new Promise(resolve => {
     const {host, port} = address;
-    const socket = net.connect({host, port, signal, noDelay: true});
+    const options = {host, port, signal, noDelay: true};
+    const socket = FlushedEndSocket.create(options);
     const timer = setTimeout(() => settle('timeout'), timeoutMs);
     const settle = (message: string) => {
       clearTimeout(timer);
@@ -53,7 +60,7 @@
 }
 
 /**
- * Whether a target responds to a request, with any status. A connection alone
+ * Whether a target responds to a request, with any valid status. A connection alone
  * does not show that, since an exiting process may still accept connections.
  *
  * @public
@@ -63,14 +70,13 @@
   return new Promise(resolve => {
     const req = http.request({host, port, path: '/', agent: false});
     const timer = setTimeout(() => req.destroy(), PROBE_TIMEOUT_MS);
-    req.on('response', res => {
-      res.resume();
-      resolve(true);
-    });
-    req.on('error', () => resolve(false));
-    req.on('close', () => {
-      clearTimeout(timer);
-      resolve(false);
+    req.on('close', () => clearTimeout(timer));
+    receiveResponse(req, {
+      onResponse: ({res}) => {
+        res.resume();
+        resolve(true);
+      },
+      onError: () => resolve(false),
     });
     req.end();
   });
@@ -87,7 +93,7 @@
   request: TargetRequest,
   stallTimeoutMs: number,
   signal: AbortSignal
-): Promise<Result<http.IncomingMessage, TargetFailure>> {
+): Promise<Result<ReceivedResponse, TargetFailure>> {
   return new Promise(resolve => {
     let failure: TargetFailure['kind'] = 'interrupted';
     const req = http.request({
@@ -97,16 +103,17 @@
       createConnection: () => socket,
       signal,
     });
-    limitInformation(req);
     socket.setTimeout(stallTimeoutMs, () => {
       failure = 'stalled';
       socket.destroy();
     });
-    req.on('error', err => {
-      const kind = signal.aborted ? 'aborted' : failure;
-      resolve(fail({kind, message: errorMessage(err)}));
+    receiveResponse(req, {
+      onResponse: received => resolve(ok(received)),
+      onError: err => {
+        const kind = signal.aborted ? 'aborted' : failure;
+        resolve(fail({kind, message: errorMessage(err)}));
+      },
     });
-    req.on('response', res => resolve(ok(res)));
     req.end(request.body);
   });
 }
--- a/packages/externals/src/lib/http_json.ts
+++ b/packages/externals/src/lib/http_json.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {fail, errorMessage, ok, readAll} from '@applebend/utils';
+import {fail, errorMessage, ok, receiveAll} from '@applebend/utils';
 
 import type {Result} from '@applebend/utils';
 
@@ -67,19 +67,18 @@
       if (!socket.connecting) connected = true;
       else socket.once('connect', () => (connected = true));
     });
-    req.on('error', err => resolveFailure(errorMessage(err)));
     req.on('close', () => clearTimeout(timer));
-    req.on('response', res => {
-      readJson(res).then(
-        body => resolve(ok({status: res.statusCode ?? 0, body})),
-        err => resolveFailure(errorMessage(err))
-      );
-    });
+    receiveJson(req).then(
+      response => resolve(ok(response)),
+      err => resolveFailure(errorMessage(err))
+    );
     req.end(payload);
   });
 }
 
-async function readJson(res: http.IncomingMessage): Promise<unknown> {
-  const text = (await readAll(res, MAX_RESPONSE_BYTES)).toString('utf8');
-  return text === '' ? undefined : JSON.parse(text);
+async function receiveJson(req: http.ClientRequest): Promise<JsonResponse> {
+  const {res, body} = await receiveAll(req, MAX_RESPONSE_BYTES);
+  const text = body.toString('utf8');
+  const value = text === '' ? undefined : JSON.parse(text);
+  return {status: res.statusCode ?? 0, body: value};
 }
--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -21,6 +21,8 @@
     | 'wrong_target'
     // The connection failed after the target may have received the request.
     | 'reset'
+    // The head of the response is not valid HTTP, or of no final status.
+    | 'invalid_response'
     // The response is unsigned, was re-encoded, or has no attempt id.
     | 'bad_answer'
     // The response carries the id of another attempt.
--- a/packages/gateway/src/lib/peers/config_transfer.test.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.test.ts
@@ -35,3 +35,13 @@
   assert.ok(performance.now() - startMs < 3000);
   server.close();
 });
+
+test('a peer that switches to another protocol is given up on', async () => {
+  const answer =
+    'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n';
+  const server = net.createServer(socket => socket.end(answer));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  assert.equal(await fetchConfigRecord({...LOCAL, port}, log), undefined);
+  server.close();
+});
--- a/packages/gateway/src/lib/peers/config_transfer.ts
+++ b/packages/gateway/src/lib/peers/config_transfer.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {errorMessage, readAll, startInternalServer} from '@applebend/utils';
+import {errorMessage, receiveAll, startInternalServer} from '@applebend/utils';
 
 import type {Logger} from '@applebend/telemetry';
 import type {PortOptions} from '@applebend/utils';
@@ -52,15 +52,7 @@
 }
 
 /** Resolves to undefined for any status but 200. */
-function get(options: http.RequestOptions): Promise<Buffer | undefined> {
-  return new Promise((resolve, reject) => {
-    const req = http.get(options, res => {
-      const isOk = res.statusCode === STATUS_OK;
-      readAll(res, MAX_RECORD_BYTES).then(
-        record => resolve(isOk ? record : undefined),
-        reject
-      );
-    });
-    req.on('error', reject);
-  });
+async function get(options: http.RequestOptions): Promise<Buffer | undefined> {
+  const {res, body} = await receiveAll(http.get(options), MAX_RECORD_BYTES);
+  return res.statusCode === STATUS_OK ? body : undefined;
 }
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -2,16 +2,16 @@
 import {
   errorMessage,
   fail,
-  limitInformation,
+  isInvalidResponseError,
   ok,
-  watchBodyEnd,
+  receiveResponse,
 } from '@applebend/utils';
 import {EXECUTION, attemptFailure} from '../errors.js';
 import {drainBody} from './drain_body.js';
 
 import type {Socket} from 'node:net';
 import type {Target} from '@applebend/routing';
-import type {Contain, Result} from '@applebend/utils';
+import type {Contain, ReceivedResponse, Result} from '@applebend/utils';
 import type {AttemptFailure, Execution} from '../errors.js';
 import type {HeaderCodec, TargetResponseHead, TargetSignals} from '../ports.js';
 
@@ -122,19 +122,14 @@
     }
     const req = opened.value;
     this.req = req;
-    limitInformation(req);
     req.on(
       'socket',
       contain((socket: Socket) => this.onSocket(socket))
     );
-    req.on(
-      'response',
-      contain((res: http.IncomingMessage) => this.onHead(res, req.reusedSocket))
-    );
-    req.on(
-      'error',
-      contain((err: NodeJS.ErrnoException) => this.onError(err))
-    );
+    receiveResponse(req, {
+      onResponse: contain(received => this.onHead(received, req.reusedSocket)),
+      onError: contain(err => this.onError(err)),
+    });
     const {silenceMs} = options;
     if (silenceMs !== undefined) {
       const onSilence = contain(() => events.onSilence());
@@ -213,7 +208,10 @@
     this.req?.destroy();
   }
 
-  private onHead(res: http.IncomingMessage, isReusedSocket: boolean): void {
+  private onHead(
+    {res, isComplete}: ReceivedResponse,
+    isReusedSocket: boolean
+  ): void {
     res.on('error', ignoreError);
     res.on('end', () => this.limitUnread());
     if (this.settled) {
@@ -239,7 +237,6 @@
       return;
     }
     this.settle();
-    const isComplete = watchBodyEnd(res);
     this.events.onResponse({status, head, res, isComplete});
   }
 
@@ -264,9 +261,13 @@
   }
 
   private onError(err: NodeJS.ErrnoException): void {
-    const kind = this.sent ? 'reset' : 'connect_failed';
     const isRefused = err.code === 'ECONNREFUSED';
-    this.fail(kind, err.message, isRefused);
+    this.fail(this.failureKindOf(err), err.message, isRefused);
+  }
+
+  private failureKindOf(err: Error): AttemptFailure['kind'] {
+    if (isInvalidResponseError(err)) return 'invalid_response';
+    return this.sent ? 'reset' : 'connect_failed';
   }
 
   private fail(
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -3,7 +3,6 @@
  *
  * @packageDocumentation
  */
-export {watchBodyEnd} from './lib/body_end.js';
 export {BusyMeter} from './lib/busy_meter.js';
 export {isBoundedMsgpack} from './lib/check_msgpack.js';
 export {systemClock} from './lib/clock.js';
@@ -19,7 +18,6 @@
 export type {HttpCall, HttpCallError, HttpResponse} from './lib/http_call.js';
 export {startInternalServer} from './lib/internal_server.js';
 export type {InternalHandler} from './lib/internal_server.js';
-export {limitInformation} from './lib/limit_information.js';
 export {logServerErrors} from './lib/log_server_errors.js';
 export {afterLoopTime} from './lib/loop_timer.js';
 export {Mailbox} from './lib/mailbox.js';
@@ -27,7 +25,17 @@
 export type {PortError, PortLog, PortOptions} from './lib/open_port.js';
 export {parseJson} from './lib/parse_json.js';
 export {Random} from './lib/random.js';
-export {readAll} from './lib/read_all.js';
+export {
+  isInvalidResponseError,
+  receiveAll,
+  receiveResponse,
+} from './lib/receive_response.js';
+export type {
+  CompleteResponse,
+  ReceivedResponse,
+  ResponseEvents,
+} from './lib/receive_response.js';
+export type {InvalidResponse} from './lib/response_check.js';
 export {fail, ok} from './lib/result.js';
 export type {Result} from './lib/result.js';
 export {sleep} from './lib/sleep.js';
--- a/packages/utils/src/lib/body_end.ts
+++ b/packages/utils/src/lib/body_end.ts
@@ -18,7 +18,7 @@
  * A length or chunks show by themselves where a body ends. A body with neither is
  * complete if the server closed the connection, and broken off if it reset it.
  *
- * @public
+ * @internal
  */
 export function watchBodyEnd(res: http.IncomingMessage): () => boolean {
   if (!endsWithConnection(res)) return () => res.complete;
--- a/packages/utils/src/lib/http_call.ts
+++ b/packages/utils/src/lib/http_call.ts
@@ -1,8 +1,7 @@
 import http from 'node:http';
 import {systemClock} from './clock.js';
-import {limitInformation} from './limit_information.js';
 import {afterLoopTime} from './loop_timer.js';
-import {readAll} from './read_all.js';
+import {receiveAll} from './receive_response.js';
 import {fail, ok} from './result.js';
 import {errorMessage} from './tagged_error.js';
 
@@ -45,7 +44,7 @@
 
 /**
  * Sends a request and reads the complete response. Fails if it does not arrive
- * within the timeout or is too long.
+ * within the timeout, is not valid or is too long.
  *
  * @public
  */
@@ -78,15 +77,13 @@
     };
     const cancelTimeout = afterLoopTime(timeoutMs, onTimeout);
     req.on('close', cancelTimeout);
-    limitInformation(req);
-    req.on('error', err => onError(err, req));
-    req.on('response', res => {
-      const {statusCode: status = 0, rawHeaders} = res;
-      readAll(res, MAX_RESPONSE_BYTES).then(
-        bytes => resolve(ok({status, rawHeaders, body: bytes})),
-        err => onError(err, req)
-      );
-    });
+    receiveAll(req, MAX_RESPONSE_BYTES).then(
+      ({res, body: bytes}) => {
+        const {statusCode: status = 0, rawHeaders} = res;
+        resolve(ok({status, rawHeaders, body: bytes}));
+      },
+      err => onError(err, req)
+    );
     req.end(body);
   });
 }
--- a/packages/utils/src/lib/limit_information.ts
+++ b/packages/utils/src/lib/limit_information.ts
@@ -7,7 +7,7 @@
  * Destroys a request whose server sends informational responses without an end;
  * the request then fails.
  *
- * @public
+ * @internal
  */
 export function limitInformation(req: http.ClientRequest): void {
   let count = 0;
--- a/packages/utils/src/lib/read_all.ts
+++ b/packages/utils/src/lib/read_all.ts
@@ -7,7 +7,7 @@
  * Reads a stream to its end. Rejects if it fails or has more than `maxBytes`,
  * and destroys it then.
  *
- * @public
+ * @internal
  */
 export async function readAll(
   from: Readable,
