A head that is no valid response is believed in nothing

What callers saw: answers with status 101, 600 and 999, versions 0.9 and 2.0, a control byte in the reason, and bodies in codings other than chunks (`gzip, chunked`, `chunked, gzip`, `identity`, twice `chunked`) reached them as answers of the engine, the coded bytes as the body. A 101 kept them waiting. Status 000 and names with a blank were refused only because writing them to the caller threw: `request fault` with a stack for each, no retry of a safe request, nothing held against the engine, and a 000 with `Not-Executed` became a 503, the promise that it has not run. A blank in a name that `Connection` lists was passed over. The store's era and an engine's signals were believed likewise.

Cause: Node's parser reads any three digits and any version, takes a blank for a part of a name, and leaves codings that it does not know in the body; no place asked whether a head is a valid response.

Change: receiveResponse checks the head of each final response, by RFC 9110 and 9112, before anything else reads it: version 1.x, status 200 to 599, the reason, the names of the fields, and no transfer coding but `chunked`, once, in 1.1. A reason is checked since a control byte in it shows that the head is damaged, though its text is ignored. What is not valid is `invalid_response`: unknown whether it ran, retried where that is safe, a failure of the engine, counted by `applebend_gateway_invalid_responses_total{service,kind}` and logged once a second with the last target and cause.

--- a/apps/daemon/src/lib/entry/target_connection.test.ts
+++ b/apps/daemon/src/lib/entry/target_connection.test.ts
@@ -12,6 +12,7 @@
 const INVALID: Readonly<Record<string, string>> = {
   'that switches to another protocol':
     'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n',
+  'with status 000': 'HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok',
 };
 
 /** Runs a test with a target that answers each request by a script. */
--- a/packages/externals/src/lib/http_json.test.ts
+++ b/packages/externals/src/lib/http_json.test.ts
@@ -12,6 +12,8 @@
     socket.end(
       'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n'
     ),
+  'with status 000': socket =>
+    socket.end('HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}'),
   'that is reset before its body, which has no length': socket =>
     socket.write('HTTP/1.1 200 OK\r\n\r\n', () => socket.resetAndDestroy()),
 };
--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -41,6 +41,18 @@
   readonly isRefused: boolean;
 }
 
+/** Failures by a response that is not valid, or not this request's. */
+const INVALID_RESPONSES: ReadonlySet<AttemptFailure['kind']> = new Set([
+  'invalid_response',
+  'bad_answer',
+  'crossed_answer',
+]);
+
+/** Whether a response came that could not be used. @public */
+export function isInvalidResponse({kind}: AttemptFailure): boolean {
+  return INVALID_RESPONSES.has(kind);
+}
+
 /** @public */
 export function attemptFailure(
   kind: AttemptFailure['kind'],
--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -1,3 +1,4 @@
+import {isInvalidResponse} from '../errors.js';
 import {kvTokensOf} from './placement.js';
 
 import type {Candidate, LoadHandle} from '@applebend/routing';
@@ -77,7 +78,11 @@
     this.record.health.onSuccess();
   }
 
-  onFailure({kind, isRefused}: AttemptFailure): void {
+  onFailure(failure: AttemptFailure): void {
+    const {kind, isRefused} = failure;
+    if (isInvalidResponse(failure)) {
+      this.deps.onInvalidResponse(this.record.target, failure);
+    }
     if (isRefused) this.record.coldStart.onLost(this.nowMs);
     // A failure that the head of the response showed is recorded already.
     if (kind === 'target_paused' || this.isConclusive) return;
--- a/packages/gateway/src/lib/front/exchange_deps.ts
+++ b/packages/gateway/src/lib/front/exchange_deps.ts
@@ -1,6 +1,7 @@
 import type http from 'node:http';
-import type {MemoryClaim} from '@applebend/routing';
+import type {MemoryClaim, Target} from '@applebend/routing';
 import type {Clock} from '@applebend/utils';
+import type {AttemptFailure} from '../errors.js';
 import type {HeaderCodec} from '../ports.js';
 import type {UsageRow} from '../peers/peer_message.js';
 import type {FleetState} from '../state/fleet_state.js';
@@ -41,6 +42,8 @@
   onCallerDisconnected(): void;
   /** Called when a connection is closed since too many requests wait on it. */
   onPipeliningClosed(): void;
+  /** Called when a target sent a response that could not be used. */
+  onInvalidResponse(target: Target, failure: AttemptFailure): void;
   /** Called with an exception that was thrown while a request was handled. */
   onFault(err: unknown, attemptId: string): void;
   /** Called once for each exchange. */
--- a/packages/gateway/src/lib/front/rate_limited_log.ts
+++ b/packages/gateway/src/lib/front/rate_limited_log.ts
@@ -1,19 +1,20 @@
 import {EventThrottle} from '@applebend/utils';
 
-import type {Logger} from '@applebend/telemetry';
+import type {LogFields, Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
 
 const INTERVAL_MS = 1000;
 
 /**
  * Logs an event that may occur very often: at most one line a second, with the
- * number of events since the line before.
+ * number of events since the line before and the fields of the last one.
  *
  * @public
  */
 export class RateLimitedLog {
   private readonly throttle = EventThrottle.create(INTERVAL_MS);
   private timer: NodeJS.Timeout | undefined;
+  private lastFields: LogFields = {};
 
   private constructor(
     private readonly log: Logger,
@@ -25,7 +26,8 @@
     return new RateLimitedLog(log, clock, message);
   }
 
-  onEvent(): void {
+  onEvent(fields: LogFields = {}): void {
+    this.lastFields = fields;
     const nowMs = this.clock.monotonicMs();
     const count = this.throttle.onEvent(nowMs);
     if (count > 0) {
@@ -45,6 +47,6 @@
   private write(count: number): void {
     clearTimeout(this.timer);
     this.timer = undefined;
-    this.log.warn(this.message, {count});
+    this.log.warn(this.message, {...this.lastFields, count});
   }
 }
--- a/packages/gateway/src/lib/front/request_reports.ts
+++ b/packages/gateway/src/lib/front/request_reports.ts
@@ -2,9 +2,10 @@
 import {RateLimitedLog} from './rate_limited_log.js';
 import {RequestLog} from './request_log.js';
 
-import type {BodyMemory} from '@applebend/routing';
+import type {BodyMemory, Target} from '@applebend/routing';
 import type {Logger} from '@applebend/telemetry';
 import type {Clock} from '@applebend/utils';
+import type {AttemptFailure} from '../errors.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {BodyError} from './body_reader.js';
 import type {ExchangeReport} from './exchange_report.js';
@@ -22,6 +23,7 @@
   private readonly requestLog: RequestLog;
   private readonly bodyRefusals: BodyRefusalLog;
   private readonly pipeliningLog: RateLimitedLog;
+  private readonly invalidResponses: RateLimitedLog;
 
   private constructor(private readonly options: RequestReportsOptions) {
     const {log, clock} = options;
@@ -29,6 +31,8 @@
     this.bodyRefusals = BodyRefusalLog.create(log, clock);
     const event = 'connections closed: too many pipelined requests';
     this.pipeliningLog = RateLimitedLog.create(log, clock, event);
+    const invalid = 'invalid responses from targets';
+    this.invalidResponses = RateLimitedLog.create(log, clock, invalid);
   }
 
   static create(options: RequestReportsOptions): RequestReports {
@@ -61,8 +65,15 @@
     this.options.metrics.onPipeliningClosed();
   }
 
+  onInvalidResponse(target: Target, {kind, message}: AttemptFailure): void {
+    const {id, service} = target;
+    this.invalidResponses.onEvent({target: id, kind, message});
+    this.options.metrics.onInvalidResponse(service, kind);
+  }
+
   /** Logs the events that were counted and have no line yet. */
   flush(): void {
     this.pipeliningLog.flush();
+    this.invalidResponses.flush();
   }
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -153,6 +153,8 @@
         this.reports.onBodyRefused(kind, customer),
       onCallerDisconnected: () => this.metrics.onCallerDisconnected(),
       onPipeliningClosed: () => this.reports.onPipeliningClosed(),
+      onInvalidResponse: (target, failure) =>
+        this.reports.onInvalidResponse(target, failure),
       onFault: (err, attemptId) => this.reports.onFault(err, attemptId),
       onEnd: report => this.reports.onEnd(report),
     };
--- a/packages/gateway/src/lib/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/lib/metrics/gateway_metrics.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {TargetCheck} from '../crash/target_check.js';
+import type {AttemptFailure} from '../errors.js';
 import type {BodyError} from '../front/body_reader.js';
 import type {ExchangeReport} from '../front/exchange_report.js';
 
@@ -107,6 +108,12 @@
     labelNames: ['result'],
     registers: [this.registry],
   });
+  private readonly invalidResponses = new Counter({
+    name: 'applebend_gateway_invalid_responses_total',
+    help: 'Responses of targets that could not be used, by kind of failure',
+    labelNames: ['service', 'kind'],
+    registers: [this.registry],
+  });
   private readonly journalAppends = new Counter({
     name: 'applebend_gateway_journal_appends_total',
     help: 'Records that this instance appended to the version journal, or could not',
@@ -181,6 +188,10 @@
     this.targetChecks.inc({result});
   }
 
+  onInvalidResponse(service: string, kind: AttemptFailure['kind']): void {
+    this.invalidResponses.inc({service, kind});
+  }
+
   onOverloaded(): void {
     this.overloaded.inc();
   }
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -115,6 +115,7 @@
       random: () => 0,
       onPlaced: () => undefined,
       onUsage: change.onPlaced ?? (() => undefined),
+      onInvalidResponse: () => undefined,
       onFault: (err: unknown) => this.faults.push(errorMessage(err)),
       onEnd: change.onEnd ?? (() => undefined),
     } as unknown as ExchangeDeps;
--- a/packages/utils/src/lib/receive_response.test.ts
+++ b/packages/utils/src/lib/receive_response.test.ts
@@ -38,6 +38,8 @@
     socket.write('HTTP/1.1 101 A\r\nConnection: upgrade\r\nUpgrade: b\r\n\r\n'),
   'a close without a response': socket => socket.end(),
   'a reset without a response': socket => socket.resetAndDestroy(),
+  'a status that is not final': socket =>
+    socket.write('HTTP/1.1 101 A\r\nContent-Length: 0\r\n\r\n'),
   'a reset under a body without length': reset(`${OK}\r\npart`),
   'a reset in front of a body without length': reset(`${OK}\r\n`),
   'a close under a body with a length': socket =>
--- a/packages/utils/src/lib/receive_response.ts
+++ b/packages/utils/src/lib/receive_response.ts
@@ -1,6 +1,7 @@
 import {watchBodyEnd} from './body_end.js';
 import {limitInformation} from './limit_information.js';
 import {readAll} from './read_all.js';
+import {checkResponse} from './response_check.js';
 import {TaggedError} from './tagged_error.js';
 
 import type http from 'node:http';
@@ -57,6 +58,11 @@
   req.on('close', () => fail(closedWithoutResponse()));
   req.on('response', res => {
     if (isSettled) return;
+    const invalid = checkResponse(res);
+    if (invalid !== undefined) {
+      reject(invalid);
+      return;
+    }
     isSettled = true;
     events.onResponse({res, isComplete: watchBodyEnd(res)});
   });
