A bare carriage return ends no line and no head of a response

What callers saw: an engine whose head held a line that begins with a carriage return was answered as a success with another body: the parser took the byte behind the return for the line feed of the empty line, ended the head there, and read the rest of the head as the body, as many bytes as the length said.

Cause: llhttp of Node 20 does not look at the byte that follows a carriage return at the end of a line or of the head. RFC 9112, 2.2: a bare one makes the message invalid.

Change: HeadScanner reads along the bytes of a head, in front of Node's parser, and makes a response invalid at the first carriage return without a line feed, in informational responses too. It stops at the end of the head, so a body costs nothing.

--- a/packages/utils/src/lib/receive_response.ts
+++ b/packages/utils/src/lib/receive_response.ts
@@ -1,10 +1,12 @@
 import {watchBodyEnd} from './body_end.js';
+import {HeadScanner} from './head_scanner.js';
 import {limitInformation} from './limit_information.js';
 import {readAll} from './read_all.js';
 import {checkResponse} from './response_check.js';
 import {TaggedError} from './tagged_error.js';
 
 import type http from 'node:http';
+import type {Socket} from 'node:net';
 import type {InvalidResponse} from './response_check.js';
 
 /** A response with a valid head, whose body is unread. @public */
@@ -50,6 +52,7 @@
     req.destroy();
   };
   limitInformation(req);
+  scanHead(req, () => reject(invalidResponse('line break')));
   req.on('upgrade', (_res, socket) => {
     socket.destroy();
     reject(invalidResponse('status 101'));
@@ -96,6 +99,23 @@
   return err instanceof TaggedError && err.tag.kind === 'invalid_response';
 }
 
+/** Reads along until the head of the final response has arrived. */
+function scanHead(req: http.ClientRequest, onInvalid: () => void): void {
+  const scanner = HeadScanner.create();
+  const check = (isValid: boolean) => {
+    if (!isValid) onInvalid();
+  };
+  const onData = (chunk: Buffer) => check(scanner.push(chunk));
+  req.on('socket', (socket: Socket) => {
+    // Before Node's own listener, which parses the bytes.
+    socket.prependListener('data', onData);
+    const stop = () => socket.off('data', onData);
+    req.once('response', stop);
+    req.once('close', stop);
+  });
+  req.on('information', () => check(scanner.startNextHead()));
+}
+
 function invalidResponse(message: string): InvalidResponse {
   return {kind: 'invalid_response', message};
 }
