An answer that names two requests, two seals or two codings is nobody's

What callers saw: an answer with two `Attempt-Id`, that of another request first, was passed on to this one; one with two `Response-Seal`, both; and one with `Content-Encoding: gzip` and then `identity`, as plain.

Cause: the codec kept the last line of each name, so what came before did not count.

Change: the codec gives all ids and looks at all seals and codings. An answer that names any other request is `crossed_answer`; without exactly one seal, or with any coding, it is `bad_answer`. What makes an answer this request's stands in one function of its own (response_fault.ts).

--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -64,9 +64,9 @@
 
 /** The decoded headers of a target's response. @public */
 export interface TargetResponseHead {
-  /** Id of the attempt that it responds to, or undefined if there is none. */
-  readonly attemptId: string | undefined;
-  /** Whether the target signed the response. */
+  /** Ids of the attempts that it says to respond to. */
+  readonly attemptIds: readonly string[];
+  /** Whether the target signed the response, with a single signature. */
   readonly signed: boolean;
   /** Whether the target reports that it did not run the request. */
   readonly notExecuted: boolean;
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -8,6 +8,7 @@
 } from '@applebend/utils';
 import {EXECUTION, attemptFailure} from '../errors.js';
 import {drainBody} from './drain_body.js';
+import {isNotRun, responseFault, STATUS_MISDIRECTED} from './response_fault.js';
 
 import type {Socket} from 'node:net';
 import type {Target} from '@applebend/routing';
@@ -80,8 +81,6 @@
  * memory: if it is not read within this time, the connection is closed.
  */
 const UNREAD_BODY_MS = 500;
-/** Misdirected Request: the server is not the addressed target. */
-const STATUS_MISDIRECTED = 421;
 /** Failures in which the target says that it did not run the request. */
 const NOT_RUN_KINDS: ReadonlySet<AttemptFailure['kind']> = new Set([
   'not_executed',
@@ -223,14 +222,15 @@
       status,
       res.rawHeaders
     );
-    const fault = this.responseFault(status, head, isReusedSocket);
+    const {attemptId} = this.options;
+    const fault = responseFault(status, head, attemptId, isReusedSocket);
     if (fault !== undefined) {
       this.fail(fault, `invalid response with status ${status}`);
       this.req?.destroy();
       return;
     }
     this.reportSignals(status, head.signals);
-    if (head.notExecuted || status === STATUS_MISDIRECTED) {
+    if (isNotRun(status, head)) {
       const kind = notRunKind(head);
       drainBody(res);
       this.fail(kind, `not run by the target: status ${status}`);
@@ -240,21 +240,6 @@
     this.events.onResponse({status, head, res, isComplete});
   }
 
-  /** Why a response is not valid for this attempt, or undefined if it is. */
-  private responseFault(
-    status: number,
-    head: TargetResponseHead,
-    isReusedSocket: boolean
-  ): AttemptFailure['kind'] | undefined {
-    const isOwn = head.attemptId === this.options.attemptId;
-    if (!isOwn && head.attemptId !== undefined) return 'crossed_answer';
-    const isRefusal = head.notExecuted || status === STATUS_MISDIRECTED;
-    // Without an id, it may belong to an earlier request on the connection.
-    if (isRefusal && (isOwn || !isReusedSocket)) return undefined;
-    if (!isOwn || !head.signed || head.contentEncoded) return 'bad_answer';
-    return undefined;
-  }
-
   /** A response with status 421 speaks for another target. */
   private reportSignals(status: number, signals: TargetSignals): void {
     if (status !== STATUS_MISDIRECTED) this.events.onSignals(signals);
--- a/packages/gateway/src/testing/exchange_rig.ts
+++ b/packages/gateway/src/testing/exchange_rig.ts
@@ -19,7 +19,7 @@
 
 /** The head of a sound response of a target. */
 export const SAMPLE_HEAD: TargetResponseHead = {
-  attemptId: 'a-1',
+  attemptIds: ['a-1'],
   signed: true,
   notExecuted: false,
   contentEncoded: false,
