Bytes between the chunks of a body break it off

What callers saw: nothing reported; found while the heads were checked. An engine whose chunk says fewer bytes than it sends was passed on as a whole answer, two bytes short for each such chunk.

Cause: as with the head, llhttp of Node 20 does not look at the two bytes behind the data of a chunk, nor at the byte behind a carriage return.

Change: ChunkScanner follows the chunks from the end of the head on and counts their bytes; data is skipped by its length. Where a line break is not one, the call ends and the body is not complete. The parser still reads the bytes of that moment, so the response is paused first and passes nothing on.

--- a/packages/utils/src/lib/body_end.ts
+++ b/packages/utils/src/lib/body_end.ts
@@ -26,14 +26,21 @@
   return () => res.complete && wasClosed();
 }
 
+/** Whether the body comes in chunks. @internal */
+export function isChunked(res: http.IncomingMessage): boolean {
+  return mayHaveBody(res) && res.headers['transfer-encoding'] !== undefined;
+}
+
 /** Whether the body has neither a length nor chunks. */
 function endsWithConnection(res: http.IncomingMessage): boolean {
-  const {headers, statusCode} = res;
-  if (statusCode === STATUS_NO_CONTENT) return false;
-  if (statusCode === STATUS_NOT_MODIFIED) return false;
-  if (methodOf(res) === 'HEAD') return false;
-  const {'content-length': length, 'transfer-encoding': coding} = headers;
-  return length === undefined && coding === undefined;
+  const {'content-length': length, 'transfer-encoding': coding} = res.headers;
+  return mayHaveBody(res) && length === undefined && coding === undefined;
+}
+
+function mayHaveBody(res: http.IncomingMessage): boolean {
+  if (res.statusCode === STATUS_NO_CONTENT) return false;
+  if (res.statusCode === STATUS_NOT_MODIFIED) return false;
+  return methodOf(res) !== 'HEAD';
 }
 
 function methodOf(res: http.IncomingMessage): string | undefined {
--- a/packages/utils/src/lib/head_scanner.ts
+++ b/packages/utils/src/lib/head_scanner.ts
@@ -13,8 +13,7 @@
   private hasStarted = false;
   private isAfterCr = false;
   private isLineEmpty = true;
-  /** What the last bytes hold behind the end of the head. */
-  private rest: Buffer = Buffer.alloc(0);
+  private behindHead: Buffer = Buffer.alloc(0);
 
   private constructor() {}
 
@@ -22,6 +21,11 @@
     return new HeadScanner();
   }
 
+  /** What the last bytes hold behind the end of the head. */
+  get rest(): Buffer {
+    return this.behindHead;
+  }
+
   /** Adds received bytes; returns whether the head is valid so far. */
   push(chunk: Buffer): boolean {
     if (this.hasEnded) return true;
@@ -51,6 +55,6 @@
   private onLineEnd(chunk: Buffer, nextAt: number): void {
     this.hasEnded = this.isLineEmpty && this.hasStarted;
     this.isLineEmpty = true;
-    if (this.hasEnded) this.rest = chunk.subarray(nextAt);
+    if (this.hasEnded) this.behindHead = chunk.subarray(nextAt);
   }
 }
--- a/packages/utils/src/lib/receive_response.test.ts
+++ b/packages/utils/src/lib/receive_response.test.ts
@@ -8,6 +8,7 @@
 
 const MAX_BYTES = 1000;
 const OK = 'HTTP/1.1 200 OK\r\n';
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
 
 /** Sends a request to a server that answers it by a script. */
 async function receive(script: (socket: Socket) => void, method = 'GET') {
@@ -42,6 +43,14 @@
     socket.write('HTTP/1.1 101 A\r\nContent-Length: 0\r\n\r\n'),
   'a reset under a body without length': reset(`${OK}\r\npart`),
   'a reset in front of a body without length': reset(`${OK}\r\n`),
+  'bytes between chunks': socket =>
+    socket.write(`${OK}${CHUNKED}4\r\npartXY0\r\n\r\n`),
+  'bytes between chunks, later': socket => {
+    socket.write(`${OK}${CHUNKED}4\r\npart`);
+    setTimeout(() => socket.write('XY0\r\n\r\n'), 50);
+  },
+  'a bare carriage return behind the last chunk': socket =>
+    socket.write(`${OK}${CHUNKED}4\r\npart\r\n0\r\n\rX`),
   'a close under a body with a length': socket =>
     socket.end(`${OK}Content-Length: 9\r\n\r\npart`),
 };
--- a/packages/utils/src/lib/receive_response.ts
+++ b/packages/utils/src/lib/receive_response.ts
@@ -1,4 +1,5 @@
-import {watchBodyEnd} from './body_end.js';
+import {isChunked, watchBodyEnd} from './body_end.js';
+import {ChunkScanner} from './chunk_scanner.js';
 import {HeadScanner} from './head_scanner.js';
 import {limitInformation} from './limit_information.js';
 import {readAll} from './read_all.js';
@@ -42,17 +43,22 @@
   events: ResponseEvents
 ): void {
   let isSettled = false;
+  let isValid = true;
   const fail = (err: Error) => {
     if (isSettled) return;
     isSettled = true;
     events.onError(err);
   };
+  let received: http.IncomingMessage | undefined;
   const reject = (invalid: InvalidResponse) => {
+    isValid = false;
+    // The parser still reads these bytes, and passes them to nobody.
+    received?.pause();
     fail(TaggedError.create(invalid));
     req.destroy();
   };
   limitInformation(req);
-  scanHead(req, () => reject(invalidResponse('line break')));
+  scanFraming(req, () => reject(invalidResponse('line break')));
   req.on('upgrade', (_res, socket) => {
     socket.destroy();
     reject(invalidResponse('status 101'));
@@ -67,7 +73,9 @@
       return;
     }
     isSettled = true;
-    events.onResponse({res, isComplete: watchBodyEnd(res)});
+    received = res;
+    const hasEnded = watchBodyEnd(res);
+    events.onResponse({res, isComplete: () => isValid && hasEnded()});
   });
 }
 
@@ -99,21 +107,32 @@
   return err instanceof TaggedError && err.tag.kind === 'invalid_response';
 }
 
-/** Reads along until the head of the final response has arrived. */
-function scanHead(req: http.ClientRequest, onInvalid: () => void): void {
-  const scanner = HeadScanner.create();
-  const check = (isValid: boolean) => {
+/** Reads along what Node's parser reads, up to the end of the framing. */
+function scanFraming(req: http.ClientRequest, onInvalid: () => void): void {
+  const head = HeadScanner.create();
+  let chunks: ChunkScanner | undefined;
+  const onData = (bytes: Buffer) => {
+    const isValid =
+      chunks === undefined ? head.push(bytes) : chunks.push(bytes);
     if (!isValid) onInvalid();
   };
-  const onData = (chunk: Buffer) => check(scanner.push(chunk));
   req.on('socket', (socket: Socket) => {
     // Before Node's own listener, which parses the bytes.
     socket.prependListener('data', onData);
     const stop = () => socket.off('data', onData);
-    req.once('response', stop);
     req.once('close', stop);
+    req.once('response', res => {
+      if (!isChunked(res)) {
+        stop();
+        return;
+      }
+      chunks = ChunkScanner.create();
+      onData(head.rest);
+    });
+  });
+  req.on('information', () => {
+    if (!head.startNextHead()) onInvalid();
   });
-  req.on('information', () => check(scanner.startNextHead()));
 }
 
 function invalidResponse(message: string): InvalidResponse {
