A blank in the name of a caller's header puts no target aside

What callers saw: a request with such a line got 503 `connect_failed`, and each target that it was placed at counted as unreachable for 0.4 s and longer, so one caller could keep a service without targets for all. A name that `Connection` lists was passed over.

Cause: the one of the responses, on the other side: Node's parser takes a blank for a part of a name, and writing the request to a target threw, which counted as a connection that cannot be opened.

Change: checkHead refuses such a head with 400 `invalid_name`, by the check that responses have (hasValidNames, utils).

Evidence: "a name with a blank is refused with 400 and sets no target aside" (header_lines) failed before and passes now.

--- a/packages/gateway/src/lib/front/check_head.ts
+++ b/packages/gateway/src/lib/front/check_head.ts
@@ -1,3 +1,4 @@
+import {hasValidNames} from '@applebend/utils';
 import {EXECUTION} from '../errors.js';
 import {STATUS} from './responses.js';
 
@@ -10,6 +11,12 @@
   execution: EXECUTION.notRun,
 };
 
+const INVALID_NAME: GatewayResponse = {
+  status: STATUS.badRequest,
+  kind: 'invalid_name',
+  execution: EXECUTION.notRun,
+};
+
 const UNKNOWN_EXPECTATION: GatewayResponse = {
   status: STATUS.expectationFailed,
   kind: 'unknown_expectation',
@@ -26,14 +33,15 @@
 const CONTINUE = /(?:^|\W)100-continue(?:$|\W)/i;
 
 /**
- * Returns the response to a head that HTTP/1.1 does not allow. Node would
- * respond by itself, but to any number of pipelined requests at once.
+ * Returns the response to a head that HTTP does not allow. Node would respond to
+ * some by itself, but to any number of pipelined requests at once.
  *
  * @public
  */
 export function checkHead(
-  req: Pick<http.IncomingMessage, 'headers' | 'httpVersion'>
+  req: Pick<http.IncomingMessage, 'headers' | 'rawHeaders' | 'httpVersion'>
 ): GatewayResponse | undefined {
+  if (!hasValidNames(req.rawHeaders)) return INVALID_NAME;
   if (req.httpVersion !== '1.1') return undefined;
   const {host, expect} = req.headers;
   if (host === undefined) return NO_HOST;
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,6 +11,7 @@
 export type {Contain} from './lib/contain_faults.js';
 export {EventThrottle} from './lib/event_throttle.js';
 export {evictOldest} from './lib/evict_oldest.js';
+export {hasValidNames} from './lib/field_name.js';
 export {FlushedEndSocket} from './lib/flushed_end_socket.js';
 export {GrowingBuffer} from './lib/growing_buffer.js';
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
--- a/packages/utils/src/lib/response_check.ts
+++ b/packages/utils/src/lib/response_check.ts
@@ -1,3 +1,5 @@
+import {hasValidNames} from './field_name.js';
+
 import type http from 'node:http';
 
 /** A response that is not valid; nothing that it says may be used. @public */
@@ -10,8 +12,6 @@
 const LAST_STATUS = 599;
 const MAJOR_VERSION = 1;
 const CHUNKED = 'chunked';
-/** The name of a field, by RFC 9110. */
-const TOKEN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 /** The text behind the status, by RFC 9112. */
 const REASON = /^[\t\x20-\x7e\x80-\xff]*$/;
 
@@ -54,10 +54,7 @@
 }
 
 function checkNames({rawHeaders}: http.IncomingMessage): string | undefined {
-  for (let i = 0; i < rawHeaders.length; i += 2) {
-    if (!TOKEN.test(rawHeaders[i])) return 'field name';
-  }
-  return undefined;
+  return hasValidNames(rawHeaders) ? undefined : 'field name';
 }
 
 /** Only chunks can be decoded; they came with version 1.1. */
