--- a/packages/utils/src/lib/receive_response.ts
+++ b/packages/utils/src/lib/receive_response.ts
@@ -52,7 +52,7 @@
   let received: http.IncomingMessage | undefined;
   const reject = (invalid: InvalidResponse) => {
     isValid = false;
-    // The parser still reads these bytes, and passes them to nobody.
+    // The parser goes on with the bytes at hand; paused, none of them leave it.
     received?.pause();
     fail(TaggedError.create(invalid));
     req.destroy();
