A stream that its caller takes up is not admitted as new demand

Cause: a stream that was admitted once was decided on again by its customer's usage, which its first run had already filled, and by the wait up to which a first event is on time. It may only go to half of the engines, which all such streams ask at once, so most got `over_share`.

Change: a stream of which the fleet knows where it began is admitted where there is room and the predicted wait is no longer than the time after which a stream counts as stalled; otherwise it gets `no_capacity`. Its use still counts, so its customer's new requests yield. A stream that nobody knows is decided on as before: a caller cannot pass over its share by naming one.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -112,12 +112,10 @@
   }
 
   private get placementInput(): PlacementInput {
-    const {context, deps, attempts} = this;
+    const {context, deps, attempts, versionPin, nowMs} = this;
     const {state, random} = deps;
     const {tried} = attempts;
-    const {nowMs} = this;
-    const {version: softwareVersion} = this.versionPin;
-    return {context, state, softwareVersion, tried, nowMs, random};
+    return {context, state, versionPin, tried, nowMs, random};
   }
 
   private admit(need: VersionNeed): void {
--- a/packages/gateway/src/lib/front/placement.ts
+++ b/packages/gateway/src/lib/front/placement.ts
@@ -2,6 +2,7 @@
   ENGINE_POOL,
   placeAndAdmit,
   choosePlacement,
+  stallTimeoutMs,
   weightedTokensOf,
 } from '@applebend/routing';
 import {candidatesFor} from '../upstream/candidates.js';
@@ -15,13 +16,14 @@
 } from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
+import type {VersionPin} from './version_pin.js';
 
 /** What the decisions about one request depend on. @public */
 export interface PlacementInput {
   readonly context: RequestContext;
   readonly state: FleetState;
-  /** The only software version that may run it; undefined if any may. */
-  readonly softwareVersion: string | undefined;
+  /** The software version that it is bound to. */
+  readonly versionPin: Pick<VersionPin, 'version' | 'isKnownStream'>;
   /** Ids of targets that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
   /** Monotonic milliseconds. */
@@ -74,9 +76,9 @@
 }
 
 function candidatesOf(input: PlacementInput): Candidate[] {
-  const {context, state, softwareVersion, tried, nowMs, random} = input;
+  const {context, state, versionPin, tried, nowMs, random} = input;
   return candidatesFor(state.targets.readyTargets(context.service), {
-    softwareVersion,
+    softwareVersion: versionPin.version,
     prompt: context.prompt,
     failureDomain: state.settings.failureDomain,
     tried,
@@ -92,11 +94,21 @@
     latencyTargetMs: context.route.latencyTargetMs,
     leftMs: context.deadlineAtMs - nowMs,
     shareStatus: shareStatusOf(input),
+    resumeWaitMs: resumeWaitMsOf(input),
     windowMs: state.settings.shareWindowMs,
     spread: random(),
   };
 }
 
+/** A stream that the fleet is known to have begun may wait until it stalls. */
+function resumeWaitMsOf({
+  context: {route},
+  versionPin,
+}: PlacementInput): number | undefined {
+  if (!versionPin.isKnownStream) return undefined;
+  return stallTimeoutMs(route.eventGapTargetMs);
+}
+
 /** Only the rate of the model engines is configured. */
 function shareStatusOf({context, state, nowMs}: PlacementInput): ShareStatus {
   const pool = usagePoolOf(context);
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -78,7 +78,7 @@
     const decision = decideRequest({
       context,
       state,
-      softwareVersion: undefined,
+      versionPin: {version: undefined, isKnownStream: false},
       tried: new Set(),
       nowMs,
       random: () => random.uniform(),
--- a/packages/gateway/src/lib/front/version_pin.ts
+++ b/packages/gateway/src/lib/front/version_pin.ts
@@ -12,6 +12,7 @@
  */
 export class VersionPin {
   private pinned: string | undefined;
+  private isExact = false;
 
   private constructor(
     private readonly context: RequestContext,
@@ -27,6 +28,11 @@
     return this.pinned;
   }
 
+  /** Whether the request resumes a stream of which it is known where it began. */
+  get isKnownStream(): boolean {
+    return this.isExact;
+  }
+
   /**
    * Binds the request to the version of the stream that it resumes. Returns
    * false if it may not run, because that version is not known.
@@ -35,6 +41,7 @@
     if (need.kind === 'any') return true;
     if (need.kind !== 'exact' && need.kind !== 'inferred') return false;
     this.pinned = need.version;
+    this.isExact = need.kind === 'exact';
     return true;
   }
 
--- a/packages/routing/src/lib/admission/admission.test.ts
+++ b/packages/routing/src/lib/admission/admission.test.ts
@@ -15,6 +15,7 @@
   recentGiven: 0,
   level: Infinity,
   evenLevel: 1000,
+  resumeWaitMs: undefined,
   windowMs: 4000,
   spread: 0.5,
 };
@@ -83,3 +84,19 @@
     })
   );
 });
+
+test('a stream that goes on is not refused as new demand of its customer', () => {
+  const used = {level: 1000, given: 5000, recentGiven: 5000};
+  const input = {...IDLE, ...used, occupancy: 0.9, waitMs: 700};
+  assert.equal(decideAdmission(input).kind, 'refuse');
+  const goesOn = {...input, resumeWaitMs: 1200};
+  assert.equal(decideAdmission(goesOn).kind, 'admit');
+});
+
+test('a stream that goes on is refused without room, or if it would stall', () => {
+  const goesOn = {...IDLE, resumeWaitMs: 1200};
+  for (const change of [{hasRoom: false}, {waitMs: 1201}]) {
+    const decision = decideAdmission({...goesOn, ...change});
+    assert.equal(decision.kind === 'refuse' && decision.reason, 'no_capacity');
+  }
+});
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -34,6 +34,11 @@
   readonly recentGiven: number;
   /** Max-min level of all tokens admitted in the recent window. */
   readonly evenLevel: number;
+  /**
+   * Longest wait of a stream that was admitted before and goes on; undefined for
+   * a request that begins.
+   */
+  readonly resumeWaitMs: number | undefined;
   /** Length of the share window. */
   readonly windowMs: number;
   /** Random number from 0 (inclusive) to 1, spreads the retries of callers. */
@@ -57,8 +62,8 @@
    */
   overShare: 'over_share',
   /**
-   * The customer is within its share, but the wait or the occupancy is above its
-   * limits, or the target has no room.
+   * The customer is within its share, or the request goes on with a stream, but
+   * the wait or the occupancy is above its limits, or the target has no room.
    */
   noCapacity: 'no_capacity',
 } as const;
@@ -105,6 +110,8 @@
  * @internal
  */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
+  const {resumeWaitMs} = input;
+  if (resumeWaitMs !== undefined) return decideResume(input, resumeWaitMs);
   const {given, level, hasRoom, waitMs, windowMs, latencyTargetMs} = input;
   const isOverShare = given > level;
   const limits = limitsFor(
@@ -121,6 +128,20 @@
   return refuse(REFUSAL_REASON.overShare, timeToLevelMs, input);
 }
 
+/**
+ * Admits a stream that goes on wherever there is room for it before it stalls. It
+ * counted against its customer's share when it began, and what was spent on it is
+ * lost if it is refused. The time to a first event says nothing of it.
+ */
+function decideResume(
+  input: AdmissionInput,
+  resumeWaitMs: number
+): AdmissionDecision {
+  const excessMs = input.waitMs - resumeWaitMs;
+  if (input.hasRoom && excessMs <= 0) return {kind: 'admit'};
+  return refuse(REFUSAL_REASON.noCapacity, excessMs, input);
+}
+
 /**
  * Returns the longest wait, in milliseconds, for which a request of a customer
  * within its share is admitted.
--- a/packages/routing/src/lib/admission/request_decision.ts
+++ b/packages/routing/src/lib/admission/request_decision.ts
@@ -19,6 +19,8 @@
   readonly leftMs: number;
   /** Usage of its customer beside the share levels. */
   readonly shareStatus: ShareStatus;
+  /** See `AdmissionInput`. */
+  readonly resumeWaitMs: number | undefined;
   /** Length of the share window. */
   readonly windowMs: number;
   /** Random number from 0 (inclusive) to 1, spreads the retries of callers. */
@@ -41,13 +43,13 @@
  */
 export function choosePlacement(
   candidates: readonly Candidate[],
-  {kvTokens, latencyTargetMs, shareStatus}: RequestNeeds
+  {kvTokens, latencyTargetMs, resumeWaitMs, shareStatus}: RequestNeeds
 ): Placement | undefined {
   // Requests of a customer over its share may wait long for a target that has
   // their prefix cached.
   const isOverShare = shareStatus.admitted > shareStatus.levels.owed;
-  const maxMs = isOverShare ? Infinity : maxWaitMs(latencyTargetMs);
-  return place(candidates, kvTokens, maxMs);
+  const beginWaitMs = isOverShare ? Infinity : maxWaitMs(latencyTargetMs);
+  return place(candidates, kvTokens, resumeWaitMs ?? beginWaitMs);
 }
 
 /**
@@ -73,6 +75,7 @@
     level: levels.owed,
     recentGiven: recentAdmitted,
     evenLevel: levels.even,
+    resumeWaitMs: needs.resumeWaitMs,
     windowMs: needs.windowMs,
     spread: needs.spread,
   };
