--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,7 +11,6 @@
 export type {Contain} from './lib/contain_faults.js';
 export {EventThrottle} from './lib/event_throttle.js';
 export {evictOldest} from './lib/evict_oldest.js';
-export {hasValidNames} from './lib/field_name.js';
 export {FlushedEndSocket} from './lib/flushed_end_socket.js';
 export {GrowingBuffer} from './lib/growing_buffer.js';
 export {hash32, requestFingerprint, sha256Hex} from './lib/hash.js';
@@ -25,6 +24,7 @@
 export {listenWhenFree, openPort, settle} from './lib/open_port.js';
 export type {PortError, PortLog, PortOptions} from './lib/open_port.js';
 export {parseJson} from './lib/parse_json.js';
+export {allValues, hasValidNames} from './lib/raw_headers.js';
 export {Random} from './lib/random.js';
 export {
   isInvalidResponseError,
--- a/packages/utils/src/lib/response_check.ts
+++ b/packages/utils/src/lib/response_check.ts
@@ -1,4 +1,4 @@
-import {hasValidNames} from './field_name.js';
+import {allValues, hasValidNames} from './raw_headers.js';
 
 import type http from 'node:http';
 
@@ -59,18 +59,10 @@
 
 /** Only chunks can be decoded; they came with version 1.1. */
 function checkCodings(res: http.IncomingMessage): string | undefined {
-  const codings = valuesOf('transfer-encoding', res.rawHeaders);
+  const codings = allValues(res.rawHeaders, 'transfer-encoding');
   if (codings.length === 0) return undefined;
   const isChunked =
     codings.length === 1 && codings[0].trim().toLowerCase() === CHUNKED;
   const isKnown = isChunked && res.httpVersionMinor > 0;
   return isKnown ? undefined : 'transfer coding';
 }
-
-function valuesOf(name: string, rawHeaders: readonly string[]): string[] {
-  const values: string[] = [];
-  for (let i = 0; i < rawHeaders.length; i += 2) {
-    if (rawHeaders[i].toLowerCase() === name) values.push(rawHeaders[i + 1]);
-  }
-  return values;
-}
