--- a/apps/daemon/src/lib/entry/target_connection.ts
+++ b/apps/daemon/src/lib/entry/target_connection.ts
@@ -60,8 +60,9 @@
 }
 
 /**
- * Whether a target responds to a request, with any valid status. A connection alone
- * does not show that, since an exiting process may still accept connections.
+ * Whether a target responds to a request, with any valid status. A connection
+ * alone does not show that, since an exiting process may still accept
+ * connections.
  *
  * @public
  */
--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -23,7 +23,7 @@
     | 'reset'
     // The head of the response is not valid HTTP, or of no final status.
     | 'invalid_response'
-    // The response is unsigned, was re-encoded, or has no attempt id.
+    // The response has no single signature, was re-encoded, or has no attempt id.
     | 'bad_answer'
     // The response carries the id of another attempt.
     | 'crossed_answer'
