A stream that is taken up may wait as long as its caller does

Cause: the bound was the stall timeout, after which a running engine is given up. It says nothing of how long a broken stream is worth waiting for.

Change: the wait and the stream's own prefill may take as long as its caller waits for an event (the longest of 2 s, four latency targets, eight gaps), and at most two thirds of the time left. What would begin later is refused at once: its caller would be gone, or the rest would come too late.

Why a refusal is worse: the caller would wait up to a third of its time by itself, for the same engines, and many callers try once more only.

--- a/packages/gateway/src/lib/front/placement.ts
+++ b/packages/gateway/src/lib/front/placement.ts
@@ -2,7 +2,7 @@
   ENGINE_POOL,
   placeAndAdmit,
   choosePlacement,
-  stallTimeoutMs,
+  callerGapLimitMs,
   weightedTokensOf,
 } from '@applebend/routing';
 import {candidatesFor} from '../upstream/candidates.js';
@@ -10,6 +10,7 @@
 import type {
   RequestDecision,
   RequestNeeds,
+  ResumeNeeds,
   Candidate,
   Placement,
   ShareStatus,
@@ -22,8 +23,8 @@
 export interface PlacementInput {
   readonly context: RequestContext;
   readonly state: FleetState;
-  /** The software version that it is bound to. */
-  readonly versionPin: Pick<VersionPin, 'version' | 'isKnownStream'>;
+  /** The software version that it is bound to, and why. */
+  readonly versionPin: Pick<VersionPin, 'version' | 'resumed'>;
   /** Ids of targets that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
   /** Monotonic milliseconds. */
@@ -94,19 +95,20 @@
     latencyTargetMs: context.route.latencyTargetMs,
     leftMs: context.deadlineAtMs - nowMs,
     shareStatus: shareStatusOf(input),
-    resumeWaitMs: resumeWaitMsOf(input),
+    resume: resumeNeedsOf(input),
     windowMs: state.settings.shareWindowMs,
     spread: random(),
   };
 }
 
-/** A stream that the fleet is known to have begun may wait until it stalls. */
-function resumeWaitMsOf({
+function resumeNeedsOf({
   context: {route},
-  versionPin,
-}: PlacementInput): number | undefined {
-  if (!versionPin.isKnownStream) return undefined;
-  return stallTimeoutMs(route.eventGapTargetMs);
+  versionPin: {resumed},
+}: PlacementInput): ResumeNeeds | undefined {
+  if (resumed !== 'exact') return undefined;
+  const {latencyTargetMs, eventGapTargetMs} = route;
+  const gapLimitMs = callerGapLimitMs(latencyTargetMs, eventGapTargetMs);
+  return {gapLimitMs, isKnown: true};
 }
 
 /** Only the rate of the model engines is configured. */
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -78,7 +78,7 @@
     const decision = decideRequest({
       context,
       state,
-      versionPin: {version: undefined, isKnownStream: false},
+      versionPin: {version: undefined, resumed: undefined},
       tried: new Set(),
       nowMs,
       random: () => random.uniform(),
--- a/packages/gateway/src/lib/front/version_pin.ts
+++ b/packages/gateway/src/lib/front/version_pin.ts
@@ -4,6 +4,9 @@
 import type {FleetState} from '../state/fleet_state.js';
 import type {RequestContext} from './request_context.js';
 
+/** How the version of a resumed stream is known; see `VersionNeed`. @public */
+export type ResumedKind = 'exact' | 'inferred';
+
 /**
  * The software version that one request is bound to, once it is: a stream goes
  * on only at the version that began it.
@@ -12,7 +15,7 @@
  */
 export class VersionPin {
   private pinned: string | undefined;
-  private isExact = false;
+  private resumedKind: ResumedKind | undefined;
 
   private constructor(
     private readonly context: RequestContext,
@@ -28,9 +31,12 @@
     return this.pinned;
   }
 
-  /** Whether the request resumes a stream of which it is known where it began. */
-  get isKnownStream(): boolean {
-    return this.isExact;
+  /**
+   * How the version of the stream that the request resumes is known; undefined if
+   * it resumes none.
+   */
+  get resumed(): ResumedKind | undefined {
+    return this.resumedKind;
   }
 
   /**
@@ -41,7 +47,7 @@
     if (need.kind === 'any') return true;
     if (need.kind !== 'exact' && need.kind !== 'inferred') return false;
     this.pinned = need.version;
-    this.isExact = need.kind === 'exact';
+    this.resumedKind = need.kind;
     return true;
   }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,6 +17,7 @@
 export type {
   RequestDecision,
   RequestNeeds,
+  ResumeNeeds,
 } from './lib/admission/request_decision.js';
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {EventLoopSample} from './lib/admission/overload_guard.js';
@@ -127,6 +128,7 @@
 export {FleetRetryBudget} from './lib/retry/fleet_retry_budget.js';
 export type {RetryBudgetOptions} from './lib/retry/fleet_retry_budget.js';
 export {failoverTimeoutMs} from './lib/retry/failover_timeout.js';
+export {callerGapLimitMs} from './lib/retry/caller_patience.js';
 export {stallTimeoutMs} from './lib/retry/stall_timeout.js';
 export type {
   JournalRecord,
--- a/packages/routing/src/lib/admission/admission.test.ts
+++ b/packages/routing/src/lib/admission/admission.test.ts
@@ -15,7 +15,7 @@
   recentGiven: 0,
   level: Infinity,
   evenLevel: 1000,
-  resumeWaitMs: undefined,
+  resume: undefined,
   windowMs: 4000,
   spread: 0.5,
 };
@@ -89,12 +89,21 @@
   const used = {level: 1000, given: 5000, recentGiven: 5000};
   const input = {...IDLE, ...used, occupancy: 0.9, waitMs: 700};
   assert.equal(decideAdmission(input).kind, 'refuse');
-  const goesOn = {...input, resumeWaitMs: 1200};
-  assert.equal(decideAdmission(goesOn).kind, 'admit');
+  const resume = {maxWaitMs: 1200, isKnown: true};
+  assert.equal(decideAdmission({...input, resume}).kind, 'admit');
 });
 
-test('a stream that goes on is refused without room, or if it would stall', () => {
-  const goesOn = {...IDLE, resumeWaitMs: 1200};
+test('a stream that nobody knows does not pass over the share of its customer', () => {
+  const resume = {maxWaitMs: 1200, isKnown: false};
+  const waiting = {...IDLE, level: 1000, occupancy: 0.9, waitMs: 700, resume};
+  assert.equal(decideAdmission({...waiting, given: 900}).kind, 'admit');
+  const used = {given: 5000, recentGiven: 5000};
+  const decision = decideAdmission({...waiting, ...used});
+  assert.equal(decision.kind === 'refuse' && decision.reason, 'over_share');
+});
+
+test('a stream that goes on is refused without room, or if its caller would leave', () => {
+  const goesOn = {...IDLE, resume: {maxWaitMs: 1200, isKnown: true}};
   for (const change of [{hasRoom: false}, {waitMs: 1201}]) {
     const decision = decideAdmission({...goesOn, ...change});
     assert.equal(decision.kind === 'refuse' && decision.reason, 'no_capacity');
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -34,17 +34,22 @@
   readonly recentGiven: number;
   /** Max-min level of all tokens admitted in the recent window. */
   readonly evenLevel: number;
-  /**
-   * Longest wait of a stream that was admitted before and goes on; undefined for
-   * a request that begins.
-   */
-  readonly resumeWaitMs: number | undefined;
+  /** Undefined for a request that does not resume a stream. */
+  readonly resume: ResumeInput | undefined;
   /** Length of the share window. */
   readonly windowMs: number;
   /** Random number from 0 (inclusive) to 1, spreads the retries of callers. */
   readonly spread: number;
 }
 
+/** What is known of a request that resumes a stream. @public */
+export interface ResumeInput {
+  /** Longest wait at the target with which the caller still gets the rest. */
+  readonly maxWaitMs: number;
+  /** Whether the fleet is known to have begun the stream. */
+  readonly isKnown: boolean;
+}
+
 /** Whether a request is admitted, and if not, why and when to retry. @public */
 export type AdmissionDecision =
   | {readonly kind: 'admit'}
@@ -62,7 +67,7 @@
    */
   overShare: 'over_share',
   /**
-   * The customer is within its share, or the request goes on with a stream, but
+   * The customer is within its share, or the request resumes a known stream, but
    * the wait or the occupancy is above its limits, or the target has no room.
    */
   noCapacity: 'no_capacity',
@@ -110,10 +115,12 @@
  * @internal
  */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
-  const {resumeWaitMs} = input;
-  if (resumeWaitMs !== undefined) return decideResume(input, resumeWaitMs);
   const {given, level, hasRoom, waitMs, windowMs, latencyTargetMs} = input;
   const isOverShare = given > level;
+  const {resume} = input;
+  if (resume !== undefined && isExempt(resume, isOverShare)) {
+    return decideResume(input, resume);
+  }
   const limits = limitsFor(
     input,
     isOverShare ? LENIENT_OVER_SHARE : LENIENT_WITHIN_SHARE
@@ -129,15 +136,29 @@
 }
 
 /**
- * Admits a stream that goes on wherever there is room for it before it stalls. It
- * counted against its customer's share when it began, and what was spent on it is
- * lost if it is refused. The time to a first event says nothing of it.
+ * Whether a resumed stream is decided on by the wait that it has left. It counted
+ * against its customer's share when it began. One that is not known may be a
+ * pretext, so it has to be within the share.
+ *
+ * @internal
+ */
+export function isExempt(
+  {isKnown}: Pick<ResumeInput, 'isKnown'>,
+  isOverShare: boolean
+): boolean {
+  return isKnown || !isOverShare;
+}
+
+/**
+ * Admits a resumed stream wherever there is room for it before its caller leaves.
+ * The time to a first event is past, and what was spent on the stream is lost if
+ * it is refused.
  */
 function decideResume(
   input: AdmissionInput,
-  resumeWaitMs: number
+  {maxWaitMs: maxResumeWaitMs}: ResumeInput
 ): AdmissionDecision {
-  const excessMs = input.waitMs - resumeWaitMs;
+  const excessMs = input.waitMs - maxResumeWaitMs;
   if (input.hasRoom && excessMs <= 0) return {kind: 'admit'};
   return refuse(REFUSAL_REASON.noCapacity, excessMs, input);
 }
--- a/packages/routing/src/lib/admission/request_decision.ts
+++ b/packages/routing/src/lib/admission/request_decision.ts
@@ -1,7 +1,11 @@
-import {decideAdmission, maxWaitMs} from './admission.js';
+import {decideAdmission, isExempt, maxWaitMs} from './admission.js';
 import {place} from '../placement/placer.js';
 
-import type {AdmissionDecision, AdmissionInput} from './admission.js';
+import type {
+  AdmissionDecision,
+  AdmissionInput,
+  ResumeInput,
+} from './admission.js';
 import type {ShareStatus} from './customer_shares.js';
 import type {Candidate, Placement} from '../placement/placer.js';
 
@@ -19,14 +23,28 @@
   readonly leftMs: number;
   /** Usage of its customer beside the share levels. */
   readonly shareStatus: ShareStatus;
-  /** See `AdmissionInput`. */
-  readonly resumeWaitMs: number | undefined;
+  /** Undefined for a request that does not resume a stream. */
+  readonly resume: ResumeNeeds | undefined;
   /** Length of the share window. */
   readonly windowMs: number;
   /** Random number from 0 (inclusive) to 1, spreads the retries of callers. */
   readonly spread: number;
 }
 
+/** What a decision needs to know of a resumed stream. @public */
+export interface ResumeNeeds {
+  /** Time after which the caller leaves if no event came, in milliseconds. */
+  readonly gapLimitMs: number;
+  /** Whether the fleet is known to have begun the stream. */
+  readonly isKnown: boolean;
+}
+
+/**
+ * Part of the time left that may pass before a resumed stream goes on; the rest is
+ * for its events. A refused caller would wait for a third by itself.
+ */
+const MAX_RESUME_FRACTION = 2 / 3;
+
 /** The chosen target of a request and whether it is admitted there. @public */
 export interface RequestDecision {
   readonly placement: Placement;
@@ -43,13 +61,28 @@
  */
 export function choosePlacement(
   candidates: readonly Candidate[],
-  {kvTokens, latencyTargetMs, resumeWaitMs, shareStatus}: RequestNeeds
+  needs: RequestNeeds
 ): Placement | undefined {
+  const {kvTokens, latencyTargetMs, resume, shareStatus} = needs;
+  const isOverShare = shareStatus.admitted > shareStatus.levels.owed;
+  if (resume !== undefined && isExempt(resume, isOverShare)) {
+    return place(candidates, kvTokens, candidate =>
+      maxResumeWaitMs(resume, needs.leftMs, candidate)
+    );
+  }
   // Requests of a customer over its share may wait long for a target that has
   // their prefix cached.
-  const isOverShare = shareStatus.admitted > shareStatus.levels.owed;
-  const beginWaitMs = isOverShare ? Infinity : maxWaitMs(latencyTargetMs);
-  return place(candidates, kvTokens, resumeWaitMs ?? beginWaitMs);
+  const longestMs = isOverShare ? Infinity : maxWaitMs(latencyTargetMs);
+  return place(candidates, kvTokens, () => longestMs);
+}
+
+/** Longest wait at a candidate with which the caller still gets the rest. */
+function maxResumeWaitMs(
+  {gapLimitMs}: ResumeNeeds,
+  leftMs: number,
+  {prefillMs}: Candidate
+): number {
+  return Math.min(gapLimitMs, MAX_RESUME_FRACTION * leftMs) - prefillMs;
 }
 
 /**
@@ -75,13 +108,22 @@
     level: levels.owed,
     recentGiven: recentAdmitted,
     evenLevel: levels.even,
-    resumeWaitMs: needs.resumeWaitMs,
+    resume: resumeInputOf(needs, placement),
     windowMs: needs.windowMs,
     spread: needs.spread,
   };
   return {placement, input, admission: decideAdmission(input)};
 }
 
+function resumeInputOf(
+  {resume, leftMs}: RequestNeeds,
+  {candidate}: Placement
+): ResumeInput | undefined {
+  if (resume === undefined) return undefined;
+  const maxWaitMs = maxResumeWaitMs(resume, leftMs, candidate);
+  return {maxWaitMs, isKnown: resume.isKnown};
+}
+
 /** Returns the fraction of all candidates' slots that are in use. */
 function occupancyOf(candidates: readonly Candidate[]): number {
   let running = 0;
--- a/packages/routing/src/lib/placement/placer.test.ts
+++ b/packages/routing/src/lib/placement/placer.test.ts
@@ -71,8 +71,8 @@
   const cached = candidate('cached', {prefillMs: 20, waitMs: 400});
   const cold = candidate('cold', {waitMs: 100});
   assert.equal(place([cached, cold], 1000)?.candidate.id, 'cached');
-  assert.equal(place([cached, cold], 1000, 360)?.candidate.id, 'cold');
-  assert.equal(place([cached], 1000, 360)?.candidate.id, 'cached');
+  assert.equal(place([cached, cold], 1000, () => 360)?.candidate.id, 'cold');
+  assert.equal(place([cached], 1000, () => 360)?.candidate.id, 'cached');
 });
 
 test('a plain service is called in the own failure domain unless it is busier', () => {
--- a/packages/routing/src/lib/placement/placer.ts
+++ b/packages/routing/src/lib/placement/placer.ts
@@ -72,21 +72,21 @@
  * or among all if there are none of these. Costs are in milliseconds.
  *
  * @param kvTokens - memory that the request occupies, in tokens
- * @param maxWaitMs - longest wait that counts as short enough
+ * @param maxWaitMsAt - longest wait at a candidate that counts as short enough
  * @returns the chosen target, or undefined if there are no candidates
  * @internal
  */
 export function place(
   candidates: readonly Candidate[],
   kvTokens: number,
-  maxWaitMs = Infinity
+  maxWaitMsAt: (candidate: Candidate) => number = () => Infinity
 ): Placement | undefined {
   const all = candidates.map(candidate => ({
     candidate,
     hasRoom: hasRoomFor(candidate, kvTokens),
   }));
   const isOnTime = ({candidate, hasRoom}: Placement) =>
-    hasRoom && candidate.waitMs <= maxWaitMs;
+    hasRoom && candidate.waitMs <= maxWaitMsAt(candidate);
   return cheapest(all.filter(isOnTime)) ?? cheapest(all);
 }
 
--- a/packages/routing/src/testing/fleet_simulation.ts
+++ b/packages/routing/src/testing/fleet_simulation.ts
@@ -250,7 +250,7 @@
       simulation.tokensPerS,
       simulation.nowMs
     ),
-    resumeWaitMs: undefined,
+    resume: undefined,
     windowMs: SHARE_WINDOW_MS,
     spread: 0.5,
   });
