A stream that nobody noted may wait like a known one, within its share

After a loss of all notices, a stream of a service with one version is known by inference only, and was admitted as new demand: by the wait up to which a first event is on time, though its first event was long past.

Change: such a stream may wait as a known one does while its customer is within its share. Over the share it is decided on as before, so that a caller cannot pass over it by naming a stream that never was.

--- a/packages/gateway/src/lib/front/placement.ts
+++ b/packages/gateway/src/lib/front/placement.ts
@@ -105,10 +105,10 @@
   context: {route},
   versionPin: {resumed},
 }: PlacementInput): ResumeNeeds | undefined {
-  if (resumed !== 'exact') return undefined;
+  if (resumed === undefined) return undefined;
   const {latencyTargetMs, eventGapTargetMs} = route;
   const gapLimitMs = callerGapLimitMs(latencyTargetMs, eventGapTargetMs);
-  return {gapLimitMs, isKnown: true};
+  return {gapLimitMs, isKnown: resumed === 'exact'};
 }
 
 /** Only the rate of the model engines is configured. */
