Targets that refuse connections do not use up the tries of a request

Cause: engines that have just crashed look idle and are chosen first, and each refused connection counted as one of three tries. It is no arrival at an engine and costs about a millisecond.

Change: refused connections are not limited by their number while a healthy target is left that was not tried. After three failed connections of any kind ejected targets are not tried, so that requests of a service that is down altogether do not each try all of its targets. Slow failures stay limited to three.

--- a/packages/gateway/src/lib/front/attempt_tracker.test.ts
+++ b/packages/gateway/src/lib/front/attempt_tracker.test.ts
@@ -6,6 +6,7 @@
 
 const failure = fc.constantFrom(
   attemptFailure('connect_failed', EXECUTION.notRun, ''),
+  attemptFailure('connect_failed', EXECUTION.notRun, '', true),
   attemptFailure('not_executed', EXECUTION.notRun, ''),
   attemptFailure('reset', EXECUTION.unknown, '')
 );
@@ -34,6 +35,27 @@
   );
 });
 
+const refused = attemptFailure('connect_failed', EXECUTION.notRun, '', true);
+
+test('targets that refuse connections do not use up the tries of a request', () => {
+  const tracker = AttemptTracker.create(2);
+  for (let i = 0; i < 10; i++) {
+    tracker.onSend(`target-${i}`);
+    tracker.onFailure(refused);
+    assert.ok(tracker.allowsRetry(1000), `after ${i + 1}`);
+  }
+  assert.equal(tracker.sends, 0);
+});
+
+test('a request that was refused three times is not sent to ejected targets', () => {
+  const tracker = AttemptTracker.create(2);
+  for (const mayTry of [true, true, false]) {
+    tracker.onSend('target');
+    tracker.onFailure(refused);
+    assert.equal(tracker.mayTryEjected, mayTry);
+  }
+});
+
 test('no retry is allowed shortly before the deadline', () => {
   const tracker = AttemptTracker.create(3);
   tracker.onSend('a');
--- a/packages/gateway/src/lib/front/attempt_tracker.ts
+++ b/packages/gateway/src/lib/front/attempt_tracker.ts
@@ -2,7 +2,11 @@
 
 import type {AttemptFailure} from '../errors.js';
 
-/** A request fails after this number of failed connections in total. */
+/**
+ * A request fails after this number of connections that failed slowly. Of refused
+ * ones, which cost no time, it is the number after which only healthy targets are
+ * tried.
+ */
 const MAX_CONNECT_FAILURES = 3;
 /** No retry is allowed with less time left until the deadline. */
 const MIN_LEFT_FOR_RETRY_MS = 60;
@@ -16,6 +20,7 @@
 export class AttemptTracker {
   private readonly targets = new Set<string>();
   private sendCount = 0;
+  private refusals = 0;
   private connectFailures = 0;
   private ran = false;
   private last: AttemptFailure | undefined;
@@ -31,6 +36,11 @@
     return this.targets;
   }
 
+  /** Whether a target may be tried that is ejected, if there is no other. */
+  get mayTryEjected(): boolean {
+    return this.refusals + this.connectFailures < MAX_CONNECT_FAILURES;
+  }
+
   /** Attempts that did not fail to connect, including the current one. */
   get sends(): number {
     return this.sendCount;
@@ -65,7 +75,8 @@
     if (failure.execution === EXECUTION.unknown) this.ran = true;
     if (failure.kind !== 'connect_failed') return;
     this.sendCount -= 1;
-    this.connectFailures += 1;
+    if (failure.isRefused) this.refusals += 1;
+    else this.connectFailures += 1;
   }
 
   /** Whether one more attempt is allowed with the given time left. */
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -114,8 +114,7 @@
   private get placementInput(): PlacementInput {
     const {context, deps, attempts, versionPin, nowMs} = this;
     const {state, random} = deps;
-    const {tried} = attempts;
-    return {context, state, versionPin, tried, nowMs, random};
+    return {context, state, versionPin, attempts, nowMs, random};
   }
 
   private admit(need: VersionNeed): void {
--- a/packages/gateway/src/lib/front/placement.ts
+++ b/packages/gateway/src/lib/front/placement.ts
@@ -16,6 +16,7 @@
   ShareStatus,
 } from '@applebend/routing';
 import type {FleetState} from '../state/fleet_state.js';
+import type {AttemptTracker} from './attempt_tracker.js';
 import type {RequestContext} from './request_context.js';
 import type {VersionPin} from './version_pin.js';
 
@@ -25,8 +26,8 @@
   readonly state: FleetState;
   /** The software version that it is bound to, and why. */
   readonly versionPin: Pick<VersionPin, 'version' | 'resumed'>;
-  /** Ids of targets that the request has been sent to. */
-  readonly tried: ReadonlySet<string>;
+  /** The attempts of the request so far. */
+  readonly attempts: Pick<AttemptTracker, 'tried' | 'mayTryEjected'>;
   /** Monotonic milliseconds. */
   readonly nowMs: number;
   /** Draws a number from 0 up to 1. */
@@ -77,12 +78,13 @@
 }
 
 function candidatesOf(input: PlacementInput): Candidate[] {
-  const {context, state, versionPin, tried, nowMs, random} = input;
+  const {context, state, versionPin, attempts, nowMs, random} = input;
   return candidatesFor(state.targets.readyTargets(context.service), {
     softwareVersion: versionPin.version,
     prompt: context.prompt,
     failureDomain: state.settings.failureDomain,
-    tried,
+    tried: attempts.tried,
+    mayTryEjected: attempts.mayTryEjected,
     nowMs,
     random,
   });
--- a/packages/gateway/src/lib/front/plain_service_fairness.test.ts
+++ b/packages/gateway/src/lib/front/plain_service_fairness.test.ts
@@ -79,7 +79,7 @@
       context,
       state,
       versionPin: {version: undefined, resumed: undefined},
-      tried: new Set(),
+      attempts: {tried: new Set(), mayTryEjected: true},
       nowMs,
       random: () => random.uniform(),
     });
--- a/packages/gateway/src/lib/front/resumed_admission.test.ts
+++ b/packages/gateway/src/lib/front/resumed_admission.test.ts
@@ -35,7 +35,7 @@
     context,
     state,
     versionPin: {version: 'v1', resumed},
-    tried: new Set(),
+    attempts: {tried: new Set(), mayTryEjected: true},
     nowMs: 0,
     random: () => 0,
   });
--- a/packages/gateway/src/lib/state/cold_targets.test.ts
+++ b/packages/gateway/src/lib/state/cold_targets.test.ts
@@ -77,6 +77,7 @@
       prompt: undefined,
       failureDomain: 'hall-a',
       softwareVersion: undefined,
+      mayTryEjected: true,
       tried: new Set(),
       nowMs,
       random: () => 0,
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -24,6 +24,8 @@
   readonly softwareVersion: string | undefined;
   /** Ids of targets that the request has been sent to. */
   readonly tried: ReadonlySet<string>;
+  /** Whether ejected targets are used if there is no other. */
+  readonly mayTryEjected: boolean;
   /** Monotonic milliseconds. */
   readonly nowMs: number;
   /** Draws a number from 0 up to 1. */
@@ -34,8 +36,8 @@
  * The targets that a request may be sent to now. A target that asked for a pause
  * gets none before it is over, one that named a rate no more than that, and a
  * cold one no more than this instance's share.
- * Ejected targets, and those that paused a peer, are left out unless there is no
- * other: trying one is better than trying none.
+ * Those that paused a peer are left out unless there is no other, and so are
+ * ejected ones: trying one is better than trying none.
  *
  * @public
  */
@@ -43,11 +45,12 @@
   records: readonly TargetRecord[],
   needs: CandidateNeeds
 ): Candidate[] {
-  const {nowMs} = needs;
+  const {nowMs, mayTryEjected} = needs;
   const allowed = records.filter(record => isAllowed(record, needs));
   const healthy = allowed.filter(({health}) => health.isUsable(nowMs));
   const idle = healthy.filter(record => nowMs >= record.peerPauseEndsAtMs);
-  const chosen = [idle, healthy, allowed].find(list => list.length > 0) ?? [];
+  const last = mayTryEjected ? allowed : [];
+  const chosen = [idle, healthy].find(list => list.length > 0) ?? last;
   return chosen.map(record => candidateOf(record, needs));
 }
 
