A target that is known to be lost is ejected at once

Cause: the loss was known, by a check after its connections broke or from a peer, but it counted only against the requests that may have caused it. Placement learned of it by a refused connection of its own, once at each instance. Class: the target that fails fastest draws all traffic.

Change: the first news of a lost incarnation ejects the target, as a refused connection does; after the ejection one request probes it. The next incarnation has a record of its own and is used at once.

--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -45,6 +45,8 @@
   'log' | 'isLeaving' | 'checkTarget' | 'startTimer'
 > {
   readonly clock: Clock;
+  /** Called with each incarnation whose loss was not known yet. */
+  readonly onTargetLost?: (incarnation: string) => void;
 }
 
 /** A target that has written for this long did not crash under the request. */
@@ -218,6 +220,7 @@
       writingMs: suspects.map(run => run.writingMs ?? null),
       blocks: blockCounts(suspects),
     });
+    if (isNews) this.options.onTargetLost?.(incarnation);
     const losses: TargetLoss[] = [];
     for (const run of suspects) {
       const ageMs = this.nowMs - run.endedAtMs;
--- a/packages/gateway/src/lib/state/fleet_state.ts
+++ b/packages/gateway/src/lib/state/fleet_state.ts
@@ -85,6 +85,8 @@
       log,
       clock: systemClock,
       isLeaving: incarnation => this.targets.isLeaving(incarnation),
+      onTargetLost: incarnation =>
+        this.targets.onLost(incarnation, systemClock.monotonicMs()),
     });
     this.targets = TargetDirectory.create(
       this.peerLoads,
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -243,6 +243,17 @@
     this.log.info(event, {target: id, service, registeredAt, lastSends});
   }
 
+  /**
+   * Ejects a lost target. Without its requests it looks idle, and would be the
+   * first choice of all that were cut off with it.
+   */
+  onLost(incarnation: string, nowMs: number): void {
+    for (const {target, health} of this.records.values()) {
+      if (incarnationOf(target) !== incarnation) continue;
+      if (health.isUsable(nowMs)) health.onUnreachable(nowMs);
+    }
+  }
+
   private applyEvacuations(
     {begun, ended}: EvacuationChanges,
     nowMs: number
