A resumed stream that would begin after its caller has left is refused

What callers saw: silence until they left. All 12 with predictions of 0.9 to 1.6 s but one began in time, up to twice as late as predicted.

Change: the prediction may fill three quarters of the longest gap.

--- a/packages/routing/src/lib/admission/request_decision.ts
+++ b/packages/routing/src/lib/admission/request_decision.ts
@@ -39,6 +39,11 @@
   readonly isKnown: boolean;
 }
 
+/**
+ * Part of the longest gap that the prediction of the first event may fill: prefill
+ * often takes longer than predicted, and the gap began before the request came.
+ */
+const MAX_GAP_FRACTION = 3 / 4;
 /**
  * Part of the time left that may pass before a resumed stream goes on; the rest is
  * for its events. A refused caller would wait for a third by itself.
@@ -82,7 +87,11 @@
   leftMs: number,
   {prefillMs}: Candidate
 ): number {
-  return Math.min(gapLimitMs, MAX_RESUME_FRACTION * leftMs) - prefillMs;
+  const maxFirstEventMs = Math.min(
+    MAX_GAP_FRACTION * gapLimitMs,
+    MAX_RESUME_FRACTION * leftMs
+  );
+  return maxFirstEventMs - prefillMs;
 }
 
 /**
