--- a/packages/routing/src/lib/health/target_health.ts
+++ b/packages/routing/src/lib/health/target_health.ts
@@ -7,9 +7,9 @@
 
 /**
  * Tracks a target's health by the outcomes of its requests. A target with
- * several failures in a row, or one that cannot be reached, is ejected for a while; then a single request
- * probes it. Each further failure doubles the time of ejection, up to a limit,
- * and a success ends it and resets its time.
+ * several failures in a row, or one that cannot be reached, is ejected for a
+ * while; then a single request probes it. Each further failure doubles the time
+ * of ejection, up to a limit, and a success ends it and resets its time.
  *
  * @public
  */
