An idle engine does not refuse a stream that is taken up for its prefill

Cause: the prefill counts against two thirds of the time left, so with little time left even a target without a queue refused the stream, which new requests were not, and each later try has less time left.

Change: a target without a queue is refused only if its prefill ends after the deadline or after the caller has left. A wait of up to 250 ms, after which a refused caller comes back at the earliest, is admitted if something can come of it.

--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -103,8 +103,8 @@
  * The ratio from which strict limits apply; in between they are interpolated.
  */
 const STRICT_MIN_USAGE_RATIO = 1.6;
-/** Shortest time to retry after, unless the deadline is near. */
-const MIN_RETRY_AFTER_MS = 250;
+/** Shortest time to retry after, unless the deadline is near. @internal */
+export const MIN_RETRY_AFTER_MS = 250;
 /** Longest random time added, so that refused callers do not retry together. */
 const RETRY_AFTER_SPREAD_MS = 1200;
 /**
--- a/packages/routing/src/lib/admission/request_decision.ts
+++ b/packages/routing/src/lib/admission/request_decision.ts
@@ -1,4 +1,9 @@
-import {decideAdmission, isExempt, maxWaitMs} from './admission.js';
+import {
+  decideAdmission,
+  isExempt,
+  maxWaitMs,
+  MIN_RETRY_AFTER_MS,
+} from './admission.js';
 import {place} from '../placement/placer.js';
 
 import type {
@@ -40,10 +45,10 @@
 }
 
 /**
- * Part of the longest gap that the prediction of the first event may fill: prefill
- * often takes longer than predicted, and the gap began before the request came.
+ * Part of the time until a caller leaves that a prediction may fill: prefill often
+ * takes longer than predicted, and the gap began before the request came.
  */
-const MAX_GAP_FRACTION = 3 / 4;
+const MAX_PREDICTED_FRACTION = 3 / 4;
 /**
  * Part of the time left that may pass before a resumed stream goes on; the rest is
  * for its events. A refused caller would wait for a third by itself.
@@ -81,17 +86,27 @@
   return place(candidates, kvTokens, () => longestMs);
 }
 
-/** Longest wait at a candidate with which the caller still gets the rest. */
+/**
+ * Longest wait at a candidate with which the caller still gets the rest. A wait that
+ * is no longer than that of a refused caller is too long only if nothing can come of
+ * it.
+ */
 function maxResumeWaitMs(
   {gapLimitMs}: ResumeNeeds,
   leftMs: number,
   {prefillMs}: Candidate
 ): number {
-  const maxFirstEventMs = Math.min(
-    MAX_GAP_FRACTION * gapLimitMs,
+  const latestMs = Math.min(gapLimitMs, leftMs);
+  if (prefillMs >= latestMs) return -Infinity;
+  const firstEventMs = Math.min(
+    MAX_PREDICTED_FRACTION * gapLimitMs,
     MAX_RESUME_FRACTION * leftMs
   );
-  return maxFirstEventMs - prefillMs;
+  const shortestMs = Math.min(
+    MIN_RETRY_AFTER_MS,
+    MAX_PREDICTED_FRACTION * (latestMs - prefillMs)
+  );
+  return Math.max(firstEventMs - prefillMs, shortestMs);
 }
 
 /**
--- a/packages/routing/src/lib/admission/resumed_stream.test.ts
+++ b/packages/routing/src/lib/admission/resumed_stream.test.ts
@@ -61,3 +61,14 @@
     assert.ok(!isAdmitted(leftMs - PREFILL_MS, leftMs), `${leftMs} ms left`);
   }
 });
+
+test('an engine without a queue does not refuse a resumed stream that can go on', () => {
+  for (const leftMs of [PREFILL_MS + 1, 300]) {
+    assert.ok(isAdmitted(0, leftMs), `${leftMs} ms left`);
+  }
+  assert.ok(!isAdmitted(0, PREFILL_MS));
+});
+
+test('a resumed stream is not refused for a wait shorter than that of a refusal', () => {
+  assert.ok(isAdmitted(150, 500));
+});
