One refused connection ejects a target once

Cause: the refused connection counted as the news of a loss, which ejects, and then as a failure of the request, which ejected the same target again: its first ejection took 800 ms instead of 400 ms, the next one 1,600 ms. By reading, a response of another target at its address (wrong_target) did the same.

Change: the failure of the request is recorded first; a loss does not eject a target that is ejected.

Evidence: refused_connection.test, which failed before.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -249,10 +249,12 @@
 
   /** What failed is of interest also if the caller has left since. */
   private onFailure(failure: AttemptFailure): void {
+    const {hasEnded} = this.ending;
+    // First, so that a loss does not eject a target which this ejects already.
+    if (!hasEnded) this.recordFailure(failure);
     const checked = this.crashes.onFailure(failure, this.nowMs);
     this.lifetime.onCallEnded();
-    if (this.ending.hasEnded) return;
-    this.recordFailure(failure);
+    if (hasEnded) return;
     if (failure.kind === 'reset') void this.onReset(failure, checked);
     else this.retryOrGiveUp(failure);
   }
