A target that answered after a report of its loss is not reported again

Cause: a request that was sent before a loss and ends later shows that it was at the lost target. Where the report was false, the target lived on, and each stream from before that its caller left reported the loss anew, to all peers, and moved its time on: with streams longer than three seconds it never ended. Since losses eject, each such report ejected a sound target.

Change: a target that answered a request sent after the loss was not lost.

Evidence: loss_detector.test; its new case failed before.

--- a/packages/gateway/src/lib/crash/loss_detector.test.ts
+++ b/packages/gateway/src/lib/crash/loss_detector.test.ts
@@ -156,3 +156,15 @@
   rig.detector.onPeerLoss(incarnation);
   assert.equal(rig.lost.length, 1);
 });
+
+test('a target that answered after a false report is not lost by a later end', async () => {
+  const rig = new TestDetector();
+  rig.detector.onPeerLoss(incarnation);
+  const sentAtMs = rig.nowMs - 100;
+  await rig.wait(3500);
+  rig.detector.onAlive(incarnation, rig.nowMs - 200, rig.nowMs - 100);
+  const run = {fingerprint: 'left', blocks: [], writingMs: 3000, sentAtMs};
+  const end = {endedAtMs: rig.nowMs, isBroken: false};
+  await rig.detector.onRunEnded(target, {...run, ...end});
+  assert.deepEqual(rig.signals, [LOSS_SIGNAL.peer]);
+});
--- a/packages/gateway/src/lib/crash/loss_detector.ts
+++ b/packages/gateway/src/lib/crash/loss_detector.ts
@@ -96,7 +96,7 @@
   onRunEnded(target: Target, run: EndedRun): Promise<void> {
     const incarnation = incarnationOf(target);
     this.runs.add(incarnation, run);
-    if (this.runs.isLostSince(incarnation, run.sentAtMs)) {
+    if (this.runs.wasLostUnder(incarnation, run.sentAtMs)) {
       this.reportLost(incarnation, LOSS_SIGNAL.check);
       return Promise.resolve();
     }
--- a/packages/routing/src/lib/crash/unresolved_runs.ts
+++ b/packages/routing/src/lib/crash/unresolved_runs.ts
@@ -85,6 +85,15 @@
     return (this.targets.get(target)?.lostAtMs ?? -Infinity) >= atMs;
   }
 
+  /**
+   * Whether a target has been lost since a request was sent to it. It has not if it
+   * answered what was sent after the loss, whose report was false then.
+   */
+  wasLostUnder(target: string, sentAtMs: number): boolean {
+    const lostAtMs = this.targets.get(target)?.lostAtMs ?? -Infinity;
+    return lostAtMs >= sentAtMs && !this.hasAnsweredSince(target, lostAtMs);
+  }
+
   hasRuns(target: string): boolean {
     return (this.targets.get(target)?.runs.length ?? 0) > 0;
   }
