A stream that nobody noted does not pass over the even level of recent usage

Found by the review of this fix: in a service with one version each request that names a stream which never was, of a customer within its share, was admitted at waits and occupancies at which a new one was refused for its customer's recent usage.

Change: such a stream may wait as long as its caller does while its customer is below both levels, that of its share and the even one. The decisions about resumed streams have a module of their own.

Evidence: admission.test; its new case failed before.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,8 +17,8 @@
 export type {
   RequestDecision,
   RequestNeeds,
-  ResumeNeeds,
 } from './lib/admission/request_decision.js';
+export type {ResumeNeeds} from './lib/admission/resumed_stream.js';
 export {OverloadGuard} from './lib/admission/overload_guard.js';
 export type {EventLoopSample} from './lib/admission/overload_guard.js';
 export {BodyMemory} from './lib/admission/body_memory.js';
--- a/packages/routing/src/lib/admission/admission.test.ts
+++ b/packages/routing/src/lib/admission/admission.test.ts
@@ -102,6 +102,16 @@
   assert.equal(decision.kind === 'refuse' && decision.reason, 'over_share');
 });
 
+test('a stream that nobody knows does not pass over the even level of recent usage', () => {
+  const resume = {maxWaitMs: 1200, isKnown: false};
+  const waiting = {...IDLE, occupancy: 0.9, waitMs: 700, resume};
+  assert.equal(decideAdmission({...waiting, recentGiven: 900}).kind, 'admit');
+  assert.equal(decideAdmission({...waiting, recentGiven: 2000}).kind, 'refuse');
+  const known = {...resume, isKnown: true};
+  const goesOn = {...waiting, recentGiven: 2000, resume: known};
+  assert.equal(decideAdmission(goesOn).kind, 'admit');
+});
+
 test('a stream that goes on is refused without room, or if its caller would leave', () => {
   const goesOn = {...IDLE, resume: {maxWaitMs: 1200, isKnown: true}};
   for (const change of [{hasRoom: false}, {waitMs: 1201}]) {
--- a/packages/routing/src/lib/admission/admission.ts
+++ b/packages/routing/src/lib/admission/admission.ts
@@ -1,5 +1,17 @@
 import {honoredRetryAfterMs} from './retry_after.js';
 
+/** A customer's usage beside the levels that it is compared with. @public */
+export interface CustomerLevels {
+  /** Weighted tokens admitted for the customer in the share window. */
+  readonly given: number;
+  /** Max-min level of the configured rate in the share window. */
+  readonly level: number;
+  /** Weighted tokens admitted for the customer in the recent window. */
+  readonly recentGiven: number;
+  /** Max-min level of all tokens admitted in the recent window. */
+  readonly evenLevel: number;
+}
+
 /**
  * The inputs of an admission decision. Times in milliseconds.
  *
@@ -10,7 +22,7 @@
  *
  * @public
  */
-export interface AdmissionInput {
+export interface AdmissionInput extends CustomerLevels {
   /**
    * Predicted time of the prefill queued ahead of the request at its target.
    */
@@ -26,14 +38,6 @@
   readonly hasRoom: boolean;
   /** Fraction of the service's slots that are in use, 0 to 1. */
   readonly occupancy: number;
-  /** Weighted tokens admitted for the customer in the share window. */
-  readonly given: number;
-  /** Max-min level of the configured rate in the share window. */
-  readonly level: number;
-  /** Weighted tokens admitted for the customer in the recent window. */
-  readonly recentGiven: number;
-  /** Max-min level of all tokens admitted in the recent window. */
-  readonly evenLevel: number;
   /** Undefined for a request that does not resume a stream. */
   readonly resume: ResumeInput | undefined;
   /** Length of the share window. */
@@ -116,11 +120,11 @@
  */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
   const {given, level, hasRoom, waitMs, windowMs, latencyTargetMs} = input;
-  const isOverShare = given > level;
   const {resume} = input;
-  if (resume !== undefined && isExempt(resume, isOverShare)) {
+  if (resume !== undefined && mayWaitLong(resume, input)) {
     return decideResume(input, resume);
   }
+  const isOverShare = given > level;
   const limits = limitsFor(
     input,
     isOverShare ? LENIENT_OVER_SHARE : LENIENT_WITHIN_SHARE
@@ -136,17 +140,17 @@
 }
 
 /**
- * Whether a resumed stream is decided on by the wait that it has left. It counted
+ * Whether a resumed stream is decided on by how long its caller waits. It counted
  * against its customer's share when it began. One that is not known may be a
- * pretext, so it has to be within the share.
+ * pretext, so its customer has to be below both levels.
  *
  * @internal
  */
-export function isExempt(
+export function mayWaitLong(
   {isKnown}: Pick<ResumeInput, 'isKnown'>,
-  isOverShare: boolean
+  {given, level, recentGiven, evenLevel}: CustomerLevels
 ): boolean {
-  return isKnown || !isOverShare;
+  return isKnown || (given <= level && recentGiven <= evenLevel);
 }
 
 /**
--- a/packages/routing/src/lib/admission/request_decision.ts
+++ b/packages/routing/src/lib/admission/request_decision.ts
@@ -1,18 +1,16 @@
-import {
-  decideAdmission,
-  isExempt,
-  maxWaitMs,
-  MIN_RETRY_AFTER_MS,
-} from './admission.js';
+import {decideAdmission, maxWaitMs, mayWaitLong} from './admission.js';
 import {place} from '../placement/placer.js';
+import {maxResumeWaitMs} from './resumed_stream.js';
 
 import type {
   AdmissionDecision,
   AdmissionInput,
+  CustomerLevels,
   ResumeInput,
 } from './admission.js';
 import type {ShareStatus} from './customer_shares.js';
 import type {Candidate, Placement} from '../placement/placer.js';
+import type {ResumeNeeds} from './resumed_stream.js';
 
 /**
  * What a decision needs to know of a request. Times in milliseconds.
@@ -36,25 +34,6 @@
   readonly spread: number;
 }
 
-/** What a decision needs to know of a resumed stream. @public */
-export interface ResumeNeeds {
-  /** Time after which the caller leaves if no event came, in milliseconds. */
-  readonly gapLimitMs: number;
-  /** Whether the fleet is known to have begun the stream. */
-  readonly isKnown: boolean;
-}
-
-/**
- * Part of the time until a caller leaves that a prediction may fill: prefill often
- * takes longer than predicted, and the gap began before the request came.
- */
-const MAX_PREDICTED_FRACTION = 3 / 4;
-/**
- * Part of the time left that may pass before a resumed stream goes on; the rest is
- * for its events. A refused caller would wait for a third by itself.
- */
-const MAX_RESUME_FRACTION = 2 / 3;
-
 /** The chosen target of a request and whether it is admitted there. @public */
 export interface RequestDecision {
   readonly placement: Placement;
@@ -74,41 +53,19 @@
   needs: RequestNeeds
 ): Placement | undefined {
   const {kvTokens, latencyTargetMs, resume, shareStatus} = needs;
-  const isOverShare = shareStatus.admitted > shareStatus.levels.owed;
-  if (resume !== undefined && isExempt(resume, isOverShare)) {
+  const usage = usageOf(shareStatus);
+  if (resume !== undefined && mayWaitLong(resume, usage)) {
     return place(candidates, kvTokens, candidate =>
       maxResumeWaitMs(resume, needs.leftMs, candidate)
     );
   }
   // Requests of a customer over its share may wait long for a target that has
   // their prefix cached.
+  const isOverShare = usage.given > usage.level;
   const longestMs = isOverShare ? Infinity : maxWaitMs(latencyTargetMs);
   return place(candidates, kvTokens, () => longestMs);
 }
 
-/**
- * Longest wait at a candidate with which the caller still gets the rest. A wait that
- * is no longer than that of a refused caller is too long only if nothing can come of
- * it.
- */
-function maxResumeWaitMs(
-  {gapLimitMs}: ResumeNeeds,
-  leftMs: number,
-  {prefillMs}: Candidate
-): number {
-  const latestMs = Math.min(gapLimitMs, leftMs);
-  if (prefillMs >= latestMs) return -Infinity;
-  const firstEventMs = Math.min(
-    MAX_PREDICTED_FRACTION * gapLimitMs,
-    MAX_RESUME_FRACTION * leftMs
-  );
-  const shortestMs = Math.min(
-    MIN_RETRY_AFTER_MS,
-    MAX_PREDICTED_FRACTION * (latestMs - prefillMs)
-  );
-  return Math.max(firstEventMs - prefillMs, shortestMs);
-}
-
 /**
  * Chooses a target for a request, then admits or refuses the request there.
  *
@@ -121,17 +78,13 @@
 ): RequestDecision | undefined {
   const placement = choosePlacement(candidates, needs);
   if (placement === undefined) return undefined;
-  const {admitted, recentAdmitted, levels} = needs.shareStatus;
   const input: AdmissionInput = {
     waitMs: placement.candidate.waitMs,
     latencyTargetMs: needs.latencyTargetMs,
     leftMs: needs.leftMs,
     hasRoom: placement.hasRoom,
     occupancy: occupancyOf(candidates),
-    given: admitted,
-    level: levels.owed,
-    recentGiven: recentAdmitted,
-    evenLevel: levels.even,
+    ...usageOf(needs.shareStatus),
     resume: resumeInputOf(needs, placement),
     windowMs: needs.windowMs,
     spread: needs.spread,
@@ -139,6 +92,19 @@
   return {placement, input, admission: decideAdmission(input)};
 }
 
+function usageOf({
+  admitted,
+  recentAdmitted,
+  levels,
+}: ShareStatus): CustomerLevels {
+  return {
+    given: admitted,
+    level: levels.owed,
+    recentGiven: recentAdmitted,
+    evenLevel: levels.even,
+  };
+}
+
 function resumeInputOf(
   {resume, leftMs}: RequestNeeds,
   {candidate}: Placement
