An entry of another writer with fields missing names no target

Beside it, a record that describes no target kept the target known under its id in use for the grace after an outage.

`born` may lack, since not every deployment has it, but not where the held report of the same target names its start. A record that names no target takes the one under its id out of use at once; only a removal may be an expiry that is waited out. The target's own next report has a later number and is used at once.

--- a/packages/routing/src/lib/membership/target_reports.test.ts
+++ b/packages/routing/src/lib/membership/target_reports.test.ts
@@ -97,6 +97,26 @@
   assert.equal(state(), undefined);
 });
 
+const UNUSABLE: Readonly<Record<string, TargetRecordEntry>> = {
+  'that describes no target': {...REMOVAL, isRemoval: false},
+  'without the start of the target': entry(8, TARGET_STATE.ready, 0),
+};
+
+for (const [what, unusable] of Object.entries(UNUSABLE)) {
+  test(`a record of another writer ${what} names no target to use`, () => {
+    for (const keeps of [false, true]) {
+      const {reports, apply, state} = rig();
+      apply([entry(7)]);
+      apply([unusable], 100, keeps);
+      assert.equal(state(), undefined);
+      reports.onList([unusable], keeps, 200);
+      assert.equal(state(), undefined);
+      apply([entry(8)], 1000, keeps);
+      assert.equal(state(), TARGET_STATE.ready);
+    }
+  });
+}
+
 test('removed targets are forgotten', () => {
   const reports = TargetReports.create();
   for (let i = 0; i < 1000; i++) {
--- a/packages/routing/src/lib/membership/target_reports.ts
+++ b/packages/routing/src/lib/membership/target_reports.ts
@@ -43,7 +43,9 @@
  * that got no response may be executed seconds later, after newer ones. An older
  * report of an incarnation changes nothing. One that was removed counts as
  * registered again with its second report, because the first may have been
- * under way at the removal.
+ * under way at the removal. A record that describes no target, or lacks the
+ * start that the target's own reports name, is of another writer: the target is
+ * out of use until its own next report.
  *
  * @public
  */
@@ -152,10 +154,12 @@
     keeps: KeepsMissing,
     nowMs: number
   ): boolean {
-    if (report !== undefined) return this.onReport(id, report, nowMs);
     const held = this.held.get(id);
+    if (report !== undefined && !lacksStart(report, held)) {
+      return this.onReport(id, report, nowMs);
+    }
     if (held === undefined) return true;
-    if (keeps(id)) this.held.set(id, {...held, isMissing: true});
+    if (isRemoval && keeps(id)) this.held.set(id, {...held, isMissing: true});
     else this.remove(id, held, isRemoval, nowMs);
     return true;
   }
@@ -270,6 +274,15 @@
   return nowMs - heardAtMs <= MAX_UNDER_WAY_MS;
 }
 
+/** Whether a report names no start though those held of its target do. */
+function lacksStart(
+  {target}: TargetReport,
+  held: HeldReport | undefined
+): boolean {
+  if (held === undefined || held.startedAtMs === 0) return false;
+  return target.startedAtMs === 0;
+}
+
 function isOlder(
   {target: {startedAtMs}, sequence}: TargetReport,
   held: HeldReport,
