A start beside a restored store waits until the restore has settled

Cause: the wait of 2 s after a restore began with a change of the era, and a process that has just started takes the first era that it sees as the present one. Peers that started at the same moment know no more, but counted as peers that were heard.

Change: an instance whose first response names an era above 1 confirms the configuration only by a read that was sent 2 s or more after that response. A peer that says that its version was confirmed in this era ends the wait; the flag is a new last field of the message to peers, and older versions count as not confirmed. A first start of the fleet (bootstrap) and a store that was never restored do not wait.

Why it works: the store was back before its first response, so 2 s after it the operator's record is there again. A peer's version was confirmed after that time, so an earlier read that shows the same version is right as well.

Cost: after a kill of all instances on a store that was ever restored they are ready and let keys in later: 2 s, and up to a second until the next read is back (by reading). Requests of public routes do not depend on the wait (by reading).

--- a/packages/gateway/src/lib/peers/peer_exchange.ts
+++ b/packages/gateway/src/lib/peers/peer_exchange.ts
@@ -292,10 +292,12 @@
 
   /** What the peer holds; its read is older by the time for which this waited. */
   private agedState(message: PeerDatagram): HeldState {
-    const {storeEra, configVersion, targetList} = message;
+    const {targetList} = message;
     const lateMs = this.peerTable.lateMs(message.instance);
     const ageMs = targetList.ageMs + lateMs;
-    return {storeEra, configVersion, targetList: {...targetList, ageMs}};
+    const {storeEra, configVersion, isConfigConfirmed} = message;
+    const list = {...targetList, ageMs};
+    return {storeEra, configVersion, isConfigConfirmed, targetList: list};
   }
 
   /**
--- a/packages/gateway/src/lib/peers/peer_fleet.test.ts
+++ b/packages/gateway/src/lib/peers/peer_fleet.test.ts
@@ -54,7 +54,12 @@
   }
   heldState() {
     const targetList = {key: 0, ageMs: 0};
-    return {storeEra: 0, configVersion: 7, targetList};
+    return {
+      storeEra: 0,
+      configVersion: 7,
+      isConfigConfirmed: true,
+      targetList,
+    };
   }
   /** Ages of the lists that peers have read, as they were passed on. */
   readonly peerListAgesMs: number[] = [];
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -109,6 +109,7 @@
   }),
   storeEra: count,
   configVersion: count,
+  isConfigConfirmed: fc.boolean(),
   sentAtMs: count,
   ...rows,
 });
--- a/packages/gateway/src/lib/peers/peer_message.ts
+++ b/packages/gateway/src/lib/peers/peer_message.ts
@@ -47,6 +47,8 @@
   readonly storeEra: number;
   /** Version of the configuration that the sender holds; 0 without one. */
   readonly configVersion: number;
+  /** Whether that version was confirmed as the newest in this era of the store. */
+  readonly isConfigConfirmed: boolean;
   /** The sender's monotonic clock; undefined if it is an older version. */
   readonly sentAtMs: number | undefined;
   /** The sender's load at every target where it has any. */
@@ -67,6 +69,7 @@
   /** -1 if it is not known. */
   targetsNext: number,
   sentAtMs: number,
+  isConfigConfirmed: boolean,
 ];
 
 /** Index of the first row list of a message. */
@@ -89,6 +92,7 @@
     message.configVersion,
     message.targetList.next ?? -1,
     Math.round(message.sentAtMs ?? 0),
+    message.isConfigConfirmed,
   ];
   return pack(wire);
 }
@@ -99,8 +103,13 @@
 ): PeerDatagram | undefined {
   const [, instance, incarnation, sequence, leaving, key, ageMs] =
     wire as unknown as Wire;
-  const [storeEra = 0, configVersion = 0, next = -1, sentAtMs] =
-    wire.slice(STORE_ERA_INDEX);
+  const [
+    storeEra = 0,
+    configVersion = 0,
+    next = -1,
+    sentAtMs,
+    isConfigConfirmed,
+  ] = wire.slice(STORE_ERA_INDEX);
   const rows = decodeRows(wire, ROWS_INDEX);
   if (typeof instance !== 'string' || typeof sequence !== 'number') {
     return undefined;
@@ -118,6 +127,7 @@
     targetList: {key, ageMs, next: isOffset(next) ? next : undefined},
     storeEra,
     configVersion,
+    isConfigConfirmed: isConfigConfirmed === true,
     sentAtMs: typeof sentAtMs === 'number' ? sentAtMs : undefined,
     ...rows,
   };
--- a/packages/gateway/src/lib/peers/peer_table.test.ts
+++ b/packages/gateway/src/lib/peers/peer_table.test.ts
@@ -15,6 +15,7 @@
     targetList: {key: 0, ageMs: 0},
     storeEra: 0,
     configVersion: 0,
+    isConfigConfirmed: false,
     sentAtMs: undefined,
     loads: [],
     usage: [],
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -186,6 +186,8 @@
   readonly storeEra: number;
   /** Version of the configuration; 0 without one. */
   readonly configVersion: number;
+  /** Whether that version was confirmed as the newest in this era of the store. */
+  readonly isConfigConfirmed: boolean;
   /** The target list that this instance read. */
   readonly targetList: TargetListStamp;
 }
--- a/packages/routing/src/lib/freshness/config_knowledge.ts
+++ b/packages/routing/src/lib/freshness/config_knowledge.ts
@@ -16,6 +16,8 @@
  * within this time. Until then the store may lack a version that nobody read.
  */
 const RESTORE_SETTLE_MS = 2000;
+/** Era of a store that was never restored. */
+const FIRST_ERA = 1;
 
 /**
  * What is known of the newest version of the configuration. A store that was
@@ -32,6 +34,9 @@
   private newestVersion = -Infinity;
   private hasHeardPeer = false;
   private settledAtMs = -Infinity;
+  private hasSeenEra = false;
+  /** Whether a restore before the start may not have settled, unless a peer knows. */
+  private awaitsPeer = false;
 
   private constructor(private readonly options: ConfigKnowledgeOptions) {}
 
@@ -45,15 +50,38 @@
     this.newestVersion = Math.max(this.newestVersion, version);
   }
 
-  /** Records the version that a peer holds. */
-  onPeerVersion(version: number): void {
+  /**
+   * Records the version that a peer holds.
+   *
+   * @param isConfirmed - whether a read that was sent after the restore settled
+   *     confirmed that version in this era
+   */
+  onPeerVersion(version: number, isConfirmed: boolean): void {
     this.hasHeardPeer = true;
     this.newestVersion = Math.max(this.newestVersion, version);
+    if (!isConfirmed || !this.awaitsPeer) return;
+    this.awaitsPeer = false;
+    this.settledAtMs = -Infinity;
+  }
+
+  /**
+   * Called with the era of each response before it decides anything. An instance
+   * that starts beside a restored store cannot tell when that was, so the restore
+   * counts as new until a peer knows better.
+   */
+  onEra(era: number, nowMs: number): void {
+    if (this.hasSeenEra) return;
+    this.hasSeenEra = true;
+    if (era <= FIRST_ERA || this.options.isFleetBootstrap) return;
+    this.awaitsPeer = true;
+    this.settledAtMs = nowMs + RESTORE_SETTLE_MS;
   }
 
   /** Called when the store was restored from a copy: it may show less now. */
   onNewEra(nowMs: number): void {
     this.storeVersion = -Infinity;
+    this.hasSeenEra = true;
+    this.awaitsPeer = false;
     this.settledAtMs = nowMs + RESTORE_SETTLE_MS;
   }
 
--- a/packages/routing/src/testing/store_restore.model.test.ts
+++ b/packages/routing/src/testing/store_restore.model.test.ts
@@ -29,11 +29,15 @@
 /** What a read returned, in which era, and when it was sent. */
 interface Response extends StoreState {
   readonly era: number;
+  /** When that era began. */
+  readonly restoredAtMs: number;
   readonly sentAtMs: number;
 }
 
 class Store {
   era = 1;
+  /** When it was restored last. */
+  restoredAtMs = -Infinity;
   /** Newest version that was ever written, also before a restore. */
   newestVersion = 1;
   private state: StoreState = {version: 1, targets: new Map(), end: 1};
@@ -70,13 +74,15 @@
     this.copy = this.state;
   }
 
-  restore(): void {
+  restore(nowMs: number): void {
     this.state = this.copy;
     this.era += 1;
+    this.restoredAtMs = nowMs;
   }
 
   read(sentAtMs: number): Response {
-    return {...this.state, era: this.era, sentAtMs};
+    const {era, restoredAtMs} = this;
+    return {...this.state, era, restoredAtMs, sentAtMs};
   }
 
   private grow(): void {
@@ -92,6 +98,10 @@
   private isRestored = false;
   private restoredBefore = 0;
   private hasHeardPeer = false;
+  /** Whether it confirmed the configuration in its era. */
+  private hasConfirmed = false;
+  /** Whether a peer told it so of that era. */
+  private knowsOfConfirmation = false;
   private settledAtMs = -Infinity;
   heldVersion = 0;
   /** Newest version that it or a peer that it heard has held. */
@@ -113,7 +123,8 @@
 
   onResponse(response: Response, nowMs: number): void {
     if (this.observeEra(response.era, nowMs) === ERA_ORDER.older) return;
-    const {version, sentAtMs} = response;
+    const {version, sentAtMs, restoredAtMs} = response;
+    this.knowledge.onEra(response.era, nowMs);
     this.knowledge.onStoreVersion(version);
     this.shownVersion = Math.max(this.shownVersion, version);
     this.heldVersion = Math.max(this.heldVersion, version);
@@ -122,6 +133,10 @@
       const isNewest = this.shownVersion >= this.knownVersion;
       assert.ok(isNewest, 'confirmed an older version');
       assert.ok(sentAtMs >= this.settledAtMs, 'confirmed by a fresh copy');
+      const isSettled = sentAtMs >= restoredAtMs + SETTLE_MS;
+      const isKnown = isSettled || this.knowsOfConfirmation;
+      assert.ok(isKnown, 'confirmed by a copy from just before the start');
+      this.hasConfirmed = true;
       const isAlone = nowMs - this.startedAtMs >= PEER_WAIT_MS;
       assert.ok(this.hasHeardPeer || isAlone, 'confirmed before any peer');
     }
@@ -131,7 +146,10 @@
   hear(peer: Instance, nowMs: number): void {
     this.observeEra(peer.era.current, nowMs);
     this.hasHeardPeer = true;
-    this.knowledge.onPeerVersion(peer.heldVersion);
+    const isConfirmed =
+      peer.hasConfirmed && peer.era.current === this.era.current;
+    this.knowsOfConfirmation ||= isConfirmed;
+    this.knowledge.onPeerVersion(peer.heldVersion, isConfirmed);
     this.knownVersion = Math.max(this.knownVersion, peer.heldVersion);
     for (const departure of peer.departures.recent(nowMs)) {
       this.departures.add(departure, nowMs);
@@ -157,6 +175,8 @@
     this.knowledge.onNewEra(nowMs);
     this.isRestored = true;
     this.shownVersion = 0;
+    this.hasConfirmed = false;
+    this.knowsOfConfirmation = false;
     this.settledAtMs = nowMs + SETTLE_MS;
     return order;
   }
@@ -240,7 +260,7 @@
     drain: (s: Step & {kind: 'drain'}) => store.register(s.id, 'leaving'),
     remove: (s: Step & {kind: 'remove'}) => store.remove(s.id),
     save: () => store.save(),
-    restore: () => store.restore(),
+    restore: () => store.restore(nowMs),
     read: (s: Step & {kind: 'read'}) => {
       fleet[s.who].onResponse(store.read(nowMs), nowMs);
     },
