--- a/packages/routing/src/lib/versions/journaled_services.ts
+++ b/packages/routing/src/lib/versions/journaled_services.ts
@@ -3,7 +3,18 @@
 /** The versions of each service, in order. */
 type VersionSets = ReadonlyMap<string, readonly string[]>;
 
+/** A set of versions that may have replaced a newer one. */
+interface LateSet {
+  readonly versions: readonly string[];
+  readonly atMs: number;
+}
+
 const NO_VERSIONS: readonly string[] = [];
+/**
+ * For how long after its late append an instance answers for a set. It reads the
+ * list of targets, from which it learns of newer versions, every second or so.
+ */
+const LATE_SET_MS = 5000;
 
 /**
  * Decides which sets of versions are to be saved: those that differ from what
@@ -18,6 +29,8 @@
   private readonly held = new Map<string, readonly string[]>();
   /** Services whose records have to be written whatever the journal holds. */
   private readonly forced = new Set<string>();
+  /** Sets that this instance appended late, maybe after newer ones. */
+  private readonly late = new Map<string, LateSet>();
 
   private constructor() {}
 
@@ -33,6 +46,24 @@
   onHeld({service, versions}: ServiceRecord): void {
     this.held.set(service, versions);
     this.forced.delete(service);
+    this.late.delete(service);
+  }
+
+  /**
+   * Called with a record that this instance appended late. It may have replaced a
+   * newer set, and the writer of that may not hear of it.
+   */
+  onSavedLate({service, versions}: ServiceRecord, nowMs: number): void {
+    this.late.set(service, {versions, atMs: nowMs});
+  }
+
+  /** Whether a set that was appended late differs from the present one. */
+  hasOutdated(nowMs: number): boolean {
+    for (const [service, {versions, atMs}] of this.late) {
+      if (nowMs - atMs > LATE_SET_MS) this.late.delete(service);
+      else if (!isSame(versions, this.currentOf(service))) return true;
+    }
+    return false;
   }
 
   /** The services of which the journal holds a record. */
--- a/packages/routing/src/lib/versions/version_journal.test.ts
+++ b/packages/routing/src/lib/versions/version_journal.test.ts
@@ -9,6 +9,7 @@
 const INSTANCES = 9;
 const ONE = new Map([['llm', ['v1']]]);
 const TWO = new Map([['llm', ['v1', 'v2']]]);
+const THREE = new Map([['llm', ['v1', 'v2', 'v3']]]);
 
 const serviceRecord = (...versions: string[]): JournalRecord => ({
   kind: 'service',
@@ -194,6 +195,51 @@
   assert.deepEqual(instance.append(200), [serviceRecord('v1', 'v2')]);
 });
 
+// A frozen instance replaced a newer set, and the writer did not hear of it.
+for (const [order, savedAtMs, heardAtMs] of [
+  ['after', 5010, 5000],
+  ['before', 5000, 5010],
+] as const) {
+  test(`a set that was appended late, ${order} a save was heard, is replaced as soon as a newer one is known`, () => {
+    const instance = TestInstance.create();
+    instance.journal.onServices(TWO, 0);
+    const [service] = instance.next(0);
+    if (order === 'after') instance.journal.onPeerSaved('i4', heardAtMs);
+    instance.journal.onSaved(service, savedAtMs);
+    if (order === 'before') instance.journal.onPeerSaved('i4', heardAtMs);
+    assert.deepEqual(instance.append(5050), [], 'no newer set is known');
+    instance.journal.onServices(THREE, 5100);
+    instance.journal.onPeerSaved('i4', 5100);
+    const set = serviceRecord('v1', 'v2', 'v3');
+    assert.deepEqual(instance.append(5100), [set]);
+    instance.journal.onPeerSaved('i4', 5200);
+    assert.deepEqual(instance.append(9000), []);
+  });
+}
+
+// Else each of several writers at a start would append the next set.
+test('newer sets are left to the writer after an append that was not late', () => {
+  const instance = TestInstance.create();
+  instance.journal.onServices(TWO, 0);
+  const [service] = instance.next(0);
+  instance.journal.onPeerSaved('i4', 900);
+  instance.journal.onSaved(service, 999);
+  instance.journal.onServices(THREE, 1100);
+  instance.journal.onPeerSaved('i4', 1100);
+  assert.deepEqual(instance.append(1100), []);
+});
+
+test('5 s after a late append, newer sets are left to the writer', () => {
+  const instance = TestInstance.create();
+  instance.journal.onServices(TWO, 0);
+  const [service] = instance.next(0);
+  instance.journal.onPeerSaved('i4', 5000);
+  instance.journal.onSaved(service, 5010);
+  instance.journal.onServices(THREE, 10_011);
+  instance.journal.onPeerSaved('i4', 10_011);
+  assert.deepEqual(instance.append(10_011), []);
+});
+
 test('the second of two writers stops', () => {
   const instance = TestInstance.create();
   instance.journal.onServices(TWO, 0);
--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -20,6 +20,12 @@
 
 /** Least time between two batches of one writer. @public */
 export const JOURNAL_BATCH_INTERVAL_MS = 200;
+/**
+ * An append that takes this long is late: the instance was frozen, or the store
+ * did not respond. Others have taken over by then. At a start, several instances
+ * write for less than that; each would append again at the next change.
+ */
+const LATE_APPEND_MS = 1000;
 
 /**
  * Decides what this instance appends to the journal of stream versions. One
@@ -33,6 +39,7 @@
   private readonly unsavedStreams = UnsavedStreams.create();
   /** Records of the last batch whose append has no result yet. */
   private readonly inFlight = new Set<JournalRecord>();
+  private readonly returnedAtMs = new WeakMap<JournalRecord, number>();
   private nextBatchAtMs = -Infinity;
   private hasEndedReading = false;
 
@@ -150,6 +157,8 @@
   next(instanceCount: number, nowMs: number): readonly JournalRecord[] {
     const wasWriter = this.isWriter;
     this.selection.update(instanceCount, nowMs);
+    // A late append may have replaced a newer set, and its notice been lost.
+    if (this.services.hasOutdated(nowMs)) this.selection.takeOverAtOnce(nowMs);
     if (!this.isWriter) {
       if (wasWriter) this.discardBatch();
       return [];
@@ -158,7 +167,10 @@
     if (this.inFlight.size > 0 || nowMs < this.nextBatchAtMs) return [];
     const records = [...this.services.unsaved(), ...this.unsavedStreams.take()];
     if (records.length === 0) return [];
-    for (const record of records) this.inFlight.add(record);
+    for (const record of records) {
+      this.inFlight.add(record);
+      this.returnedAtMs.set(record, nowMs);
+    }
     this.nextBatchAtMs = nowMs + JOURNAL_BATCH_INTERVAL_MS;
     this.selection.onAppend(nowMs);
     return records;
@@ -168,7 +180,12 @@
   onSaved(record: JournalRecord, nowMs: number): void {
     const isCurrent = this.inFlight.delete(record);
     this.selection.onAppended(this.inFlight.size > 0, nowMs);
-    if (isCurrent && record.kind === 'service') this.services.onHeld(record);
+    if (record.kind !== 'service') return;
+    const returnedAtMs = this.returnedAtMs.get(record) ?? nowMs;
+    if (isCurrent) this.services.onHeld(record);
+    // An instance that was frozen may hear of the other writer only after this.
+    const isLate = nowMs - returnedAtMs >= LATE_APPEND_MS;
+    if (isLate) this.services.onSavedLate(record, nowMs);
   }
 
   /**
--- a/packages/routing/src/lib/versions/writer_selection.test.ts
+++ b/packages/routing/src/lib/versions/writer_selection.test.ts
@@ -96,3 +96,26 @@
   writer.update(9, 9000);
   assert.equal(writer.isWriter, true);
 });
+
+// Where the store is out of its reach, it would keep others from saving.
+test('a writer that gave up does not take over at once for 1 s', () => {
+  const writer = createWriter();
+  writer.onAppend(0);
+  writer.onFailed(1000);
+  writer.takeOverAtOnce(1999);
+  assert.equal(writer.isWriter, false);
+  writer.takeOverAtOnce(2000);
+  assert.equal(writer.isWriter, true);
+});
+
+// Two writers that hear each other would alternate with each append.
+test('an instance takes over at once no more than once a second', () => {
+  const selection = create();
+  selection.takeOverAtOnce(0);
+  assert.equal(selection.isWriter, true);
+  selection.onPeerSaved('i4', 10);
+  selection.takeOverAtOnce(999);
+  assert.equal(selection.isWriter, false);
+  selection.takeOverAtOnce(1000);
+  assert.equal(selection.isWriter, true);
+});
--- a/packages/routing/src/lib/versions/writer_selection.ts
+++ b/packages/routing/src/lib/versions/writer_selection.ts
@@ -30,6 +30,7 @@
   /** Position of the takeover in the range of the random delay, 0 to 1. */
   private delayFraction = 0;
   private noTakeoverBeforeMs = -Infinity;
+  private noneAtOnceBeforeMs = -Infinity;
   private hasHeardWriter = false;
   /** Start of the first append after the last successful one. */
   private appendingSinceMs: number | undefined;
@@ -91,10 +92,21 @@
     else this.takeOverIfDue(instanceCount, nowMs);
   }
 
+  /**
+   * Becomes the writer at once, beside another one if there is one; not within
+   * 1 s of the last such takeover, or after it gave up.
+   */
+  takeOverAtOnce(nowMs: number): void {
+    if (this.isSelected || nowMs < this.noneAtOnceBeforeMs) return;
+    this.noneAtOnceBeforeMs = nowMs + WRITER_TIMEOUT_MS;
+    this.select();
+  }
+
   private stepDownIfFailing(nowMs: number): void {
     const appendingForMs = nowMs - (this.appendingSinceMs ?? nowMs);
     if (appendingForMs < APPEND_TIMEOUT_MS) return;
     this.isSelected = false;
+    this.noneAtOnceBeforeMs = nowMs + WRITER_TIMEOUT_MS;
     this.onUnsaved(nowMs);
     this.postponeTakeover(nowMs);
   }
@@ -104,6 +116,10 @@
     const fromMs = Math.max(this.unsavedSinceMs, this.noTakeoverBeforeMs);
     const range = Math.min(MAX_DELAY_MS, DELAY_PER_INSTANCE_MS * instanceCount);
     if (nowMs < fromMs + this.delayFraction * range) return;
+    this.select();
+  }
+
+  private select(): void {
     this.isSelected = true;
     this.unsavedSinceMs = undefined;
     this.appendingSinceMs = undefined;
