--- a/packages/routing/src/lib/versions/journaled_services.ts
+++ b/packages/routing/src/lib/versions/journaled_services.ts
@@ -66,6 +66,11 @@
     return false;
   }
 
+  /** Whether the journal holds a record of any service. */
+  get hasHeld(): boolean {
+    return this.held.size > 0;
+  }
+
   /** The services of which the journal holds a record. */
   heldServices(): Iterable<string> {
     return this.held.keys();
--- a/packages/routing/src/lib/versions/version_journal.test.ts
+++ b/packages/routing/src/lib/versions/version_journal.test.ts
@@ -330,6 +330,17 @@
   assert.equal(instance.next(1000).length, 2);
 });
 
+// Else it writes beside a writer that has been silent since it started.
+test('after a silence, an instance that read a set lets others take over for 1 s', () => {
+  const instance = new TestInstance();
+  instance.journal.onRead(serviceRecord('v1', 'v2'), 0);
+  instance.journal.onReadEnd(0);
+  instance.journal.onServices(instance.services.sets(0), 0);
+  instance.begin(1, 'v1', 5000);
+  assert.deepEqual(instance.next(5999), []);
+  assert.equal(instance.next(6000).length, 2);
+});
+
 // The journal says that two versions are in doubt until a record says otherwise.
 test('a set that shrinks after a start is saved', () => {
   const instance = new TestInstance();
--- a/packages/routing/src/lib/versions/version_journal.ts
+++ b/packages/routing/src/lib/versions/version_journal.ts
@@ -81,8 +81,13 @@
    * remembered streams.
    */
   onStream(attempt: AttemptKey, version: string, nowMs: number): void {
-    if (this.isWriter) this.unsavedStreams.add(attempt, version);
-    else this.onUnsaved(nowMs);
+    if (this.isWriter) {
+      this.unsavedStreams.add(attempt, version);
+      return;
+    }
+    // The writer of what was read here may have had nothing to save since.
+    if (this.services.hasHeld) this.selection.onWriterKnown();
+    this.onUnsaved(nowMs);
   }
 
   /** Called when an instance says that it has appended a record. */
--- a/packages/routing/src/lib/versions/writer_selection.ts
+++ b/packages/routing/src/lib/versions/writer_selection.ts
@@ -31,7 +31,7 @@
   private delayFraction = 0;
   private noTakeoverBeforeMs = -Infinity;
   private noneAtOnceBeforeMs = -Infinity;
-  private hasHeardWriter = false;
+  private hasKnownWriter = false;
   /** Start of the first append after the last successful one. */
   private appendingSinceMs: number | undefined;
 
@@ -52,7 +52,7 @@
     this.delayFraction = this.options.random();
     // A writer that had nothing to save was silent.
     const wasSilent = nowMs >= this.noTakeoverBeforeMs;
-    if (this.hasHeardWriter && wasSilent) this.postponeTakeover(nowMs);
+    if (this.hasKnownWriter && wasSilent) this.postponeTakeover(nowMs);
   }
 
   /** Gives the present writer, if there is one, the time for its next save. */
@@ -60,6 +60,11 @@
     this.noTakeoverBeforeMs = nowMs + WRITER_TIMEOUT_MS;
   }
 
+  /** Called when there may be a writer that has had nothing to save. */
+  onWriterKnown(): void {
+    this.hasKnownWriter = true;
+  }
+
   /**
    * Called when a peer has saved. Of two writers, the one with the smaller id
    * goes on.
@@ -67,7 +72,7 @@
   onPeerSaved(peer: string, nowMs: number): void {
     if (this.isSelected && peer > this.options.instance) return;
     this.isSelected = false;
-    this.hasHeardWriter = true;
+    this.hasKnownWriter = true;
     this.unsavedSinceMs = undefined;
     this.postponeTakeover(nowMs);
   }
