Log lines that are the same as the one before are written

The process had not ended; it gave its own code.

Cause: consola drops a line equal to the one before, from the seventh within a second on, and starts the second anew with each one. Our JSON lines showed no count of them, droppedLines neither. The program of the test logs the same line every 20 ms, so it wrote nothing from 120 ms after its first line on, and the closed pipe was not noticed. The test closed 300 ms after the spawn: it passed when the start took longer than some 180 ms, as on a busy machine, and failed when the program was already running for 120 ms.

Change: the JSON lines are not throttled; a slow reader is still not waited for, what it does not take is still counted. Lines on a terminal stay as they were: there the count is shown. The test counts its 300 ms from the first line, so it always closes the pipe of a running program; all its checks stay.

--- a/packages/telemetry/src/lib/log_output.process.test.ts
+++ b/packages/telemetry/src/lib/log_output.process.test.ts
@@ -13,6 +13,7 @@
 /** The program ends by itself after this, with its own code. */
 const RUN_MS = 1200;
 const OWN_CODE = 7;
+/** Counted from the first line, so that the program surely runs. */
 const CLOSE_AFTER_MS = 300;
 
 /** Logs a line every 20 ms, and the longest delay of a timer at the end. */
@@ -46,7 +47,10 @@
   child.stderr.on('data', (chunk: Buffer) => (errors += chunk.toString()));
   child.stdout.resume();
   const exited = once(child, 'exit') as Promise<[number | null]>;
-  if (afterMs > 0) await sleep(afterMs);
+  if (afterMs > 0) {
+    await once(child.stdout, 'data');
+    await sleep(afterMs);
+  }
   for (const name of closed) (child[name] as Readable).destroy();
   const [code] = await exited;
   return {code, errors};
--- a/packages/telemetry/src/lib/log_output.test.ts
+++ b/packages/telemetry/src/lib/log_output.test.ts
@@ -60,6 +60,13 @@
   });
 }
 
+test('lines that are the same are all written', async () => {
+  const {stream, log} = createLogger();
+  for (let i = 0; i < 20; i++) log.info('same', {customer: 'kpone'});
+  await settle();
+  assert.equal(stream.lines.length, 20);
+});
+
 test('a destroyed stream does not lose lines', async () => {
   const fallback = new FakeStream();
   const stream = new Writable({write: (_chunk, _encoding, done) => done()});
--- a/packages/telemetry/src/lib/logger.ts
+++ b/packages/telemetry/src/lib/logger.ts
@@ -15,6 +15,13 @@
 /** One of the log levels. @public */
 export type LogLevel = (typeof LOG_LEVEL)[keyof typeof LOG_LEVEL];
 
+/**
+ * By default consola drops lines equal to the previous one, from the seventh
+ * within a second on. The JSON lines had no count of them, and an output that
+ * had failed was not noticed. `throttleMin` holds when the clock steps back.
+ */
+const WRITE_REPEATED_LINES = {throttle: 0, throttleMin: Infinity} as const;
+
 /** Fields of a log line; lines of one request share `requestId`. @public */
 export type LogFields = Readonly<Record<string, unknown>>;
 
@@ -45,7 +52,8 @@
     const options = {level: LogLevels[level], stdout: stream};
     if (stream.isTTY) return new Logger(createConsola(options), fields);
     const reporters = [{log: jsonLineWriter(stream, fields, fallback)}];
-    return new Logger(createConsola({...options, reporters}), fields);
+    const jsonOptions = {...options, reporters, ...WRITE_REPEATED_LINES};
+    return new Logger(createConsola(jsonOptions), fields);
   }
 
   /** Returns a logger that adds further fields to each line. */
