Runs that end without a result are told to the peers

Callers saw 502s from a request that ends its targets: it was sent to targets again after three had ended, where instances had been restarted meanwhile (unseen_loss.model, "also while instances restart": 4 late, bound 3).

Cause: a run whose caller has left is kept by its instance alone until its target is known to be lost. An instance that restarts before that forgets it, so the loss is nobody's. In the counterexample three targets end at 2700 ms; one run was open at a killed instance, one had been aborted at an instance that was restarted at 3111 ms, and a single loss remained.

Each such run is told to the peers when it ends: target, fingerprint, time, about 50 bytes, twice, up to 40 in a message. A peer attributes it when it learns that the target is lost, and tells nobody, since all others do the same. A peer that starts is told the runs of the last 10 s. A request that runs to its end clears them everywhere; that is told if there were any, and a run that arrives later is dropped.

--- a/packages/gateway/src/lib/crash/crash_guard.test.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.test.ts
@@ -8,7 +8,7 @@
 import {fingerprintOf} from './request_fingerprint.js';
 import {checkTarget, TARGET_CHECK} from './target_check.js';
 
-import type {EndedRun, Target, TargetLoss} from '@applebend/routing';
+import type {EndedRun, SharedRun, Target, TargetLoss} from '@applebend/routing';
 import type {AddressInfo} from 'node:net';
 import type {RequestContent} from './request_fingerprint.js';
 
@@ -64,6 +64,48 @@
   assert.deepEqual(fingerprints, [['f', 'g']]);
 });
 
+/** A guard that tells another one of what ended there, and that other one. */
+function createPeers() {
+  const first = createGuard(() => Promise.resolve(false));
+  const second = createGuard(() => Promise.resolve(false));
+  first.guard.onUnresolved = run => second.guard.onPeerRun(run);
+  return {first, second};
+}
+
+test('what ended at an instance that is gone counts when its target is lost', () => {
+  const {first, second} = createPeers();
+  for (const id of ['t-1', 't-2']) {
+    const run = {...runOf('f'), isBroken: false};
+    void first.guard.onRunEnded(targetAt(id), run);
+    second.guard.onRefused(targetAt(id));
+  }
+  assert.ok(second.guard.quarantineLeftMs('f') > 0);
+  // Each peer finds it by itself.
+  assert.deepEqual(second.reported, [[], []]);
+});
+
+test('what ran to its end after its caller had left is no suspect at a peer', () => {
+  const {first, second} = createPeers();
+  const late: SharedRun[] = [];
+  first.guard.onUnresolved = run => late.push(run);
+  first.guard.onSurvivals = survivals => {
+    for (const survival of survivals) second.guard.onPeerSurvival(survival);
+  };
+  for (const id of ['t-1', 't-2']) {
+    const run = {...runOf('f'), isBroken: false};
+    void first.guard.onRunEnded(targetAt(id), run);
+  }
+  second.guard.onPeerRun(late[0]);
+  first.clock.nowMs = second.clock.nowMs = 50;
+  first.guard.onServed('f');
+  second.clock.nowMs = 100;
+  second.guard.onPeerRun({...late[1], endedAtMs: 1e12 - 100});
+  // Nor does it tell a peer that starts of them.
+  assert.deepEqual(second.guard.recentRuns(), []);
+  for (const id of ['t-1', 't-2']) second.guard.onRefused(targetAt(id));
+  assert.deepEqual(second.guard.suspectedLosses(), []);
+});
+
 test('a quarantine ends, and a completed run clears the request', async () => {
   const {guard, clock} = createGuard(() => Promise.resolve(true));
   await guard.onRunEnded(targetAt('t-1'), runOf('f'));
--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -1,10 +1,12 @@
-import {CrashTracker, isBlockKey} from '@applebend/routing';
+import {CrashTracker, isBlockKey, RETENTION_MS} from '@applebend/routing';
+import {evictOldest} from '@applebend/utils';
 import {LOSS_SIGNAL, LossDetector} from './loss_detector.js';
 
 import type {
   Survival,
   EndedRun,
   Quarantine,
+  SharedRun,
   Target,
   TargetLoss,
 } from '@applebend/routing';
@@ -36,6 +38,9 @@
 /** Called with requests and blocks that ran and that peers may suspect. @public */
 export type SurvivalListener = (survivals: readonly Survival[]) => void;
 
+/** Called with each run that ended without a result. @public */
+export type UnresolvedListener = (run: SharedRun) => void;
+
 /** Called with what a check of a target found. @public */
 export type CheckResultListener = (result: TargetCheck) => void;
 
@@ -55,6 +60,8 @@
 const CRASH_WITHIN_MS = 600;
 /** Bounds the memory. */
 const MAX_OBSERVED = 20_000;
+/** Bounds the memory, and what a peer that starts is told. */
+const MAX_COMPLETED = 200;
 /** Bounds a message to peers; prompts have few blocks. */
 const MAX_BLOCKS = 16;
 
@@ -78,9 +85,15 @@
   private readonly detector: LossDetector;
   /** Fingerprints and blocks of which this instance observed a loss. */
   private readonly observed = new Set<string>();
+  /**
+   * When requests ran to their end of which the peers were told; one that starts
+   * may hear of their earlier runs from a peer that does not know it yet.
+   */
+  private readonly completed = new Map<string, number>();
   onLosses: LossListener = () => undefined;
   onQuarantined: QuarantineListener = () => undefined;
   onSurvivals: SurvivalListener = () => undefined;
+  onUnresolved: UnresolvedListener = () => undefined;
   onCheckResult: CheckResultListener = () => undefined;
 
   private constructor(private readonly options: CrashGuardOptions) {
@@ -88,6 +101,8 @@
       ...options,
       nowMs: () => this.nowMs,
       onLost: lost => this.onLost(lost),
+      onUnresolved: (incarnation, run) =>
+        this.onUnresolved(this.sharedRun(incarnation, run)),
       onCheckResult: result => this.onCheckResult(result),
     });
   }
@@ -132,7 +147,13 @@
 
   /** When suspected blocks last ran, for peers that start. */
   suspectSurvivals(): Survival[] {
-    return this.tracker.suspectSurvivals(this.nowMs);
+    const {nowMs} = this;
+    const survivals = this.tracker.suspectSurvivals(nowMs);
+    for (const [key, atMs] of this.completed) {
+      const ageMs = nowMs - atMs;
+      if (ageMs < RETENTION_MS) survivals.push({key, ageMs});
+    }
+    return survivals;
   }
 
   /** Whether any request is suspected, or ended without a result lately. */
@@ -171,9 +192,11 @@
   }
 
   onServed(fingerprint: string): void {
-    this.detector.onCompleted(fingerprint);
+    const wasUnresolved = this.detector.onCompleted(fingerprint);
     const wasSuspect = this.tracker.onCompleted(fingerprint, this.nowMs);
-    if (wasSuspect) this.onSurvivals([{key: fingerprint, ageMs: 0}]);
+    if (!wasSuspect && !wasUnresolved) return;
+    this.addCompleted(fingerprint, this.nowMs);
+    this.onSurvivals([{key: fingerprint, ageMs: 0}]);
   }
 
   /** Records that a target wrote on some blocks and lives on. */
@@ -185,6 +208,30 @@
     this.shareSurvivals(blocks);
   }
 
+  /** Records that a request of a peer ended without a result. */
+  onPeerRun(run: SharedRun): void {
+    const {target, fingerprint, hasProgressed} = run;
+    const ageMs = this.options.clock.wallMs() - run.endedAtMs;
+    const endedAtMs = this.nowMs - Math.max(0, ageMs);
+    // Its end may become known after a later attempt ran to its end.
+    if (this.tracker.hasCompletedSince(fingerprint, endedAtMs)) return;
+    this.detector.onPeerRun(target, {
+      fingerprint,
+      blocks: [],
+      writingMs: hasProgressed ? 0 : undefined,
+      sentAtMs: endedAtMs,
+      endedAtMs,
+      isBroken: false,
+      isOfPeer: true,
+    });
+  }
+
+  /** What ended without a result lately, for peers that start. */
+  recentRuns(): SharedRun[] {
+    const runs = this.detector.recentRuns();
+    return runs.map(([target, run]) => this.sharedRun(target, run));
+  }
+
   /** Records a loss that a peer observed. */
   onPeerLoss(loss: TargetLoss): void {
     const ageMs = this.options.clock.wallMs() - loss.seenAtMs;
@@ -195,6 +242,8 @@
   /** Records that a block, or a suspected request, ran at a peer. */
   onPeerSurvival({key, ageMs}: Survival): void {
     const {nowMs} = this;
+    this.detector.onCompleted(key, nowMs - ageMs);
+    if (!isBlockKey(key)) this.addCompleted(key, nowMs - ageMs);
     const isReleased = isBlockKey(key)
       ? this.tracker.onBlockRan(key, nowMs, ageMs, true)
       : this.tracker.onCompletedElsewhere(key, nowMs, ageMs);
@@ -225,8 +274,11 @@
     for (const run of suspects) {
       const ageMs = this.nowMs - run.endedAtMs;
       const loss = this.lossOf(run, incarnation, ageMs);
-      losses.push(loss);
-      this.addObserved(loss);
+      // Each peer that was told of a run finds its loss.
+      if (run.isOfPeer !== true) {
+        losses.push(loss);
+        this.addObserved(loss);
+      }
       this.record(loss, ageMs);
       this.shareSurvivals(loss.blocks ?? []);
     }
@@ -254,6 +306,19 @@
     };
   }
 
+  private sharedRun(
+    target: string,
+    {fingerprint, writingMs, endedAtMs}: EndedRun
+  ): SharedRun {
+    const ageMs = this.nowMs - endedAtMs;
+    return {
+      target,
+      fingerprint,
+      endedAtMs: this.options.clock.wallMs() - ageMs,
+      hasProgressed: writingMs !== undefined,
+    };
+  }
+
   private record(loss: TargetLoss, ageMs: number): void {
     const {fingerprint} = loss;
     const {nowMs} = this;
@@ -289,6 +354,12 @@
     if (survivals.length > 0) this.onSurvivals(survivals);
   }
 
+  private addCompleted(fingerprint: string, atMs: number): void {
+    this.completed.delete(fingerprint);
+    this.completed.set(fingerprint, atMs);
+    if (this.completed.size > MAX_COMPLETED) evictOldest(this.completed);
+  }
+
   private addObserved({fingerprint, blocks = []}: TargetLoss): void {
     if (this.observed.size >= MAX_OBSERVED) this.observed.clear();
     for (const key of [fingerprint, ...blocks]) this.observed.add(key);
--- a/packages/gateway/src/lib/crash/loss_detector.ts
+++ b/packages/gateway/src/lib/crash/loss_detector.ts
@@ -45,6 +45,8 @@
   readonly isLeaving: (incarnation: string) => boolean;
   /** Called with each lost target, again if more suspects become known. */
   readonly onLost: (lost: LostTarget) => void;
+  /** Called with each run that ended without a result. */
+  readonly onUnresolved?: (incarnation: string, run: EndedRun) => void;
   /** Called with the result of each check. */
   readonly onCheckResult: (result: TargetCheck) => void;
   readonly checkTarget?: (target: Target) => Promise<TargetCheck>;
@@ -100,6 +102,7 @@
       this.reportLost(incarnation, LOSS_SIGNAL.check);
       return Promise.resolve();
     }
+    this.options.onUnresolved?.(incarnation, run);
     return run.isBroken ? this.checks.onBroken(target) : Promise.resolve();
   }
 
@@ -108,9 +111,25 @@
     this.runs.onAlive(incarnation, sentAtMs, nowMs);
   }
 
-  /** Called when a request ran to its end, so it crashes no target. */
-  onCompleted(fingerprint: string): void {
-    this.runs.onCompleted(fingerprint);
+  /** Called when a peer told that its request ended without a result. */
+  onPeerRun(incarnation: string, run: EndedRun): void {
+    this.runs.add(incarnation, run);
+    if (this.runs.isLostSince(incarnation, run.sentAtMs)) {
+      this.reportLost(incarnation, LOSS_SIGNAL.peer);
+    }
+  }
+
+  /** What ended without a result lately, for peers that start. */
+  recentRuns(): [incarnation: string, run: EndedRun][] {
+    return this.runs.recent(this.options.nowMs());
+  }
+
+  /**
+   * Called when a request ran to its end, so it crashes no target. Returns
+   * whether it had ended without a result lately.
+   */
+  onCompleted(fingerprint: string, atMs?: number): boolean {
+    return this.runs.onCompleted(fingerprint, atMs);
   }
 
   /** Called when a target refused the connection of a request. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -106,6 +106,8 @@
     crashGuard.onCheckResult = result => this.metrics.onTargetChecked(result);
     crashGuard.onSurvivals = survivals =>
       this.peers.announce({kind: 'survivals', survivals});
+    crashGuard.onUnresolved = run =>
+      this.peers.announce({kind: 'unresolved', runs: [run]});
     crashGuard.onQuarantined = quarantine =>
       void this.quarantines.save(quarantine);
     this.versionArchive = VersionArchive.create({
--- a/packages/gateway/src/lib/peers/notice.ts
+++ b/packages/gateway/src/lib/peers/notice.ts
@@ -4,6 +4,7 @@
   Departure,
   Quarantine,
   SeenVersion,
+  SharedRun,
   TargetLoss,
 } from '@applebend/routing';
 import type {CrashGuard} from '../crash/crash_guard.js';
@@ -33,6 +34,7 @@
     }
   | {readonly kind: 'quarantine'; readonly quarantine: Quarantine}
   | {readonly kind: 'survivals'; readonly survivals: readonly Survival[]}
+  | {readonly kind: 'unresolved'; readonly runs: readonly SharedRun[]}
   | {readonly kind: 'version'; readonly seen: SeenVersion}
   | {
       readonly kind: 'streams';
@@ -55,7 +57,7 @@
 /** What an instance tells its peers of requests that crash targets. @public */
 export type CrashNotice = Extract<
   Notice,
-  {kind: 'loss' | 'quarantine' | 'survivals'}
+  {kind: 'loss' | 'quarantine' | 'survivals' | 'unresolved'}
 >;
 
 /** Applies what a peer tells. @public */
@@ -85,6 +87,7 @@
       return;
     case 'quarantine':
     case 'survivals':
+    case 'unresolved':
       applyCrashNotice(notice, crashGuard);
       return;
     case 'version':
@@ -112,6 +115,9 @@
       return;
     case 'survivals':
       for (const survival of notice.survivals) guard.onPeerSurvival(survival);
+      return;
+    case 'unresolved':
+      for (const run of notice.runs) guard.onPeerRun(run);
   }
 }
 
@@ -147,5 +153,7 @@
   for (const loss of guard.suspectedLosses()) {
     notices.push({kind: 'loss', loss});
   }
+  const runs = guard.recentRuns();
+  if (runs.length > 0) notices.push({kind: 'unresolved', runs});
   return notices;
 }
--- a/packages/gateway/src/lib/peers/notice_codec.ts
+++ b/packages/gateway/src/lib/peers/notice_codec.ts
@@ -1,6 +1,11 @@
 import {DEPARTURE_KIND} from '@applebend/routing';
 
-import type {AttemptKey, Survival, DepartureKind} from '@applebend/routing';
+import type {
+  AttemptKey,
+  DepartureKind,
+  SharedRun,
+  Survival,
+} from '@applebend/routing';
 import type {Notice} from './notice.js';
 
 /** First element of a notice in a message. */
@@ -16,6 +21,7 @@
   limit: 9,
   journal_saved: 10,
   refused: 11,
+  unresolved: 12,
 } as const;
 
 /** A notice as it stands in a message. @public */
@@ -39,6 +45,17 @@
       count: number,
       survivals: [key: string, ageMs: number][],
     ]
+  | [
+      code: number,
+      empty: string,
+      count: number,
+      runs: [
+        target: string,
+        fingerprint: string,
+        endedAtMs: number,
+        hasProgressed: boolean,
+      ][],
+    ]
   | [code: number, service: string, ageMs: number, version: string]
   | [code: number, version: string, count: number, attempts: AttemptKey[]]
   | [code: number, instance: string, zero: number];
@@ -84,6 +101,22 @@
       ]);
       return [NOTICE_CODE.survivals, '', rows.length, rows];
     }
+    case 'unresolved': {
+      const rows = notice.runs.map(
+        ({
+          target,
+          fingerprint,
+          endedAtMs,
+          hasProgressed,
+        }): [string, string, number, boolean] => [
+          target,
+          fingerprint,
+          Math.round(endedAtMs),
+          hasProgressed,
+        ]
+      );
+      return [NOTICE_CODE.unresolved, '', rows.length, rows];
+    }
     case 'version': {
       const {service, version, ageMs} = notice.seen;
       return [NOTICE_CODE.version, service, Math.round(ageMs), version];
@@ -153,6 +186,10 @@
     if (!Array.isArray(rows)) return undefined;
     return {kind: 'survivals', survivals: rows.flatMap(decodeSurvival)};
   },
+  [NOTICE_CODE.unresolved]: (_name, _count, rows) => {
+    if (!Array.isArray(rows)) return undefined;
+    return {kind: 'unresolved', runs: rows.flatMap(decodeRun)};
+  },
 };
 
 /** Returns undefined if the notice is malformed or of an unknown kind. @public */
@@ -172,6 +209,16 @@
   return [{key, ageMs}];
 }
 
+/** None if the row is malformed. */
+function decodeRun(row: unknown): SharedRun[] {
+  if (!Array.isArray(row)) return [];
+  const [target, fingerprint, endedAtMs, hasProgressed] = row as unknown[];
+  if (typeof target !== 'string' || typeof fingerprint !== 'string') return [];
+  if (typeof endedAtMs !== 'number') return [];
+  const isAfterEvents = hasProgressed === true;
+  return [{target, fingerprint, endedAtMs, hasProgressed: isAfterEvents}];
+}
+
 /** The strings of a list; none if it is not a list. */
 function decodeStrings(list: unknown): string[] {
   if (!Array.isArray(list)) return [];
--- a/packages/gateway/src/lib/peers/notice_outbox.ts
+++ b/packages/gateway/src/lib/peers/notice_outbox.ts
@@ -1,4 +1,4 @@
-import type {AttemptKey} from '@applebend/routing';
+import type {AttemptKey, SharedRun} from '@applebend/routing';
 import type {Notice} from './notice.js';
 
 /** A notice is sent again for this long, because a message may be lost. */
@@ -9,14 +9,20 @@
 const MAX_NOTICES = 60;
 /** Bounds a message; further attempts follow in the next one. */
 const MAX_ATTEMPTS = 400;
+/** Bounds a message; the first ones are sent first. */
+const MAX_RUNS = 40;
+/** Bounds the memory and the messages of an instance whose calls all fail. */
+const MAX_WAITING_RUNS = 400;
+/** A run is told twice, because a message may be lost. */
+const RUN_SENDS = 2;
 
 /**
  * A pause is over soon, a limit is named again and again, a save of the journal
- * is followed by others, and there are too many streams.
+ * is followed by others, and there are too many streams and ended runs.
  */
 type SentOnce = Extract<
   Notice,
-  {kind: 'pause' | 'limit' | 'streams' | 'journal_saved'}
+  {kind: 'pause' | 'limit' | 'streams' | 'journal_saved' | 'unresolved'}
 >;
 type StreamNotice = Extract<Notice, {kind: 'streams'}>;
 type RepeatedNotice = Exclude<Notice, SentOnce>;
@@ -28,6 +34,13 @@
   readonly sentAtMs: number;
 }
 
+/** A run that ended without a result, until it has been sent. */
+interface WaitingRun {
+  readonly run: SharedRun;
+  readonly dueAtMs: number;
+  readonly sendsLeft: number;
+}
+
 /** The notices that the next messages to some peers carry. @public */
 export class NoticeOutbox {
   /** Those sent first come first. */
@@ -36,6 +49,7 @@
   private single: Notice[] = [];
   /** Attempts whose software version is to be sent, by version. */
   private readonly attempts = new Map<string, AttemptKey[]>();
+  private runs: WaitingRun[] = [];
 
   private constructor() {}
 
@@ -53,6 +67,9 @@
       case 'streams':
         this.addAttempts(notice);
         return;
+      case 'unresolved':
+        this.addRuns(notice.runs, nowMs);
+        return;
       case 'departure':
       case 'loss':
       case 'refused':
@@ -69,6 +86,13 @@
     this.attempts.set(version, waiting);
   }
 
+  private addRuns(runs: readonly SharedRun[], nowMs: number): void {
+    for (const run of runs) {
+      if (this.runs.length >= MAX_WAITING_RUNS) return;
+      this.runs.push({run, dueAtMs: nowMs, sendsLeft: RUN_SENDS});
+    }
+  }
+
   private repeat(notice: RepeatedNotice, nowMs: number): void {
     const key = keyOf(notice);
     const sentAtMs = this.repeated.get(key)?.sentAtMs ?? -Infinity;
@@ -79,6 +103,7 @@
   /** Returns whether the next message has notices to carry. */
   isDue(nowMs: number): boolean {
     if (this.single.length > 0 || this.attempts.size > 0) return true;
+    if (this.runs.some(({dueAtMs}) => nowMs >= dueAtMs)) return true;
     for (const {sentAtMs} of this.repeated.values()) {
       if (nowMs - sentAtMs >= REPEAT_INTERVAL_MS) return true;
     }
@@ -87,7 +112,8 @@
 
   /** Returns the notices for the next message. */
   take(nowMs: number): Notice[] {
-    const notices = [...this.single, ...this.takeAttempts()];
+    const runs = this.takeRuns(nowMs);
+    const notices = [...this.single, ...this.takeAttempts(), ...runs];
     this.single = [];
     for (const [key, repetition] of [...this.repeated]) {
       if (notices.length >= MAX_NOTICES) break;
@@ -101,6 +127,25 @@
     return notices;
   }
 
+  private takeRuns(nowMs: number): Notice[] {
+    const runs: SharedRun[] = [];
+    const waiting: WaitingRun[] = [];
+    for (const entry of this.runs) {
+      const {run, dueAtMs, sendsLeft} = entry;
+      if (nowMs < dueAtMs || runs.length >= MAX_RUNS) {
+        waiting.push(entry);
+        continue;
+      }
+      runs.push(run);
+      if (sendsLeft > 1) {
+        const nextAtMs = nowMs + REPEAT_INTERVAL_MS;
+        waiting.push({run, dueAtMs: nextAtMs, sendsLeft: sendsLeft - 1});
+      }
+    }
+    this.runs = waiting;
+    return runs.length > 0 ? [{kind: 'unresolved', runs}] : [];
+  }
+
   private takeAttempts(): Notice[] {
     const notices: Notice[] = [];
     for (const [version, waiting] of this.attempts) {
--- a/packages/gateway/src/lib/peers/peer_message.test.ts
+++ b/packages/gateway/src/lib/peers/peer_message.test.ts
@@ -82,6 +82,18 @@
           maxLength: 5,
         }),
       }),
+      fc.record({
+        kind: fc.constant('unresolved' as const),
+        runs: fc.array(
+          fc.record({
+            target: id,
+            fingerprint: id,
+            endedAtMs: count,
+            hasProgressed: fc.boolean(),
+          }),
+          {maxLength: 5}
+        ),
+      }),
       fc.record({
         kind: fc.constant('version' as const),
         seen: fc.record({service: id, version: id, ageMs: count}),
--- a/packages/gateway/src/testing/crash_world.ts
+++ b/packages/gateway/src/testing/crash_world.ts
@@ -333,6 +333,8 @@
     };
     guard.onSurvivals = survivals =>
       this.tell(index, {kind: 'survivals', survivals});
+    guard.onUnresolved = run =>
+      this.tell(index, {kind: 'unresolved', runs: [run]});
     guard.onQuarantined = quarantine =>
       this.saved.set(quarantine.fingerprint, quarantine);
     return guard;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -56,8 +56,8 @@
   CrashStatus,
   CrashTrackerOptions,
 } from './lib/crash/crash_tracker.js';
-export {UnresolvedRuns} from './lib/crash/unresolved_runs.js';
-export type {EndedRun} from './lib/crash/unresolved_runs.js';
+export {RETENTION_MS, UnresolvedRuns} from './lib/crash/unresolved_runs.js';
+export type {EndedRun, SharedRun} from './lib/crash/unresolved_runs.js';
 export {blockKey, isBlockKey} from './lib/crash/target_loss.js';
 export type {
   Survival,
--- a/packages/routing/src/lib/crash/crash_tracker.ts
+++ b/packages/routing/src/lib/crash/crash_tracker.ts
@@ -296,15 +296,16 @@
     return isReleased;
   }
 
+  /** Whether a request ran to its end after a moment, as far as known. */
+  hasCompletedSince(fingerprint: string, atMs: number): boolean {
+    return (this.cleared.get(fingerprint) ?? -Infinity) > atMs;
+  }
+
   private clear(fingerprint: string, atMs: number): void {
     this.cleared.set(fingerprint, atMs);
     if (this.cleared.size > MAX_CLEARED) evictOldest(this.cleared);
   }
 
-  private hasCompletedSince(fingerprint: string, atMs: number): boolean {
-    return (this.cleared.get(fingerprint) ?? -Infinity) > atMs;
-  }
-
   private historyOf(fingerprint: string): LossHistory | undefined {
     return this.suspects.get(fingerprint) ?? this.quarantined.get(fingerprint);
   }
--- a/packages/routing/src/lib/crash/unresolved_runs.ts
+++ b/packages/routing/src/lib/crash/unresolved_runs.ts
@@ -13,6 +13,19 @@
   readonly endedAtMs: number;
   /** Whether the target broke the connection, and not this instance. */
   readonly isBroken: boolean;
+  /** Whether a peer sent it and told this instance of its end. */
+  readonly isOfPeer?: boolean;
+}
+
+/** A request that ended without a result, as peers are told of it. @public */
+export interface SharedRun {
+  /** Incarnation of the target. */
+  readonly target: string;
+  readonly fingerprint: string;
+  /** When it ended, by the wall clock of the instance that sent it. */
+  readonly endedAtMs: number;
+  /** Whether events had arrived. */
+  readonly hasProgressed: boolean;
 }
 
 /** What is known of one incarnation of a target. */
@@ -29,14 +42,16 @@
 
 /** A target that is alive this long after a run ended did not crash under it. */
 export const MAX_CRASH_DELAY_MS = 1500;
-/** Longer than the platform keeps the registration of a silent target. */
-const RETENTION_MS = 10_000;
+/** Longer than the platform keeps the registration of a silent target. @public */
+export const RETENTION_MS = 10_000;
 /** What is known of a target is dropped after this time without news. */
 const IDLE_MS = 60_000;
 /** Bounds the memory. */
 const MAX_RUNS_PER_TARGET = 500;
 const MAX_TARGETS = 2000;
 const FORGET_INTERVAL_MS = 1000;
+/** Bounds what a peer that starts is told. */
+const MAX_RECENT = 200;
 
 /**
  * The requests that ended at a target without a result, until it is known whether
@@ -132,14 +147,36 @@
     for (const run of broken) this.count(run, 1);
   }
 
-  /** Drops all runs of a request that ran to its end at some target. */
-  onCompleted(fingerprint: string): void {
-    if (!this.counts.delete(fingerprint)) return;
+  /** The latest runs, with their targets, for peers that start. */
+  recent(nowMs: number): [target: string, run: EndedRun][] {
+    const recent: [string, EndedRun][] = [];
+    for (const [target, {runs}] of this.targets) {
+      for (const run of runs) {
+        if (nowMs - run.endedAtMs < RETENTION_MS) recent.push([target, run]);
+      }
+    }
+    recent.sort(([, a], [, b]) => b.endedAtMs - a.endedAtMs);
+    return recent.slice(0, MAX_RECENT);
+  }
+
+  /**
+   * Drops all runs of a request that ran to its end at some target. Returns
+   * whether there were any.
+   *
+   * @param atMs - runs that ended later are kept
+   */
+  onCompleted(fingerprint: string, atMs = Infinity): boolean {
+    if (!this.counts.has(fingerprint)) return false;
     for (const history of this.targets.values()) {
-      history.runs = history.runs.filter(
-        run => run.fingerprint !== fingerprint
-      );
+      const kept: EndedRun[] = [];
+      for (const run of history.runs) {
+        if (run.fingerprint === fingerprint && run.endedAtMs <= atMs) {
+          this.count(run, -1);
+        } else kept.push(run);
+      }
+      history.runs = kept;
     }
+    return true;
   }
 
   /** Drops runs after which their target was alive, or that ended long ago. */
