A stream whose caller does not read does not count as stalled

Cause, by reading: the relay pauses a target while its caller does not read, and the time without events ran on. After the stall timeout another target took over, whose events filled the buffers again; the first one got a failure, and the retry budget was charged.

Change: the time without events is counted only while the relay reads.

Evidence: stream_relay.test; failed before (three stalls in three timeouts).

--- a/packages/gateway/src/lib/front/stream_relay.ts
+++ b/packages/gateway/src/lib/front/stream_relay.ts
@@ -71,7 +71,7 @@
       this.res.writeHead(status, headers);
       this.res.flushHeaders();
     }
-    const {contain, stallTimeoutMs, onStall} = this.options;
+    const {contain} = this.options;
     from.on(
       'data',
       contain((chunk: Buffer) => this.onData(from, chunk))
@@ -84,7 +84,7 @@
       'close',
       contain(() => this.onClose(from))
     );
-    this.stallTimer = setInterval(contain(onStall), stallTimeoutMs);
+    this.startStallTimer();
   }
 
   /** Stops reading from the current target; closes an incomplete response. */
@@ -109,9 +109,25 @@
       this.options.onEvents();
     }
     this.lastSentId = events.lastId ?? this.lastSentId;
-    if (this.res.write(events.bytes)) return;
+    if (!this.res.write(events.bytes)) this.holdBack(from);
+  }
+
+  /** Waits for a caller that reads slowly; its target has not stalled meanwhile. */
+  private holdBack(from: http.IncomingMessage): void {
     from.pause();
-    this.res.once('drain', () => from.resume());
+    clearInterval(this.stallTimer);
+    const resume = () => {
+      if (from !== this.upstream) return;
+      this.startStallTimer();
+      from.resume();
+    };
+    this.res.once('drain', this.options.contain(resume));
+  }
+
+  private startStallTimer(): void {
+    const {contain, stallTimeoutMs, onStall} = this.options;
+    clearInterval(this.stallTimer);
+    this.stallTimer = setInterval(contain(onStall), stallTimeoutMs);
   }
 
   private onEnd({res: from, isComplete}: TargetResponse): void {
