--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -244,8 +244,8 @@
   }
 
   /**
-   * Ejects a lost target. Without its requests it looks idle, and would be the
-   * first choice of all that were cut off with it.
+   * Ejects a lost target. Without its requests it looks idle, so all those that it
+   * broke off would choose it again.
    */
   onLost(incarnation: string, nowMs: number): void {
     for (const {target, health} of this.records.values()) {
