--- a/packages/routing/src/lib/versions/version_journal.test.ts
+++ b/packages/routing/src/lib/versions/version_journal.test.ts
@@ -218,27 +218,21 @@
 }
 
 // Else each of several writers at a start would append the next set.
-test('newer sets are left to the writer after an append that was not late', () => {
-  const instance = TestInstance.create();
-  instance.journal.onServices(TWO, 0);
-  const [service] = instance.next(0);
-  instance.journal.onPeerSaved('i4', 900);
-  instance.journal.onSaved(service, 999);
-  instance.journal.onServices(THREE, 1100);
-  instance.journal.onPeerSaved('i4', 1100);
-  assert.deepEqual(instance.append(1100), []);
-});
-
-test('5 s after a late append, newer sets are left to the writer', () => {
-  const instance = TestInstance.create();
-  instance.journal.onServices(TWO, 0);
-  const [service] = instance.next(0);
-  instance.journal.onPeerSaved('i4', 5000);
-  instance.journal.onSaved(service, 5010);
-  instance.journal.onServices(THREE, 10_011);
-  instance.journal.onPeerSaved('i4', 10_011);
-  assert.deepEqual(instance.append(10_011), []);
-});
+for (const [when, heardAtMs, savedAtMs, newerAtMs] of [
+  ['after an append that was not late', 900, 999, 1100],
+  ['5 s after a late append', 5000, 5010, 10_011],
+] as const) {
+  test(`${when}, newer sets are left to the writer`, () => {
+    const instance = TestInstance.create();
+    instance.journal.onServices(TWO, 0);
+    const [service] = instance.next(0);
+    instance.journal.onPeerSaved('i4', heardAtMs);
+    instance.journal.onSaved(service, savedAtMs);
+    instance.journal.onServices(THREE, newerAtMs);
+    instance.journal.onPeerSaved('i4', newerAtMs);
+    assert.deepEqual(instance.append(newerAtMs), []);
+  });
+}
 
 test('the second of two writers stops', () => {
   const instance = TestInstance.create();
