The crash guard leaves shared runs and completed requests to modules of their own

Change: completed_requests.ts keeps what ran to its end, shared_run.ts converts runs between this instance's clock and that of the peers. A block no longer passes through the table of requests, where it was never found. No behaviour changes.

--- a/packages/gateway/src/lib/crash/crash_guard.ts
+++ b/packages/gateway/src/lib/crash/crash_guard.ts
@@ -1,6 +1,7 @@
-import {CrashTracker, isBlockKey, RETENTION_MS} from '@applebend/routing';
-import {evictOldest} from '@applebend/utils';
+import {CrashTracker, isBlockKey} from '@applebend/routing';
+import {CompletedRequests} from './completed_requests.js';
 import {LOSS_SIGNAL, LossDetector} from './loss_detector.js';
+import {endedRunOf, sharedRunOf} from './shared_run.js';
 
 import type {
   Survival,
@@ -60,8 +61,6 @@
 const CRASH_WITHIN_MS = 600;
 /** Bounds the memory. */
 const MAX_OBSERVED = 20_000;
-/** Bounds the memory, and what a peer that starts is told. */
-const MAX_COMPLETED = 200;
 /** Bounds a message to peers; prompts have few blocks. */
 const MAX_BLOCKS = 16;
 
@@ -85,11 +84,8 @@
   private readonly detector: LossDetector;
   /** Fingerprints and blocks of which this instance observed a loss. */
   private readonly observed = new Set<string>();
-  /**
-   * When requests ran to their end of which the peers were told; one that starts
-   * may hear of their earlier runs from a peer that does not know it yet.
-   */
-  private readonly completed = new Map<string, number>();
+  /** Those of which the peers were told. */
+  private readonly completed = CompletedRequests.create();
   onLosses: LossListener = () => undefined;
   onQuarantined: QuarantineListener = () => undefined;
   onSurvivals: SurvivalListener = () => undefined;
@@ -102,7 +98,7 @@
       nowMs: () => this.nowMs,
       onLost: lost => this.onLost(lost),
       onUnresolved: (incarnation, run) =>
-        this.onUnresolved(this.sharedRun(incarnation, run)),
+        this.onUnresolved(sharedRunOf(incarnation, run, options.clock)),
       onCheckResult: result => this.onCheckResult(result),
     });
   }
@@ -148,12 +144,8 @@
   /** When suspected blocks last ran, for peers that start. */
   suspectSurvivals(): Survival[] {
     const {nowMs} = this;
-    const survivals = this.tracker.suspectSurvivals(nowMs);
-    for (const [key, atMs] of this.completed) {
-      const ageMs = nowMs - atMs;
-      if (ageMs < RETENTION_MS) survivals.push({key, ageMs});
-    }
-    return survivals;
+    const suspects = this.tracker.suspectSurvivals(nowMs);
+    return [...suspects, ...this.completed.recent(nowMs)];
   }
 
   /** Whether any request is suspected, or ended without a result lately. */
@@ -195,7 +187,7 @@
     const wasUnresolved = this.detector.onCompleted(fingerprint);
     const wasSuspect = this.tracker.onCompleted(fingerprint, this.nowMs);
     if (!wasSuspect && !wasUnresolved) return;
-    this.addCompleted(fingerprint, this.nowMs);
+    this.completed.add(fingerprint, this.nowMs);
     this.onSurvivals([{key: fingerprint, ageMs: 0}]);
   }
 
@@ -210,26 +202,18 @@
 
   /** Records that a request of a peer ended without a result. */
   onPeerRun(run: SharedRun): void {
-    const {target, fingerprint, hasProgressed} = run;
-    const ageMs = this.options.clock.wallMs() - run.endedAtMs;
-    const endedAtMs = this.nowMs - Math.max(0, ageMs);
+    const ended = endedRunOf(run, this.options.clock);
+    const {fingerprint, endedAtMs} = ended;
     // Its end may become known after a later attempt ran to its end.
     if (this.tracker.hasCompletedSince(fingerprint, endedAtMs)) return;
-    this.detector.onPeerRun(target, {
-      fingerprint,
-      blocks: [],
-      writingMs: hasProgressed ? 0 : undefined,
-      sentAtMs: endedAtMs,
-      endedAtMs,
-      isBroken: false,
-      isOfPeer: true,
-    });
+    this.detector.onPeerRun(run.target, ended);
   }
 
   /** What ended without a result lately, for peers that start. */
   recentRuns(): SharedRun[] {
     const runs = this.detector.recentRuns();
-    return runs.map(([target, run]) => this.sharedRun(target, run));
+    const {clock} = this.options;
+    return runs.map(([target, run]) => sharedRunOf(target, run, clock));
   }
 
   /** Records a loss that a peer observed. */
@@ -241,15 +225,20 @@
 
   /** Records that a block, or a suspected request, ran at a peer. */
   onPeerSurvival({key, ageMs}: Survival): void {
-    const {nowMs} = this;
-    this.detector.onCompleted(key, nowMs - ageMs);
-    if (!isBlockKey(key)) this.addCompleted(key, nowMs - ageMs);
     const isReleased = isBlockKey(key)
-      ? this.tracker.onBlockRan(key, nowMs, ageMs, true)
-      : this.tracker.onCompletedElsewhere(key, nowMs, ageMs);
+      ? this.tracker.onBlockRan(key, this.nowMs, ageMs, true)
+      : this.onCompletedElsewhere(key, ageMs);
     if (isReleased) this.onReleased(key);
   }
 
+  /** Returns whether the request is in quarantine no more. */
+  private onCompletedElsewhere(fingerprint: string, ageMs: number): boolean {
+    const {nowMs} = this;
+    this.detector.onCompleted(fingerprint, nowMs - ageMs);
+    this.completed.add(fingerprint, nowMs - ageMs);
+    return this.tracker.onCompletedElsewhere(fingerprint, nowMs, ageMs);
+  }
+
   /** Records a quarantine that was imposed elsewhere or before a restart. */
   onQuarantine(quarantine: Quarantine): void {
     if (!this.tracker.onQuarantine(quarantine, this.nowMs)) return;
@@ -306,19 +295,6 @@
     };
   }
 
-  private sharedRun(
-    target: string,
-    {fingerprint, writingMs, endedAtMs}: EndedRun
-  ): SharedRun {
-    const ageMs = this.nowMs - endedAtMs;
-    return {
-      target,
-      fingerprint,
-      endedAtMs: this.options.clock.wallMs() - ageMs,
-      hasProgressed: writingMs !== undefined,
-    };
-  }
-
   private record(loss: TargetLoss, ageMs: number): void {
     const {fingerprint} = loss;
     const {nowMs} = this;
@@ -354,12 +330,6 @@
     if (survivals.length > 0) this.onSurvivals(survivals);
   }
 
-  private addCompleted(fingerprint: string, atMs: number): void {
-    this.completed.delete(fingerprint);
-    this.completed.set(fingerprint, atMs);
-    if (this.completed.size > MAX_COMPLETED) evictOldest(this.completed);
-  }
-
   private addObserved({fingerprint, blocks = []}: TargetLoss): void {
     if (this.observed.size >= MAX_OBSERVED) this.observed.clear();
     for (const key of [fingerprint, ...blocks]) this.observed.add(key);
