One search finds the record of an incarnation

The kinds of a resumed stream repeated those of VersionNeed, and the choice among lists of candidates had become harder to read than before.

Change: findIncarnation serves both and ends at the first; ResumedKind is derived from VersionNeed; the candidates are chosen from a list of lists again. No behaviour changes.

--- a/packages/gateway/src/lib/front/version_pin.ts
+++ b/packages/gateway/src/lib/front/version_pin.ts
@@ -5,7 +5,10 @@
 import type {RequestContext} from './request_context.js';
 
 /** How the version of a resumed stream is known; see `VersionNeed`. @public */
-export type ResumedKind = 'exact' | 'inferred';
+export type ResumedKind = Extract<
+  VersionNeed,
+  {readonly version: string}
+>['kind'];
 
 /**
  * The software version that one request is bound to, once it is: a stream goes
--- a/packages/gateway/src/lib/state/cold_targets.ts
+++ b/packages/gateway/src/lib/state/cold_targets.ts
@@ -1,4 +1,5 @@
 import {ColdOwners, coldShareOf, incarnationOf} from '@applebend/routing';
+import {findIncarnation} from './target_record.js';
 
 import type {
   ColdBound,
@@ -84,10 +85,8 @@
    * @param incarnation - as `incarnationOf` names it
    */
   onLoss(incarnation: string, nowMs: number): void {
-    for (const {target, coldStart} of this.records()) {
-      if (incarnationOf(target) !== incarnation) continue;
-      coldStart.onTargetLoss(nowMs);
-    }
+    const record = findIncarnation(this.records(), incarnation);
+    record?.coldStart.onTargetLoss(nowMs);
   }
 
   /** Incarnations of targets that were lost, for peers that start. */
--- a/packages/gateway/src/lib/state/target_directory.ts
+++ b/packages/gateway/src/lib/state/target_directory.ts
@@ -11,7 +11,7 @@
 import {CachedBlockLoader} from './cached_block_loader.js';
 import {ColdTargets} from './cold_targets.js';
 import {TargetBackpressure} from './target_backpressure.js';
-import {TargetRecord} from './target_record.js';
+import {findIncarnation, TargetRecord} from './target_record.js';
 
 import type {
   Departure,
@@ -232,6 +232,15 @@
     return true;
   }
 
+  /**
+   * Ejects a lost target. Without its requests it looks idle, so all those that it
+   * broke off would choose it again.
+   */
+  onLost(incarnation: string, nowMs: number): void {
+    const record = findIncarnation(this.all(), incarnation);
+    if (record?.health.isUsable(nowMs)) record.health.onUnreachable(nowMs);
+  }
+
   /** The last sends name each request that reached the target late. */
   private logDeparture(
     event: string,
@@ -243,17 +252,6 @@
     this.log.info(event, {target: id, service, registeredAt, lastSends});
   }
 
-  /**
-   * Ejects a lost target. Without its requests it looks idle, so all those that it
-   * broke off would choose it again.
-   */
-  onLost(incarnation: string, nowMs: number): void {
-    for (const {target, health} of this.records.values()) {
-      if (incarnationOf(target) !== incarnation) continue;
-      if (health.isUsable(nowMs)) health.onUnreachable(nowMs);
-    }
-  }
-
   private applyEvacuations(
     {begun, ended}: EvacuationChanges,
     nowMs: number
--- a/packages/gateway/src/lib/state/target_record.ts
+++ b/packages/gateway/src/lib/state/target_record.ts
@@ -1,6 +1,7 @@
 import {
   addLoad,
   ColdStart,
+  incarnationOf,
   LocalLoad,
   PrefixCache,
   TargetHealth,
@@ -18,6 +19,17 @@
  */
 const CACHE_FRACTION = 0.85;
 
+/** The record of one incarnation, see `incarnationOf`. @internal */
+export function findIncarnation(
+  records: Iterable<TargetRecord>,
+  incarnation: string
+): TargetRecord | undefined {
+  for (const record of records) {
+    if (incarnationOf(record.target) === incarnation) return record;
+  }
+  return undefined;
+}
+
 /** The registration of a target and its load, health and cache. @public */
 export class TargetRecord {
   readonly ownLoad = LocalLoad.create();
--- a/packages/gateway/src/lib/upstream/candidates.ts
+++ b/packages/gateway/src/lib/upstream/candidates.ts
@@ -36,8 +36,8 @@
  * The targets that a request may be sent to now. A target that asked for a pause
  * gets none before it is over, one that named a rate no more than that, and a
  * cold one no more than this instance's share.
- * Those that paused a peer are left out unless there is no other, and so are
- * ejected ones: trying one is better than trying none.
+ * Ejected targets, and those that paused a peer, are left out unless there is no
+ * other: trying one is better than trying none.
  *
  * @public
  */
@@ -49,8 +49,8 @@
   const allowed = records.filter(record => isAllowed(record, needs));
   const healthy = allowed.filter(({health}) => health.isUsable(nowMs));
   const idle = healthy.filter(record => nowMs >= record.peerPauseEndsAtMs);
-  const last = mayTryEjected ? allowed : [];
-  const chosen = [idle, healthy].find(list => list.length > 0) ?? last;
+  const lists = mayTryEjected ? [idle, healthy, allowed] : [idle, healthy];
+  const chosen = lists.find(list => list.length > 0) ?? [];
   return chosen.map(record => candidateOf(record, needs));
 }
 
