A target's 408, 429 or 503 promises a caller nothing unless it says the request did not run

Cause: a status stands for two things. From a target it says how the request went; only `Not-Executed` or 421 says that it did not run. To a caller 408, 421, 429 and 503 are promises. `Exchange.onResponse` forwarded every status of a response that did not say "not run", so the one was taken for the other, on all routes whose requests run at most once.

Change: `execution.ts` alone knows which statuses promise that a request was not run, and what a target's response shows of it. `forwardFault` asks both: such a status of a target that may have run a request which is not idempotent is a failed attempt, `unconfirmed_refusal`. The caller gets 502 without Retry-After and without the target's signature at the head of the response, before any of it could be forwarded. What the target says of itself (a pause, that it leaves, a limit) was believed before that and still is; its health is judged as before, except that a 408 or 429 counts no longer as a success. The gateway's own statuses are chosen in one place, `ExchangeEnding.respondUnserved`.

`request ended` has `targetStatus`, so that the log shows which status was replaced; `invalid_responses_total` counts the kind.

Why it works: a promise now needs evidence for the request itself; what cannot be confirmed ends with a status that promises nothing, whatever its form.

--- a/packages/gateway/src/lib/crash/request_crashes.ts
+++ b/packages/gateway/src/lib/crash/request_crashes.ts
@@ -1,5 +1,5 @@
 import {blockKey, incarnationOf, sharedBlocksOf} from '@applebend/routing';
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {SURVIVAL_MS} from './crash_guard.js';
 import {fingerprintOf} from './request_fingerprint.js';
 
--- a/packages/gateway/src/lib/errors.ts
+++ b/packages/gateway/src/lib/errors.ts
@@ -1,13 +1,6 @@
-/** Whether a target may have run a request. @public */
-export const EXECUTION = {
-  /** The request has not run and never will. */
-  notRun: 'not_run',
-  /** The request may have run. */
-  unknown: 'unknown',
-} as const;
+import {EXECUTION} from './execution.js';
 
-/** @public */
-export type Execution = (typeof EXECUTION)[keyof typeof EXECUTION];
+import type {Execution} from './execution.js';
 
 /** Why an attempt to get a response from a target failed. @public */
 export interface AttemptFailure {
@@ -29,6 +22,8 @@
     | 'crossed_answer'
     // The head of the response is late, or the stream has stalled.
     | 'target_silent'
+    // The status denies that the request was run, and nothing else does.
+    | 'unconfirmed_refusal'
     // The stream has begun, and the response is no stream that goes on with it.
     | 'stream_not_continued'
     // A callback of the exchange threw an exception.
@@ -41,11 +36,12 @@
   readonly isRefused: boolean;
 }
 
-/** Failures by a response that is not valid, or not this request's. */
+/** Failures by a response that is not valid, not this request's, or not credible. */
 const INVALID_RESPONSES: ReadonlySet<AttemptFailure['kind']> = new Set([
   'invalid_response',
   'bad_answer',
   'crossed_answer',
+  'unconfirmed_refusal',
 ]);
 
 /** Whether a response came that could not be used. @public */
--- a/packages/gateway/src/lib/front/attempt_feedback.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.ts
@@ -8,6 +8,12 @@
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 
+/** Failures after which the target's signals or its status tell of its health. */
+const HEALTH_IS_RECORDED: ReadonlySet<AttemptFailure['kind']> = new Set([
+  'target_paused',
+  'unconfirmed_refusal',
+]);
+
 /**
  * What one attempt tells of its target: its load while the attempt runs, its
  * health, its pause, its prefix cache and the time that a prefill takes there.
@@ -85,7 +91,7 @@
     }
     if (isRefused) this.record.coldStart.onLost(this.nowMs);
     // A failure that the head of the response showed is recorded already.
-    if (kind === 'target_paused' || this.isConclusive) return;
+    if (HEALTH_IS_RECORDED.has(kind) || this.isConclusive) return;
     if (kind === 'connect_failed') this.recordUnreachable();
     else this.recordFailure();
   }
--- a/packages/gateway/src/lib/front/attempt_tracker.test.ts
+++ b/packages/gateway/src/lib/front/attempt_tracker.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {attemptFailure, EXECUTION} from '../errors.js';
+import {attemptFailure} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {AttemptTracker} from './attempt_tracker.js';
 
 const failure = fc.constantFrom(
--- a/packages/gateway/src/lib/front/attempt_tracker.ts
+++ b/packages/gateway/src/lib/front/attempt_tracker.ts
@@ -1,4 +1,4 @@
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 
 import type {AttemptFailure} from '../errors.js';
 
--- a/packages/gateway/src/lib/front/check_head.ts
+++ b/packages/gateway/src/lib/front/check_head.ts
@@ -1,5 +1,5 @@
 import {hasValidNames} from '@applebend/utils';
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {STATUS} from './responses.js';
 
 import type http from 'node:http';
--- a/packages/gateway/src/lib/front/check_request.ts
+++ b/packages/gateway/src/lib/front/check_request.ts
@@ -1,6 +1,6 @@
 import {sessionOf} from '@applebend/routing';
 import {hash32, fail, ok} from '@applebend/utils';
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {STATUS} from './responses.js';
 
 import type {Route} from '@applebend/routing';
--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -1,6 +1,7 @@
 import {containFaults} from '@applebend/utils';
 import {RequestCrashes} from '../crash/request_crashes.js';
-import {attemptFailure, EXECUTION, NO_OTHER_TARGET} from '../errors.js';
+import {attemptFailure, NO_OTHER_TARGET} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {TargetCall} from '../upstream/target_call.js';
 import {AttemptFeedback} from './attempt_feedback.js';
 import {AttemptTracker} from './attempt_tracker.js';
@@ -11,6 +12,7 @@
 import {ExchangeBody} from './exchange_body.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {ExchangeWaits} from './exchange_waits.js';
+import {forwardFault} from './forward_fault.js';
 import {requestContent} from './request_content.js';
 import {reserveSend} from './send_check.js';
 import {RetryGate} from './retry_gate.js';
@@ -20,6 +22,7 @@
 
 import type {Placement, Target, VersionNeed} from '@applebend/routing';
 import type {AttemptFailure} from '../errors.js';
+import type {Execution} from '../execution.js';
 import type {TargetResponse} from '../upstream/target_call.js';
 import type {PlacementInput} from './placement.js';
 import type {RequestContext} from './request_context.js';
@@ -111,6 +114,12 @@
     );
   }
 
+  /** Whether any target may have run the request. */
+  private get execution(): Execution {
+    const isSent = this.attempts.mayHaveRun || this.call?.isSent === true;
+    return isSent ? EXECUTION.unknown : EXECUTION.notRun;
+  }
+
   private get placementInput(): PlacementInput {
     const {context, deps, attempts, versionPin, nowMs} = this;
     const {state, random} = deps;
@@ -173,7 +182,7 @@
     this.call = TargetCall.create(options, {
       onResponse: response => {
         this.crashes.onHead(this.nowMs);
-        this.ending.noteHead(feedback.onHead(response));
+        this.ending.noteHead(response.status, feedback.onHead(response));
         this.onResponse(response);
       },
       onSignals: signals => deps.state.onTargetSignals(record, signals),
@@ -187,20 +196,19 @@
 
   /** Forwards a response, or retries an idempotent request after a 5xx. */
   private onResponse(response: TargetResponse): void {
-    const {status} = response;
-    if (!this.relay.canForward(response)) {
+    const {relay, retries} = this;
+    const fault = forwardFault(response, relay, retries.isIdempotent);
+    if (fault !== undefined) {
       response.res.destroy();
-      const message = `status ${status} in place of more events`;
-      const {unknown} = EXECUTION;
-      this.onFailure(attemptFailure('stream_not_continued', unknown, message));
+      this.onFailure(fault);
       return;
     }
-    if (this.relay.isStream(response)) {
+    if (relay.isStream(response)) {
       this.versionPin.onBegun(this.target);
     } else if (
-      status >= 500 &&
-      this.retries.isIdempotent &&
-      this.retries.tryAcquire(true)
+      response.status >= 500 &&
+      retries.isIdempotent &&
+      retries.tryAcquire(true)
     ) {
       response.res.destroy();
       this.lifetime.onCallEnded();
@@ -210,7 +218,7 @@
       this.waits.whenTargetsCurrent(() => this.retry());
       return;
     }
-    this.relay.forward(response);
+    relay.forward(response);
   }
 
   /**
@@ -301,9 +309,9 @@
 
   private onDeadline(): void {
     if (this.ending.hasEnded) return;
-    const isSent = this.attempts.mayHaveRun || this.call?.isSent === true;
+    const {execution} = this;
     this.abortCall();
-    this.ending.timeOut(isSent);
+    this.ending.timeOut(execution);
   }
 
   /** Frees the target, but lets a non-stream finish that must run only once. */
@@ -323,9 +331,7 @@
     const {deps, context} = this;
     deps.onFault(err, context.caller.attemptId);
     if (this.ending.hasEnded) return;
-    const isSent = this.call?.isSent === true || this.attempts.mayHaveRun;
-    const execution = isSent ? EXECUTION.unknown : EXECUTION.notRun;
-    const failure = attemptFailure('internal_fault', execution, 'fault');
+    const failure = attemptFailure('internal_fault', this.execution, 'fault');
     try {
       this.abortCall();
       this.attempts.onFailure(failure);
--- a/packages/gateway/src/lib/front/exchange_ending.ts
+++ b/packages/gateway/src/lib/front/exchange_ending.ts
@@ -1,4 +1,4 @@
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {secondsUntilResumed} from './pause_advice.js';
 import {STATUS, sendResponse} from './responses.js';
 import {isTakenUp} from './stream_version.js';
@@ -6,6 +6,7 @@
 import type {AdmissionInput, Candidate} from '@applebend/routing';
 import type {RequestCrashes} from '../crash/request_crashes.js';
 import type {AttemptFailure} from '../errors.js';
+import type {Execution} from '../execution.js';
 import type {AttemptTracker} from './attempt_tracker.js';
 import type {ExchangeDeps, InboundRequest} from './exchange_deps.js';
 import type {SendBasis} from '../state/recent_sends.js';
@@ -20,6 +21,14 @@
   readonly sentAtMs: number;
 }
 
+/** What a response to a request that no target served holds besides its kind. */
+interface UnservedOptions {
+  /** For a request that was not run. */
+  readonly retryAfterS?: number;
+  /** For one that may have run. */
+  readonly statusIfUnknown?: number;
+}
+
 /** When callers may retry a request that certainly did not run. */
 export const RETRY_AFTER_S = 0.3;
 
@@ -36,6 +45,7 @@
   private placed: PlacementEstimates | undefined;
   private refusedFor: AdmissionInput | undefined;
   private headMs: number | undefined;
+  private targetStatus: number | undefined;
 
   private constructor(
     private readonly context: RequestContext,
@@ -85,7 +95,8 @@
     this.placed = {waitMs, prefillMs, running, uncachedTokens, kvTokens};
   }
 
-  noteHead(headMs: number): void {
+  noteHead(status: number, headMs: number): void {
+    this.targetStatus = status;
     this.headMs = headMs;
   }
 
@@ -95,12 +106,7 @@
 
   /** Refuses a request that was not sent to any target. */
   refuse(kind: string, retryAfterS: number): void {
-    this.respond({
-      status: STATUS.unavailable,
-      kind,
-      execution: EXECUTION.notRun,
-      retryAfterS,
-    });
+    this.respondUnserved(kind, EXECUTION.notRun, {retryAfterS});
   }
 
   /** Refuses at once, also if all targets of the service are paused. */
@@ -114,29 +120,15 @@
   giveUp(failure: AttemptFailure): void {
     const isPaused = failure.kind === 'target_paused';
     const resumedInS = isPaused ? this.secondsUntilResumed() : undefined;
-    const retryAfterS = resumedInS ?? RETRY_AFTER_S;
-    const isNotRun =
-      failure.execution === EXECUTION.notRun && !this.attempts.mayHaveRun;
-    this.respond({
-      status: isNotRun ? STATUS.unavailable : STATUS.badGateway,
-      kind: failure.kind,
-      execution: isNotRun ? EXECUTION.notRun : EXECUTION.unknown,
-      retryAfterS: isNotRun ? retryAfterS : undefined,
-    });
+    const {unknown} = EXECUTION;
+    const execution = this.attempts.mayHaveRun ? unknown : failure.execution;
+    this.respondUnserved(failure.kind, execution, {retryAfterS: resumedInS});
   }
 
-  /**
-   * Responds that no response came before the deadline.
-   *
-   * @param isSent - whether some target may have received the request
-   */
-  timeOut(isSent: boolean): void {
-    this.respond({
-      status: isSent ? STATUS.gatewayTimeout : STATUS.unavailable,
-      kind: 'timeout',
-      execution: isSent ? EXECUTION.unknown : EXECUTION.notRun,
-      retryAfterS: isSent ? undefined : RETRY_AFTER_S,
-    });
+  /** Responds that no response came before the deadline. */
+  timeOut(execution: Execution): void {
+    const statusIfUnknown = STATUS.gatewayTimeout;
+    this.respondUnserved('timeout', execution, {statusIfUnknown});
   }
 
   /** Ends the exchange where no response can be written. */
@@ -169,6 +161,7 @@
       placed: this.placed,
       refusedFor: this.refusedFor,
       headMs: this.headMs,
+      targetStatus: this.targetStatus,
       elapsedMs: nowMs - context.arrivedAtMs,
       configVersion: context.config.version,
     });
@@ -188,6 +181,23 @@
     return secondsUntilResumed(context.service, deps, nowMs);
   }
 
+  /** Only a request that was not run is worth a retry, whatever its route. */
+  private respondUnserved(
+    kind: string,
+    execution: Execution,
+    {
+      retryAfterS = RETRY_AFTER_S,
+      statusIfUnknown = STATUS.badGateway,
+    }: UnservedOptions
+  ): void {
+    if (execution === EXECUTION.unknown) {
+      this.respond({kind, execution, status: statusIfUnknown});
+      return;
+    }
+    const status = STATUS.unavailable;
+    this.respond({kind, execution, status, retryAfterS});
+  }
+
   private respond(response: GatewayResponse): void {
     if (this.ended) return;
     const {closesConnections} = this.deps.state;
--- a/packages/gateway/src/lib/front/exchange_report.ts
+++ b/packages/gateway/src/lib/front/exchange_report.ts
@@ -55,6 +55,8 @@
   readonly placed: PlacementEstimates | undefined;
   /** Input of the admission decision if the request was refused. */
   readonly refusedFor: AdmissionInput | undefined;
+  /** Status of the last response, except of one by which the request did not run. */
+  readonly targetStatus: number | undefined;
   /** Time from the last send to the head of its response. */
   readonly headMs: number | undefined;
   /** Time from the arrival of the request to its end. */
--- a/packages/gateway/src/lib/front/front_refusals.ts
+++ b/packages/gateway/src/lib/front/front_refusals.ts
@@ -1,4 +1,4 @@
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 import {RETRY_AFTER_S} from './exchange_ending.js';
 import {STATUS} from './responses.js';
 
--- a/packages/gateway/src/lib/front/request_log.test.ts
+++ b/packages/gateway/src/lib/front/request_log.test.ts
@@ -22,6 +22,7 @@
     failure: undefined,
     placed: undefined,
     refusedFor: undefined,
+    targetStatus: 200,
     headMs: 1,
     elapsedMs: 2,
     configVersion: 1,
--- a/packages/gateway/src/lib/front/responses.ts
+++ b/packages/gateway/src/lib/front/responses.ts
@@ -1,7 +1,7 @@
 import {isFollowed, LINGER_MS} from './caller_connection.js';
 
 import type http from 'node:http';
-import type {Execution} from '../errors.js';
+import type {Execution} from '../execution.js';
 
 /** A final response of the gateway itself. @public */
 export interface GatewayResponse {
--- a/packages/gateway/src/lib/front/retry_gate.ts
+++ b/packages/gateway/src/lib/front/retry_gate.ts
@@ -1,5 +1,5 @@
 import {RETRY_SAFETY} from '@applebend/routing';
-import {EXECUTION} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 
 import type {RequestCrashes} from '../crash/request_crashes.js';
 import type {AttemptFailure} from '../errors.js';
--- a/packages/gateway/src/lib/front/send_check.ts
+++ b/packages/gateway/src/lib/front/send_check.ts
@@ -1,5 +1,6 @@
 import {fail, ok} from '@applebend/utils';
-import {attemptFailure, EXECUTION} from '../errors.js';
+import {attemptFailure} from '../errors.js';
+import {EXECUTION} from '../execution.js';
 
 import type {Result} from '@applebend/utils';
 import type {AttemptFailure} from '../errors.js';
--- a/packages/gateway/src/lib/upstream/response_fault.ts
+++ b/packages/gateway/src/lib/upstream/response_fault.ts
@@ -1,14 +1,8 @@
+import {EXECUTION, executionAtTarget} from '../execution.js';
+
 import type {AttemptFailure} from '../errors.js';
 import type {TargetResponseHead} from '../ports.js';
 
-/** Misdirected Request: the server is not the addressed target. @internal */
-export const STATUS_MISDIRECTED = 421;
-
-/** Whether the target says that it did not run the request. @internal */
-export function isNotRun(status: number, head: TargetResponseHead): boolean {
-  return head.notExecuted || status === STATUS_MISDIRECTED;
-}
-
 /**
  * Why a head, which is valid HTTP, is no response of the target to an attempt, or
  * undefined if it is one.
@@ -26,7 +20,8 @@
   if (head.attemptIds.some(id => id !== attemptId)) return 'crossed_answer';
   const hasId = head.attemptIds.length > 0;
   // Without an id, it may belong to an earlier request on the connection.
-  if (isNotRun(status, head) && (hasId || !isReusedSocket)) return undefined;
+  const isNotRun = executionAtTarget(status, head) === EXECUTION.notRun;
+  if (isNotRun && (hasId || !isReusedSocket)) return undefined;
   if (!hasId || !head.signed || head.contentEncoded) return 'bad_answer';
   return undefined;
 }
--- a/packages/gateway/src/lib/upstream/target_call.ts
+++ b/packages/gateway/src/lib/upstream/target_call.ts
@@ -6,14 +6,20 @@
   ok,
   receiveResponse,
 } from '@applebend/utils';
-import {EXECUTION, attemptFailure} from '../errors.js';
+import {attemptFailure} from '../errors.js';
+import {
+  EXECUTION,
+  executionAtTarget,
+  STATUS_MISDIRECTED,
+} from '../execution.js';
 import {drainBody} from './drain_body.js';
-import {isNotRun, responseFault, STATUS_MISDIRECTED} from './response_fault.js';
+import {responseFault} from './response_fault.js';
 
 import type {Socket} from 'node:net';
 import type {Target} from '@applebend/routing';
 import type {Contain, ReceivedResponse, Result} from '@applebend/utils';
-import type {AttemptFailure, Execution} from '../errors.js';
+import type {AttemptFailure} from '../errors.js';
+import type {Execution} from '../execution.js';
 import type {HeaderCodec, TargetResponseHead, TargetSignals} from '../ports.js';
 
 /** A response whose head has arrived and whose body is unread. @public */
@@ -230,7 +236,7 @@
       return;
     }
     this.reportSignals(status, head.signals);
-    if (isNotRun(status, head)) {
+    if (executionAtTarget(status, head) === EXECUTION.notRun) {
       const kind = notRunKind(head);
       drainBody(res);
       this.fail(kind, `not run by the target: status ${status}`);
