A success that says it did not run is no valid response

Seen by callers: an `unsafe` request whose target ran it and answered 200 with `Not-Executed` was sent to a second target, which ran it too, and got 503, the promise that it had not run.

Cause: `Not-Executed` was believed beside any status, also one that says the opposite.

Change: such a response is a `bad_answer`, after which the request may have run: 502, and a retry only where the request may run again. Errors that name `Not-Executed`, 400 and 500 included, are believed as before.

Evidence: refused_after_run.test, 'a success that denies that the request ran ends it at one target'; failed before (503 in place of 502).

--- a/packages/gateway/src/lib/execution.ts
+++ b/packages/gateway/src/lib/execution.ts
@@ -13,6 +13,7 @@
 
 /** Misdirected Request: the server is not the addressed target. @internal */
 export const STATUS_MISDIRECTED = 421;
+const STATUS_ERROR = 400;
 const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_UNAVAILABLE = 503;
@@ -46,3 +47,16 @@
   const isNotRun = notExecuted || status === STATUS_MISDIRECTED;
   return isNotRun ? EXECUTION.notRun : EXECUTION.unknown;
 }
+
+/**
+ * Whether a response says both that the request was served and that it was not
+ * run, so that neither can be believed.
+ *
+ * @internal
+ */
+export function contradictsItself(
+  status: number,
+  {notExecuted}: TargetResponseHead
+): boolean {
+  return notExecuted && status < STATUS_ERROR;
+}
--- a/packages/gateway/src/lib/upstream/response_fault.ts
+++ b/packages/gateway/src/lib/upstream/response_fault.ts
@@ -1,4 +1,4 @@
-import {EXECUTION, executionAtTarget} from '../execution.js';
+import {contradictsItself, EXECUTION, executionAtTarget} from '../execution.js';
 
 import type {AttemptFailure} from '../errors.js';
 import type {TargetResponseHead} from '../ports.js';
@@ -18,6 +18,7 @@
   isReusedSocket: boolean
 ): AttemptFailure['kind'] | undefined {
   if (head.attemptIds.some(id => id !== attemptId)) return 'crossed_answer';
+  if (contradictsItself(status, head)) return 'bad_answer';
   const hasId = head.attemptIds.length > 0;
   // Without an id, it may belong to an earlier request on the connection.
   const isNotRun = executionAtTarget(status, head) === EXECUTION.notRun;
