An exchange leaves the choice of its targets to RequestPlacer

The decisions where a request goes first and where it goes again, with their input, are a class of their own; whether a status allows a retry is asked of RetryGate, as all else about retries is. Behaviour is unchanged.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -8,12 +8,12 @@
 import {CallLifetime} from './call_lifetime.js';
 import {disconnectOutcome} from './disconnect_outcome.js';
 import {recordUsage} from './record_usage.js';
-import {decideRequest, findPlacement} from './placement.js';
 import {ExchangeBody} from './exchange_body.js';
 import {ExchangeEnding, RETRY_AFTER_S} from './exchange_ending.js';
 import {ExchangeWaits} from './exchange_waits.js';
 import {forwardFault} from './forward_fault.js';
 import {requestContent} from './request_content.js';
+import {RequestPlacer} from './request_placer.js';
 import {reserveSend} from './send_check.js';
 import {RetryGate} from './retry_gate.js';
 import {ResponseRelay} from './response_relay.js';
@@ -24,7 +24,6 @@
 import type {AttemptFailure} from '../errors.js';
 import type {Execution} from '../execution.js';
 import type {TargetResponse} from '../upstream/target_call.js';
-import type {PlacementInput} from './placement.js';
 import type {RequestContext} from './request_context.js';
 import type {InboundRequest, ExchangeDeps} from './exchange_deps.js';
 
@@ -39,6 +38,7 @@
   /** Id of the last event that was forwarded before the present attempt. */
   private resumedAfter: string | undefined;
   private readonly versionPin: VersionPin;
+  private readonly placer: RequestPlacer;
   private call: TargetCall | undefined;
   private feedback: AttemptFeedback | undefined;
   private readonly body: ExchangeBody;
@@ -60,7 +60,8 @@
       requestContent(context, inbound),
       context.prompt
     );
-    const {attempts, crashes} = this;
+    const {attempts, crashes, versionPin} = this;
+    this.placer = RequestPlacer.create(context, deps, attempts, versionPin);
     this.body = ExchangeBody.create(inbound, crashes);
     this.lifetime = CallLifetime.create(this.body);
     this.retries = RetryGate.create(context, deps, attempts, crashes);
@@ -120,12 +121,6 @@
     return isSent ? EXECUTION.unknown : EXECUTION.notRun;
   }
 
-  private get placementInput(): PlacementInput {
-    const {context, deps, attempts, versionPin, nowMs} = this;
-    const {state, random} = deps;
-    return {context, state, versionPin, attempts, nowMs, random};
-  }
-
   private admit(need: VersionNeed): void {
     const {context, deps} = this;
     const {quarantineLeftMs} = this.crashes;
@@ -137,7 +132,7 @@
       this.ending.refuse('version_unknown', RETRY_AFTER_S);
       return;
     }
-    const decision = decideRequest(this.placementInput);
+    const decision = this.placer.decide();
     recordUsage(deps, context, decision?.admission.kind === 'admit');
     if (decision === undefined) {
       this.ending.refuseWithoutTarget();
@@ -205,11 +200,7 @@
     }
     if (relay.isStream(response)) {
       this.versionPin.onBegun(this.target);
-    } else if (
-      response.status >= 500 &&
-      retries.isIdempotent &&
-      retries.tryAcquire(true)
-    ) {
+    } else if (retries.tryAcquireAfterStatus(response.status)) {
       response.res.destroy();
       this.lifetime.onCallEnded();
       this.crashes.onUnresolved(this.nowMs);
@@ -229,7 +220,9 @@
   private onSilence(): void {
     if (this.ending.hasEnded || !this.retries.isIdempotent) return;
     const {areTargetsCurrent} = this.deps.state;
-    const placement = areTargetsCurrent ? this.placeAgain() : undefined;
+    const placement = areTargetsCurrent
+      ? this.placer.placeAgain(this.target)
+      : undefined;
     if (placement === undefined || !this.retries.tryAcquire(true)) {
       this.feedback?.onSilence();
       return;
@@ -292,14 +285,8 @@
     this.ending.giveUp(failure);
   }
 
-  /** The target for another attempt, if there is one. */
-  private placeAgain(): Placement | undefined {
-    this.versionPin.onRetry(this.target, this.nowMs);
-    return findPlacement(this.placementInput);
-  }
-
   private retry(): void {
-    const placement = this.placeAgain();
+    const placement = this.placer.placeAgain(this.target);
     if (placement === undefined) {
       this.ending.giveUp(this.attempts.lastFailure ?? NO_OTHER_TARGET);
       return;
--- a/packages/gateway/src/lib/front/retry_gate.ts
+++ b/packages/gateway/src/lib/front/retry_gate.ts
@@ -1,5 +1,6 @@
 import {RETRY_SAFETY} from '@applebend/routing';
 import {EXECUTION} from '../execution.js';
+import {STATUS} from './responses.js';
 
 import type {RequestCrashes} from '../crash/request_crashes.js';
 import type {AttemptFailure} from '../errors.js';
@@ -42,6 +43,12 @@
     return isSafe && this.tryAcquire(kind !== 'connect_failed');
   }
 
+  /** Whether a retry is allowed after a response, which it is charged for. */
+  tryAcquireAfterStatus(status: number): boolean {
+    const isFailure = status >= STATUS.internalError;
+    return isFailure && this.isIdempotent && this.tryAcquire(true);
+  }
+
   /** Whether a retry is allowed; charges it to the budget if `costsBudget`. */
   tryAcquire(costsBudget: boolean): boolean {
     const {context, deps, attempts, crashes} = this;
