A request is not sent again once a part of its response was forwarded

Seen by callers: nothing, which is the fault: a response of more than 256 KB to a request that may run again broke off after its first part was forwarded, which closes the caller's connection, and at times the request was sent to a second target all the same. Its answer could reach nobody; it cost a run and the retry budget.

Cause: after a broken connection the target is checked before a retry. The close of the caller's connection, which ends the exchange, is told by a later turn of the event loop; where the check was sooner, the exchange had not ended yet.

Change: what is asked before a retry is whether the caller's connection is closed, not only whether its close was told.

--- a/packages/gateway/src/lib/front/exchange.ts
+++ b/packages/gateway/src/lib/front/exchange.ts
@@ -278,7 +278,9 @@
   }
 
   private retryOrGiveUp(failure: AttemptFailure): void {
-    if (!this.ending.hasEnded && this.retries.tryAcquireAfter(failure)) {
+    // A response that broke off after a part was forwarded has closed it.
+    const canRespond = !this.ending.hasEnded && !this.inbound.res.destroyed;
+    if (canRespond && this.retries.tryAcquireAfter(failure)) {
       this.waits.whenTargetsCurrent(() => this.retry());
       return;
     }
