Test: an answer that is replaced counts once against its target's health

Guards the health of a target whose answers are replaced: a 503 is one failure, a 429 and a request for a pause are none. Without 'unconfirmed_refusal' among the failures whose health is recorded already, the last two count as failures.

--- a/packages/gateway/src/lib/front/attempt_feedback.test.ts
+++ b/packages/gateway/src/lib/front/attempt_feedback.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {FirstEventModel} from '@applebend/routing';
+import {SAMPLE_HEAD} from '../../testing/exchange_rig.js';
 import {sampleTarget} from '../../testing/sample_target.js';
 import {attemptFailure} from '../errors.js';
 import {EXECUTION} from '../execution.js';
@@ -9,11 +10,19 @@
 import {AttemptFeedback} from './attempt_feedback.js';
 
 import type {Candidate} from '@applebend/routing';
+import type {TargetResponse} from '../upstream/target_call.js';
 import type {ExchangeDeps} from './exchange_deps.js';
 import type {RequestContext} from './request_context.js';
 
+/** Failures in a row after which a target is ejected. */
+const FAILURES_TO_EJECT = 3;
 const RESET = attemptFailure('reset', EXECUTION.unknown, 'reset');
 const PAUSED = attemptFailure('target_paused', EXECUTION.notRun, 'full');
+const UNCONFIRMED = attemptFailure(
+  'unconfirmed_refusal',
+  EXECUTION.unknown,
+  'replaced'
+);
 
 /** A target, and attempts at it at a time that the test sets. */
 function createTarget() {
@@ -26,6 +35,7 @@
   const deps = {
     clock: {monotonicMs: () => time.nowMs},
     onPlaced: () => undefined,
+    onInvalidResponse: () => undefined,
   } as unknown as ExchangeDeps;
   const candidate = {id: 't-1', uncachedTokens: 0} as unknown as Candidate;
   const context = {route: {streaming: false}} as unknown as RequestContext;
@@ -82,3 +92,23 @@
   for (let i = 0; i < 10; i++) attempt.onSilence();
   assert.equal(record.health.isUsable(0), true);
 });
+
+/** The failures in a row of a target whose answers are replaced. */
+function failuresAfter(status: number, pauseMs?: number): number {
+  const {record, send} = createTarget();
+  const signals = {...SAMPLE_HEAD.signals, pauseMs};
+  const head = {...SAMPLE_HEAD, signals};
+  const attempt = send();
+  attempt.onHead({status, head} as unknown as TargetResponse);
+  attempt.onFailure(UNCONFIRMED);
+  attempt.end();
+  let failures = 0;
+  for (; record.health.isUsable(0); failures++) record.health.onFailure(0);
+  return FAILURES_TO_EJECT - failures;
+}
+
+test('an answer that is replaced counts once, and as no failure with a pause or below 500', () => {
+  assert.equal(failuresAfter(503), 1);
+  assert.equal(failuresAfter(503, 1000), 0);
+  assert.equal(failuresAfter(429), 0);
+});
