--- a/apps/rig/src/at_most_once.process.test.ts
+++ b/apps/rig/src/at_most_once.process.test.ts
@@ -166,7 +166,8 @@
 
 test('a restarted router reads the claims before it accepts keyed requests', () =>
   runWithFleet({}, async fleet => {
-    assert.equal((await book(fleet, 0, 'before')).status, 200);
+    const first = await book(fleet, 0, 'before');
+    assert.equal(first.status, 200, first.body);
     await fleet.waitUntil('the response is on the log', async () => {
       const read = await fleet.logClient().read('claims', 0, 0);
       return read.ok && JSON.stringify(read.value).includes('"done"');
--- a/apps/rig/src/complete_responses.process.test.ts
+++ b/apps/rig/src/complete_responses.process.test.ts
@@ -149,7 +149,7 @@
       };
       // Without a cancellation, the engine would keep the request for 10 min.
       const response = await callModel(fleet, 0, sample, 700);
-      assert.equal(response.failure, 'timeout');
+      assert.equal(response.failure, 'timeout', response.body);
       await fleet.waitUntil(
         'the engine runs no request',
         async () => (await engine.runningNow()) === 0
